Rename the crate to dewferry and decode settings once, in the library

The adapter is now dewferry-adapter; the program dewferry has version and check-config so far, serve comes with the network code that deploy/balancer.toml already names. The settings decoder moved from the adapter into src/config.rs, on tinyjson: the adapter hands its info over as text.

--- a/src/bin/emberwinch-drill/main.rs
+++ b/src/adapter/main.rs
@@ -1,4 +1,4 @@
-//! Runs emberwinch instances on the simulator's wire: lines in, lines out, one flush a batch.
+//! Runs dewferry instances on the simulator's wire: lines in, lines out, one flush a batch.
 #![forbid(unsafe_code)]
 
 mod wire;
@@ -19,7 +19,7 @@
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("emberwinch-drill: line {number}: cannot read: {error}");
+                eprintln!("dewferry-adapter: line {number}: cannot read: {error}");
                 return ExitCode::from(2);
             }
         }
@@ -34,7 +34,7 @@
                 }
             }
             Err(message) => {
-                eprintln!("emberwinch-drill: line {number}: {message}");
+                eprintln!("dewferry-adapter: line {number}: {message}");
                 return ExitCode::from(2);
             }
         }
--- a/src/bin/emberwinch-drill/wire.rs
+++ b/src/adapter/wire.rs
@@ -4,11 +4,8 @@
 use std::io::Write;
 use std::sync::Arc;
 
-use emberwinch::interface::{
-    Action, Arrival, Class, Consistency, Dedup, Done, Effect, Entry, Event, ListKind, Outcome, Phase, Report,
-    Settings, WhenBehind,
-};
-use emberwinch::Policy;
+use dewferry::interface::{Action, Arrival, Done, Entry, Event, ListKind, Outcome, Phase, Report};
+use dewferry::Policy;
 use serde_json::{json, Value};
 
 /// The instances hosted by this process, and the batch being read.
@@ -78,7 +75,8 @@
             }
             "openInstance" => {
                 let info = fields.at(2);
-                let settings = settings(info).map_err(|fault| format!("in 'info': {fault}"))?;
+                let settings = dewferry::config::settings(&info.to_string())
+                    .map_err(|fault| format!("in 'info': {fault}"))?;
                 let base = info["specifics"]["baseTime"].as_f64().unwrap_or(0.0);
                 let seed = fields.at(1);
                 let seed =
@@ -229,77 +227,3 @@
         primary: fields.number_or(7, "isPrimary", 0.0)? == 1.0,
     })
 }
-
-fn settings(info: &Value) -> Result<Settings, Fault> {
-    let read = |object: &Value, name: &str, absent: f64| match &object[name] {
-        Value::Null => Ok(absent),
-        value => value.as_f64().ok_or_else(|| format!("'{name}' is not a number")),
-    };
-    let flag = |object: &Value, name: &str| object[name].as_bool().unwrap_or(false);
-    let (limits, rules, specifics) = (&info["limits"], &info["invariants"], &info["specifics"]);
-    let levels = specifics["consistency"].as_array().map_or(0, Vec::len);
-    if info["classes"].as_array().is_some_and(|classes| classes.len() != levels) {
-        return Err("'classes' and 'consistency' differ in length".into());
-    }
-    let mut classes = Vec::new();
-    for (index, class) in info["classes"].as_array().ok_or("'classes' is not an array")?.iter().enumerate() {
-        classes.push(Class {
-            aim: read(class, "aim", 1.0)?,
-            aim_stretch: read(class, "aimStretch", 0.0)?,
-            deadline: read(class, "deadline", 1.0)?,
-            dedup_window: read(class, "dedupWindow", 0.0)?,
-            effect: match class["effect"].as_str() {
-                Some("read_like") => Effect::Safe,
-                // A scope that is no part of the interface: never repeated.
-                Some("idempotency_key") if class["group"] == "zone" => Effect::Unsafe,
-                Some("idempotency_key") => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            dedup: match class["group"].as_str() {
-                Some("all") => Dedup::All,
-                _ => Dedup::Cell,
-            },
-            late_worth: read(class, "lateWorth", 0.0)?,
-            value: read(class, "value", 1.0)?,
-            consistency: match specifics["consistency"][index].as_str() {
-                Some("write") => Consistency::Write,
-                Some("session") => Consistency::Session,
-                Some("bounded") => {
-                    Consistency::Bounded(specifics["stalenessBound"][index].as_f64().unwrap_or(0.0))
-                }
-                Some("any") => Consistency::Any,
-                _ => Consistency::Fresh,
-            },
-        });
-    }
-    let quota = |tenant: &Value| read(tenant, "quotaPerS", f64::INFINITY);
-    let tenants = info["customers"].as_array().map(Vec::as_slice).unwrap_or_default();
-    Ok(Settings {
-        classes,
-        tenant_quota: tenants.iter().map(quota).collect::<Result<_, _>>()?,
-        over_share_worth: read(info, "overShareWorth", 1.0)?,
-        fleet_size: read(info, "fleetSize", 1.0)? as u32,
-        zone: read(info, "zone", 0.0)? as u32,
-        tick: read(info, "tick", 0.005)?,
-        probes: flag(limits, "probes"),
-        cancel: flag(limits, "cancel"),
-        may_duplicate: flag(limits, "mayDuplicate"),
-        max_attempts: read(limits, "maxAttempts", 1.0)? as u32,
-        retry_after: flag(limits, "retryAfter"),
-        max_retry_after: read(limits, "maxRetryAfter", 0.0)?,
-        connect_timeout: read(limits, "connectTimeout", 0.25)?,
-        subscribe: info["registryMode"].as_str() == Some("subscribe"),
-        ask_within: read(rules, "askWithin", 10.0)?,
-        cold_from: read(rules, "coldFrom", 1.0)?,
-        warm_up: read(rules, "warmUp", 0.0)?,
-        tip_multiple: read(rules, "tipMultiple", f64::INFINITY)?,
-        fall: read(rules, "fall", 1.0)?,
-        gone_is_advice: flag(rules, "goneIsAdvice"),
-        when_behind: match specifics["whenBehind"].as_str() {
-            Some("refuse") => WhenBehind::Refuse,
-            Some("wait") => WhenBehind::Wait(read(specifics, "wait", 0.0)?),
-            _ => WhenBehind::Silent,
-        },
-        tokens_carried: specifics["writeMarks"].as_str() == Some("carried"),
-    })
-}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,70 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::config::Config;
+
+/// dewferry: a pooler that sends each read and write of a replicated database where it belongs.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Version(Version),
+    CheckConfig(CheckConfig),
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+/// Read the configuration, say whether it can be used, and stop.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check-config")]
+struct CheckConfig {
+    /// the configuration file; the variable LB_CONFIG where this is not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Runs the program as its command line says.
+pub fn run() -> ExitCode {
+    let Args { command } = argh::from_env();
+    let result = match command {
+        Command::Version(Version {}) => {
+            println!("dewferry {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::CheckConfig(CheckConfig { config }) => load(config).map(|config| {
+            println!(
+                "usable: {} listens on {} for {} classes of requests, discovery at {}",
+                config.name,
+                config.listen,
+                config.classes.len(),
+                config.discovery
+            );
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("dewferry: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn load(path: Option<PathBuf>) -> Result<Config, String> {
+    let path = path.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
+    let path = path.ok_or("no configuration: give --config or set LB_CONFIG")?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+    Config::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! emberwinch decides, for a proxy, where each read and write of a replicated database goes.
+//! dewferry decides, for a proxy, where each read and write of a replicated database goes.
 //!
 //! [`Policy`] takes every decision; [`interface`] holds the types it speaks in. A proxy feeds it
 //! events and carries out the actions it gets back:
 //!
 //! ```
-//! use emberwinch::interface::{Action, Entry, Event, ListKind, Phase, Settings};
-//! use emberwinch::Policy;
+//! use dewferry::interface::{Action, Entry, Event, ListKind, Phase, Settings};
+//! use dewferry::Policy;
 //!
 //! let mut policy = Policy::new(Settings::default(), 7).expect("the defaults are in range");
 //! let mut actions = Vec::new();
@@ -18,6 +18,8 @@
 #![warn(missing_docs)]
 
 mod check;
+pub mod cli;
+pub mod config;
 pub mod interface;
 mod policy;
 mod state;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! Every decision of emberwinch. Its types, events and actions stand in `src/interface.rs`.
+//! Every decision of dewferry. Its types, events and actions stand in `src/interface.rs`.
 //!
 //! The ordinary path (docs/design.md): writes and fresh reads go to the primary of their group; other
 //! reads to a fresh enough replica in the own zone, then in other zones, then to the primary.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -8,7 +8,7 @@
 "#;
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_emberwinch-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_dewferry-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Small scenarios that drive the policy by events. Each guards one decision.
 
-use emberwinch::interface::*;
-use emberwinch::Policy;
+use dewferry::interface::*;
+use dewferry::Policy;
 
 /// Drives one policy and keeps what it did.
 struct Drive {
