--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,10 +17,20 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Serve(Serve),
     Version(Version),
     CheckConfig(CheckConfig),
 }
 
+/// Serve until SIGTERM; SIGUSR1 prints the counters.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// the configuration file; the variable LB_CONFIG where this is not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -39,6 +49,8 @@
 pub fn run() -> ExitCode {
     let Args { command } = argh::from_env();
     let result = match command {
+        Command::Serve(Serve { config }) => load(config)
+            .and_then(|config| crate::net::serve(&config).map_err(|error| format!("cannot serve: {error}"))),
         Command::Version(Version {}) => {
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,60 @@
+//! What the pooler counts.
+
+use std::fmt;
+
+use crate::interface::Outcome;
+
+/// What was taken in, sent and answered since the start.
+#[derive(Default)]
+pub(crate) struct Counters {
+    pub clients: u64,
+    pub taken: u64,
+    pub malformed: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub gone: u64,
+    pub sent: u64,
+    pub probed: u64,
+    pub connected: u64,
+    /// How attempts and probes ended, in the order of [`OUTCOMES`].
+    pub attempts: [u64; OUTCOMES.len()],
+    pub probes: [u64; OUTCOMES.len()],
+    pub lists: u64,
+    pub lists_failed: u64,
+}
+
+const OUTCOMES: [(Outcome, &str); 9] = [
+    (Outcome::Ok, "ok"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::Timeout, "timeout"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::Moot, "moot"),
+    (Outcome::Miss, "miss"),
+];
+
+/// Counts one outcome in `counts`.
+pub(crate) fn count(counts: &mut [u64; OUTCOMES.len()], outcome: Outcome) {
+    if let Some(index) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
+        counts[index] += 1;
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Counters { clients, taken, malformed, served, refused, failed, gone, .. } = self;
+        write!(f, "clients={clients} taken={taken} malformed={malformed} served={served} refused={refused}")?;
+        write!(f, " failed={failed} gone={gone} connected={} sent={}", self.connected, self.sent)?;
+        for ((_, name), count) in OUTCOMES.iter().zip(self.attempts) {
+            write!(f, " {name}={count}")?;
+        }
+        write!(f, " probed={}", self.probed)?;
+        for ((_, name), count) in OUTCOMES.iter().zip(self.probes).filter(|(_, count)| *count > 0) {
+            write!(f, " probe_{name}={count}")?;
+        }
+        write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,9 @@
 mod check;
 pub mod cli;
 pub mod config;
+mod counters;
 pub mod interface;
+mod net;
 mod policy;
 mod state;
 
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,344 @@
+//! The clients' side: takes connections in, reads queries off them and writes the answers.
+
+use std::io;
+use std::net::Shutdown;
+
+use mio::net::{TcpListener, TcpStream};
+use mio::Interest;
+
+use super::event_loop::{Due, Slot, Slots, Source};
+use super::pg::{self, code, Asked, FrameError, Message, Startup};
+use super::ring::{Fill, Overflow, Ring};
+use super::{log, Answer, Context, Event};
+
+/// Pause before accepting again after the system had no descriptor or memory for a connection (seconds).
+const ACCEPT_AGAIN: f64 = 0.1;
+/// How long a client that is told of its fault may take to read it before the connection ends (seconds).
+const LINGER: f64 = 1.0;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Startup,
+    /// The next query.
+    Idle,
+    /// An empty query is there and the pooler cannot serve yet.
+    Unready,
+    /// The answer to a query.
+    Busy,
+    /// The end: what comes is thrown away, what was written is still sent.
+    Ending,
+}
+
+/// The connection is of no further use.
+struct Over;
+
+impl From<Overflow> for Over {
+    fn from(_: Overflow) -> Over {
+        Over
+    }
+}
+
+struct Conn {
+    stream: TcpStream,
+    inbox: Ring,
+    outbox: Ring,
+    stage: Stage,
+    /// After an error in the extended protocol everything up to Sync is passed over.
+    skipping: bool,
+    /// When it was last heard of.
+    active: f64,
+}
+
+impl Conn {
+    /// Reads, understands and writes as far as it goes without waiting.
+    fn turn(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
+        self.active = context.reactor.now();
+        loop {
+            let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
+            if fill == Fill::Ended {
+                return Err(Over);
+            }
+            let before = self.inbox.len();
+            self.understand(slot, serving, context)?;
+            // The event is edge-triggered: what a full buffer left in the socket must be read now that there
+            // is room, since nothing will announce it again.
+            if fill == Fill::Drained || self.inbox.len() == before {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes message by message. The next is looked at only when the answers so far are written: a client
+    /// that sends and does not read gets no further than its buffers.
+    fn understand(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
+        while self.flush()? {
+            let result = match self.stage {
+                Stage::Startup => match pg::startup(&mut self.inbox) {
+                    Ok(None) => return Ok(()),
+                    Ok(Some(first)) => self.startup(first, slot, context).map(Ok)?,
+                    Err(fault) => Err(fault),
+                },
+                Stage::Idle => match pg::message(&mut self.inbox) {
+                    Ok(None) => return Ok(()),
+                    Ok(Some(message)) => self.message(message, slot, serving, context).map(Ok)?,
+                    Err(fault) => Err(fault),
+                },
+                Stage::Busy | Stage::Unready => return Ok(()),
+                Stage::Ending => {
+                    self.inbox.skip(self.inbox.len());
+                    return Ok(());
+                }
+            };
+            match result {
+                Ok(()) => {}
+                Err(FrameError::Malformed) => {
+                    self.fatal(slot, code::VIOLATION, "malformed message", context)?
+                }
+                Err(FrameError::TooLong) => {
+                    self.fatal(slot, code::TOO_LARGE, "message too long", context)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn startup(&mut self, first: Startup, slot: Slot, context: &mut Context) -> Result<(), Over> {
+        match first {
+            Startup::Encryption => self.outbox.push(b"N")?,
+            Startup::Session => {
+                self.outbox.push(&pg::welcome())?;
+                self.stage = Stage::Idle;
+            }
+            Startup::Cancel => return Err(Over),
+            Startup::Unknown => self.fatal(slot, code::UNSUPPORTED, "unknown protocol", context)?,
+        }
+        Ok(())
+    }
+
+    fn message(
+        &mut self,
+        message: Message,
+        slot: Slot,
+        serving: bool,
+        context: &mut Context,
+    ) -> Result<(), Over> {
+        match message.kind {
+            b'X' => return Err(Over),
+            b'S' => {
+                self.skipping = false;
+                self.outbox.push(&pg::ready())?;
+            }
+            _ if self.skipping => {}
+            b'Q' => match pg::asked(&message.body) {
+                Ok(Asked::Nothing) if serving => self.empty()?,
+                Ok(Asked::Nothing) => self.stage = Stage::Unready,
+                Ok(Asked::Query(query)) => {
+                    self.stage = Stage::Busy;
+                    context.events.push_back(Event::Asked(slot, query));
+                }
+                Err(what) => {
+                    context.counters.malformed += 1;
+                    self.error(code::SYNTAX, what, None)?;
+                }
+            },
+            b'P' | b'B' | b'D' | b'E' | b'C' => {
+                self.skipping = true;
+                let what = "only simple queries are served";
+                self.outbox.push(&pg::error("ERROR", code::UNSUPPORTED, what, None))?;
+            }
+            b'F' => self.error(code::UNSUPPORTED, "function calls are not served", None)?,
+            // Flush asks for nothing here; the rest belongs to exchanges that are over or were never begun.
+            b'H' | b'p' | b'd' | b'c' | b'f' => {}
+            _ => self.fatal(slot, code::VIOLATION, "unknown message", context)?,
+        }
+        Ok(())
+    }
+
+    fn empty(&mut self) -> Result<(), Over> {
+        self.stage = Stage::Idle;
+        Ok(self.outbox.push(&[pg::empty_response(), pg::ready()].concat())?)
+    }
+
+    fn error(&mut self, code: &str, what: &str, detail: Option<&str>) -> Result<(), Over> {
+        Ok(self.outbox.push(&[pg::error("ERROR", code, what, detail), pg::ready()].concat())?)
+    }
+
+    /// Says what is wrong and ends the connection once that is read.
+    fn fatal(&mut self, slot: Slot, code: &str, what: &str, context: &mut Context) -> Result<(), Over> {
+        context.counters.malformed += 1;
+        self.outbox.push(&pg::error("FATAL", code, what, None))?;
+        self.stage = Stage::Ending;
+        context.reactor.timer(self.active + LINGER, Due::Client(slot));
+        Ok(())
+    }
+
+    /// Writes what there is to write; true when all is written.
+    fn flush(&mut self) -> Result<bool, Over> {
+        let written = self.outbox.drain(&mut self.stream).map_err(|_| Over)?;
+        if written && self.stage == Stage::Ending {
+            // Ends the sending only: closing with input unread would reset the connection, and the client
+            // might lose the message that says why.
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        Ok(written)
+    }
+
+    fn answer(&mut self, answer: Answer) -> Result<(), Over> {
+        self.stage = Stage::Idle;
+        match answer {
+            Answer::Served(mut value) => {
+                value.extend(pg::ready());
+                self.outbox.push(&value)?;
+            }
+            Answer::Refused(backoff) => {
+                let millis = Some((backoff * 1000.0).ceil()).filter(|millis| *millis > 0.0);
+                let detail = millis.map(|millis| (millis as u64).to_string());
+                self.error(code::TURNED_AWAY, "refused: try again later", detail.as_deref())?;
+            }
+            Answer::Failed => self.error(code::FAILED, "failed: it may have run", None)?,
+            Answer::Invalid(what) => self.error(code::BAD_VALUE, what, None)?,
+        }
+        Ok(())
+    }
+}
+
+/// All client connections and the socket that they come in by.
+pub(crate) struct Clients {
+    listener: TcpListener,
+    conns: Slots<Conn>,
+    /// Most connections at a time.
+    limit: usize,
+    /// Connections wait in the listener's queue until there is room.
+    full: bool,
+    /// Whether queries can be carried out.
+    serving: bool,
+    /// Connections end as soon as nothing is owed on them.
+    closing: bool,
+}
+
+impl Clients {
+    pub fn new(mut listener: TcpListener, limit: usize, context: &mut Context) -> io::Result<Clients> {
+        context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
+        let conns = Slots::new();
+        Ok(Clients { listener, conns, limit, full: false, serving: false, closing: false })
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.conns.len() == 0
+    }
+
+    /// Takes in all that wait.
+    pub fn accept(&mut self, context: &mut Context) {
+        while !self.closing {
+            // At the limit a connection between requests makes room; where all are busy, new ones wait.
+            if self.conns.len() >= self.limit && !self.evict() {
+                if !std::mem::replace(&mut self.full, true) {
+                    log(format_args!("{} clients, all busy: new connections wait", self.conns.len()));
+                }
+                return;
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => self.admit(stream, context),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The peer has left the queue again.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    // No descriptor or no memory: what waits is taken in when there is some again.
+                    log(format_args!("cannot accept: {error}"));
+                    return context.reactor.timer(context.reactor.now() + ACCEPT_AGAIN, Due::Accept);
+                }
+            }
+        }
+    }
+
+    fn admit(&mut self, stream: TcpStream, context: &mut Context) {
+        let _ = stream.set_nodelay(true);
+        let active = context.reactor.now();
+        let (inbox, outbox) = (Ring::default(), Ring::default());
+        let conn = Conn { stream, inbox, outbox, stage: Stage::Startup, skipping: false, active };
+        let slot = self.conns.insert(conn);
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let (token, both) = (Source::Client(slot).into(), Interest::READABLE | Interest::WRITABLE);
+        if context.reactor.registry.register(&mut conn.stream, token, both).is_err() {
+            self.conns.remove(slot);
+            return;
+        }
+        context.counters.clients += 1;
+        self.ready(slot, context);
+    }
+
+    /// Ends the connection that has been between requests for longest.
+    fn evict(&mut self) -> bool {
+        let idle = |conn: &Conn| {
+            matches!(conn.stage, Stage::Idle | Stage::Startup)
+                && conn.inbox.is_empty()
+                && conn.outbox.is_empty()
+        };
+        let oldest = self.conns.iter().filter(|(_, conn)| idle(conn));
+        let oldest = oldest.min_by(|(_, a), (_, b)| a.active.total_cmp(&b.active)).map(|(slot, _)| slot);
+        oldest.is_some_and(|slot| self.conns.remove(slot).is_some())
+    }
+
+    /// A connection may be read from or written to.
+    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let result = conn.turn(slot, self.serving, context);
+        self.settle(slot, result, context);
+    }
+
+    /// Ends a connection that is over, or that is between requests while all are to end.
+    fn settle(&mut self, slot: Slot, result: Result<(), Over>, context: &mut Context) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let quiet = self.closing && conn.stage != Stage::Busy && conn.outbox.is_empty();
+        if result.is_err() || quiet {
+            if conn.stage == Stage::Busy {
+                context.events.push_back(Event::Gone(slot));
+            }
+            self.conns.remove(slot);
+            if std::mem::replace(&mut self.full, false) {
+                self.accept(context);
+            }
+        }
+    }
+
+    /// Gives the final answer to the query of a connection.
+    pub fn answer(&mut self, slot: Slot, answer: Answer, context: &mut Context) {
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.stage == Stage::Busy) else { return };
+        let result = conn.answer(answer).and_then(|()| conn.turn(slot, self.serving, context));
+        self.settle(slot, result, context);
+    }
+
+    /// From now on queries can be carried out: those who asked are told.
+    pub fn serve(&mut self, context: &mut Context) {
+        if std::mem::replace(&mut self.serving, true) {
+            return;
+        }
+        let unready = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Unready);
+        let unready: Vec<Slot> = unready.map(|(slot, _)| slot).collect();
+        for slot in unready {
+            let Some(conn) = self.conns.get_mut(slot) else { continue };
+            let result = conn.empty().and_then(|()| conn.turn(slot, true, context));
+            self.settle(slot, result, context);
+        }
+    }
+
+    /// Ends every connection as soon as nothing is owed on it, and takes in no more.
+    pub fn close(&mut self, context: &mut Context) {
+        // What has come in until now is still read, and owed an answer.
+        self.accept(context);
+        self.closing = true;
+        let all: Vec<Slot> = self.conns.iter().map(|(slot, _)| slot).collect();
+        for slot in all {
+            self.ready(slot, context);
+        }
+    }
+
+    /// The time for a client to read of its fault is over.
+    pub fn due(&mut self, slot: Slot) {
+        if self.conns.get_mut(slot).is_some_and(|conn| conn.stage == Stage::Ending) {
+            self.conns.remove(slot);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,275 @@
+//! Discovery's side: one watch on the list of db machines, over HTTP/1.1.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use mio::net::TcpStream;
+use mio::Interest;
+
+use super::event_loop::{Due, Slot, Slots, Source};
+use super::ring::{Fill, Ring};
+use super::{Context, Event, Listing};
+use crate::config::{json, Node};
+use crate::interface::{ListKind, Phase};
+
+const PATH: &str = "/catalog/members";
+/// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s.
+const SILENCE: f64 = 5.0;
+/// Most header fields of an answer that are looked at.
+const FIELDS: usize = 32;
+/// Longest head of an answer, longest line that gives a chunk's size, and longest line of a watch.
+const LONGEST_HEAD: usize = 8 * 1024;
+const LONGEST_SIZE: usize = 256;
+const LONGEST_LINE: usize = 1024 * 1024;
+
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Where in the answer the next byte stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    Head,
+    Size,
+    /// So many bytes of a chunk are still to come.
+    Chunk(u64),
+    /// The line end behind a chunk.
+    End,
+}
+
+/// The watch is of no further use; why, for the log.
+type Broken = &'static str;
+
+struct Watch {
+    stream: TcpStream,
+    inbox: Ring,
+    outbox: Ring,
+    part: Part,
+    line: Vec<u8>,
+    /// Whether any news, or word that there is none, has come over it.
+    told: bool,
+    heard: f64,
+}
+
+impl Watch {
+    /// Reads and writes as far as it goes; the lines that are whole.
+    fn turn(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<(), Broken> {
+        if self.stream.peer_addr().is_err() {
+            return match self.stream.take_error() {
+                Ok(None) => Ok(()),
+                _ => Err("no connection"),
+            };
+        }
+        self.outbox.drain(&mut self.stream).map_err(|_| "the connection broke")?;
+        loop {
+            let fill = self.inbox.fill(&mut self.stream).map_err(|_| "the connection broke")?;
+            let before = self.inbox.len();
+            while self.part(lines)? {}
+            match fill {
+                Fill::Ended => return Err("the watch ended"),
+                Fill::Drained => return Ok(()),
+                Fill::Full if self.inbox.len() == before => return Err("an answer too long"),
+                Fill::Full => {}
+            }
+        }
+    }
+
+    /// Takes the next part of the answer; false when it is not all there.
+    fn part(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<bool, Broken> {
+        match self.part {
+            Part::Head => {
+                let head = self.inbox.first(LONGEST_HEAD);
+                let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+                let mut response = httparse::Response::new(&mut fields);
+                match response.parse(&head) {
+                    Ok(httparse::Status::Complete(length)) => {
+                        let chunked = response.headers.iter().any(|field| {
+                            field.name.eq_ignore_ascii_case("transfer-encoding")
+                                && field.value.eq_ignore_ascii_case(b"chunked")
+                        });
+                        if response.code != Some(200) || !chunked {
+                            return Err("the call was turned down");
+                        }
+                        self.inbox.skip(length);
+                        self.part = Part::Size;
+                        Ok(true)
+                    }
+                    Ok(httparse::Status::Partial) if head.len() < LONGEST_HEAD => Ok(false),
+                    _ => Err("not HTTP"),
+                }
+            }
+            Part::Size => {
+                let size = self.inbox.first(LONGEST_SIZE);
+                match httparse::parse_chunk_size(&size) {
+                    Ok(httparse::Status::Complete((_, 0))) => Err("the watch ended"),
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        self.inbox.skip(length);
+                        self.part = Part::Chunk(size);
+                        Ok(true)
+                    }
+                    Ok(httparse::Status::Partial) if size.len() < LONGEST_SIZE => Ok(false),
+                    _ => Err("not a chunk"),
+                }
+            }
+            Part::Chunk(left) => {
+                let bytes = self.inbox.take(usize::try_from(left).unwrap_or(usize::MAX));
+                let left = left - bytes.len() as u64;
+                self.part = if left == 0 { Part::End } else { Part::Chunk(left) };
+                for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
+                    self.line.extend(piece);
+                    if piece.ends_with(b"\n") {
+                        lines.push(std::mem::take(&mut self.line));
+                    }
+                }
+                if self.line.len() > LONGEST_LINE {
+                    return Err("a line too long");
+                }
+                Ok(left == 0)
+            }
+            Part::End => match self.inbox.peek() {
+                None => Ok(false),
+                Some([b'\r', b'\n']) => {
+                    self.inbox.skip(2);
+                    self.part = Part::Size;
+                    Ok(true)
+                }
+                Some(_) => Err("not a chunk"),
+            },
+        }
+    }
+}
+
+/// The watch on the list, and how far it has come.
+pub(crate) struct Discovery {
+    address: SocketAddr,
+    watches: Slots<Watch>,
+    current: Option<Slot>,
+    index: u64,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr) -> Discovery {
+        Discovery { address, watches: Slots::new(), current: None, index: 0 }
+    }
+
+    /// The list in the text that the pooler was started with, whatever of it can be read.
+    pub fn known(&mut self, text: &str) -> Vec<Listing> {
+        let known = message(text);
+        self.index = known.as_ref().map_or(0, |known| known.index);
+        known.map(|known| known.listings).unwrap_or_default()
+    }
+
+    /// Opens the watch from the list held, in place of one that may still be there.
+    pub fn listen(&mut self, context: &mut Context) {
+        if let Some(slot) = self.current.take() {
+            self.watches.remove(slot);
+        }
+        let Ok(stream) = TcpStream::connect(self.address) else {
+            return self.failed("no connection", context);
+        };
+        let (mut outbox, heard) = (Ring::default(), context.reactor.now());
+        let (index, host) = (self.index, self.address);
+        let request = format!(
+            "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+        );
+        let pushed = outbox.push(request.as_bytes());
+        let (inbox, line) = (Ring::default(), Vec::new());
+        let watch = Watch { stream, inbox, outbox, part: Part::Head, line, told: false, heard };
+        let slot = self.watches.insert(watch);
+        self.current = Some(slot);
+        let Some(watch) = self.watches.get_mut(slot) else { return };
+        let (token, both) = (Source::Discovery(slot).into(), Interest::READABLE | Interest::WRITABLE);
+        let registered = context.reactor.registry.register(&mut watch.stream, token, both);
+        if pushed.is_err() || registered.is_err() {
+            return self.failed("no connection", context);
+        }
+        context.reactor.timer(heard + SILENCE, Due::Discovery(slot));
+    }
+
+    fn failed(&mut self, why: Broken, context: &mut Context) {
+        if let Some(slot) = self.current.take() {
+            self.watches.remove(slot);
+        }
+        super::log(format_args!("discovery: {why}"));
+        context.events.push_back(Event::Members(ListKind::Failed, Vec::new()));
+    }
+
+    /// The watch may be read from or written to.
+    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
+        let Some(watch) = self.watches.get_mut(slot) else { return };
+        let mut lines = Vec::new();
+        let mut result = watch.turn(&mut lines);
+        if !lines.is_empty() {
+            watch.heard = context.reactor.now();
+        }
+        for line in lines {
+            let Ok(text) = std::str::from_utf8(&line) else {
+                result = Err("a line that is not text");
+                break;
+            };
+            if text.trim().is_empty() {
+                // Nothing has changed since the list held: that, too, answers the call.
+                if !std::mem::replace(&mut watch.told, true) {
+                    context.events.push_back(Event::Members(ListKind::Incremental, Vec::new()));
+                }
+                continue;
+            }
+            let Some(message) = message(text) else {
+                result = Err("a line that is no list");
+                break;
+            };
+            (watch.told, self.index) = (true, message.index);
+            let kind = if message.whole { ListKind::Full } else { ListKind::Incremental };
+            context.events.push_back(Event::Members(kind, message.listings));
+        }
+        if let Err(why) = result {
+            self.failed(why, context);
+        }
+    }
+
+    /// Looks whether the watch has been silent for too long: one that is cut off would stay open for ever.
+    pub fn due(&mut self, slot: Slot, context: &mut Context) {
+        let Some(watch) = self.watches.get_mut(slot) else { return };
+        let until = watch.heard + SILENCE;
+        if context.reactor.now() >= until {
+            self.failed("silent", context);
+        } else {
+            context.reactor.timer(until, Due::Discovery(slot));
+        }
+    }
+}
+
+struct News {
+    index: u64,
+    whole: bool,
+    listings: Vec<Listing>,
+}
+
+/// Reads one message of the list; none where it is not of the agreed form. A single entry that cannot be
+/// read is left out: the others are of use without it.
+fn message(text: &str) -> Option<News> {
+    let value = json(text).ok()?;
+    let root = Node::new(&value);
+    let listings = root.at("endpoints").items()?.iter().filter_map(|entry| listing(Node::new(entry)));
+    Some(News {
+        index: root.at("index").number()? as u64,
+        whole: root.at("snapshot").flag(),
+        listings: listings.collect(),
+    })
+}
+
+fn listing(entry: Node) -> Option<Listing> {
+    let phase = match entry.at("status").text()? {
+        "SERVING" => Phase::Active,
+        "DRAINING" => Phase::Leaving,
+        "DELETED" => Phase::Left,
+        _ => return None,
+    };
+    let address = entry.at("address").text().and_then(|address| address.parse().ok());
+    Some(Listing {
+        name: entry.at("name").text()?.into(),
+        // One that is gone may have no address any more; it must be known to be gone all the same.
+        address: address.or((phase == Phase::Left).then_some(NOWHERE))?,
+        zone: entry.at("zone").text()?.to_string(),
+        group: entry.at("group").number()? as u32,
+        phase,
+        since: entry.at("since_ms").number().unwrap_or(0.0) / 1000.0,
+    })
+}
--- /dev/null
+++ b/src/net/event_loop.rs
@@ -0,0 +1,206 @@
+//! Waits for sockets, signals and timers, and tells whoever they belong to.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{self, ErrorKind};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mio::{Events, Poll, Registry, Token};
+use slab::Slab;
+
+use super::Context;
+
+/// Events fetched in one go.
+const BATCH: usize = 256;
+
+/// A place in [`Slots`] together with its tenant's number: a late event for an earlier tenant finds nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Slot {
+    index: u32,
+    generation: u32,
+}
+
+/// Connections by slot. Places are used again, numbers only after 2^29 others.
+pub(crate) struct Slots<T> {
+    slab: Slab<(u32, T)>,
+    next: u32,
+}
+
+impl<T> Slots<T> {
+    pub fn new() -> Self {
+        Slots { slab: Slab::new(), next: 0 }
+    }
+
+    pub fn len(&self) -> usize {
+        self.slab.len()
+    }
+
+    pub fn insert(&mut self, item: T) -> Slot {
+        let generation = self.next;
+        self.next = (self.next + 1) & GENERATIONS;
+        Slot { index: self.slab.insert((generation, item)) as u32, generation }
+    }
+
+    pub fn get_mut(&mut self, slot: Slot) -> Option<&mut T> {
+        let (generation, item) = self.slab.get_mut(slot.index as usize)?;
+        (*generation == slot.generation).then_some(item)
+    }
+
+    pub fn remove(&mut self, slot: Slot) -> Option<T> {
+        self.get_mut(slot)?;
+        self.slab.try_remove(slot.index as usize).map(|(_, item)| item)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Slot, &T)> {
+        self.slab
+            .iter()
+            .map(|(index, (generation, item))| (Slot { index: index as u32, generation: *generation }, item))
+    }
+}
+
+/// Generations fit beside the kind of the source in a token's upper half.
+const GENERATIONS: u32 = (1 << 29) - 1;
+
+/// What an event of the poll belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    Listener,
+    Signals,
+    Client(Slot),
+    Server(Slot),
+    Discovery(Slot),
+}
+
+impl From<Source> for Token {
+    fn from(source: Source) -> Token {
+        let (kind, slot) = match source {
+            Source::Listener => (0, None),
+            Source::Signals => (1, None),
+            Source::Client(slot) => (2, Some(slot)),
+            Source::Server(slot) => (3, Some(slot)),
+            Source::Discovery(slot) => (4, Some(slot)),
+        };
+        let Slot { index, generation } = slot.unwrap_or(Slot { index: 0, generation: 0 });
+        Token(kind << 61 | (generation as usize) << 32 | index as usize)
+    }
+}
+
+impl From<Token> for Source {
+    fn from(Token(token): Token) -> Source {
+        let slot = Slot { index: token as u32, generation: (token >> 32) as u32 & GENERATIONS };
+        match token >> 61 {
+            0 => Source::Listener,
+            1 => Source::Signals,
+            2 => Source::Client(slot),
+            3 => Source::Server(slot),
+            _ => Source::Discovery(slot),
+        }
+    }
+}
+
+/// What a timer belongs to. Timers are not withdrawn: whoever is told looks whether it still matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Due {
+    Policy(u64),
+    Accept,
+    Client(Slot),
+    Server(Slot),
+    Discovery(Slot),
+    Drained,
+}
+
+struct Timer {
+    at: f64,
+    /// Keeps timers of the same time in the order in which they were set.
+    number: u64,
+    due: Due,
+}
+
+impl Ord for Timer {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at).then(self.number.cmp(&other.number))
+    }
+}
+
+impl PartialOrd for Timer {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Timer {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Timer {}
+
+/// Registers sockets, sets timers and tells the time: Unix seconds, fixed at the start and monotonic from
+/// then on, so that a clock set meanwhile neither stops nor fires a timer.
+pub(crate) struct Reactor {
+    pub registry: Registry,
+    timers: BinaryHeap<Reverse<Timer>>,
+    timers_set: u64,
+    epoch: f64,
+    start: Instant,
+}
+
+impl Reactor {
+    pub fn new(poll: &Poll) -> io::Result<Reactor> {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        let registry = poll.registry().try_clone()?;
+        Ok(Reactor { registry, timers: BinaryHeap::new(), timers_set: 0, epoch, start: Instant::now() })
+    }
+
+    pub fn now(&self) -> f64 {
+        self.epoch + self.start.elapsed().as_secs_f64()
+    }
+
+    pub fn timer(&mut self, at: f64, due: Due) {
+        self.timers_set += 1;
+        self.timers.push(Reverse(Timer { at, number: self.timers_set, due }));
+    }
+
+    /// How long until the next timer.
+    fn patience(&self) -> Option<Duration> {
+        let Reverse(next) = self.timers.peek()?;
+        Some(Duration::try_from_secs_f64(next.at - self.now()).unwrap_or(Duration::ZERO))
+    }
+
+    fn due(&mut self) -> Option<Due> {
+        let now = self.now();
+        if self.timers.peek().is_none_or(|Reverse(next)| next.at > now) {
+            return None;
+        }
+        self.timers.pop().map(|Reverse(timer)| timer.due)
+    }
+}
+
+/// Whom the loop tells.
+pub(crate) trait Handler {
+    /// A source may be read from or written to, or has ended.
+    fn ready(&mut self, source: Source, context: &mut Context);
+    /// A timer came due.
+    fn due(&mut self, due: Due, context: &mut Context);
+    /// Whether there is nothing left to wait for.
+    fn finished(&self) -> bool;
+}
+
+/// Runs until the handler has finished.
+pub(crate) fn run(poll: &mut Poll, handler: &mut impl Handler, context: &mut Context) -> io::Result<()> {
+    let mut events = Events::with_capacity(BATCH);
+    while !handler.finished() {
+        match poll.poll(&mut events, context.reactor.patience()) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            result => result?,
+        }
+        for event in &events {
+            handler.ready(event.token().into(), context);
+        }
+        while let Some(due) = context.reactor.due() {
+            handler.due(due, context);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/pg.rs
@@ -0,0 +1,276 @@
+//! The form of PostgreSQL's protocol, version 3: bytes to messages and back. Nothing is decided here, and
+//! nothing is read or written: that is the connections' part.
+
+use std::ops::Range;
+use std::rc::Rc;
+
+use super::ring::{Ring, BOUND};
+use super::{Query, Statement};
+
+/// Longest body of a message: its frame must fit a buffer together with it.
+const LONGEST: usize = BOUND - 5;
+/// Longest startup message: it holds a handful of names.
+const LONGEST_STARTUP: usize = 10_000;
+/// Most digits of a number in a statement's comment; keeps it far inside what a float holds exactly.
+const MOST_DIGITS: usize = 12;
+
+pub(crate) const PROTOCOL: u32 = 3 << 16;
+const SSL_REQUEST: u32 = 80_877_103;
+const GSS_REQUEST: u32 = 80_877_104;
+const CANCEL_REQUEST: u32 = 80_877_102;
+
+/// SQLSTATE codes that are spoken or understood.
+pub(crate) mod code {
+    pub const TURNED_AWAY: &str = "53300";
+    pub const READ_ONLY: &str = "25006";
+    pub const BEHIND: &str = "72000";
+    pub const FAILED: &str = "58000";
+    pub const SYNTAX: &str = "42601";
+    pub const BAD_VALUE: &str = "22023";
+    pub const UNSUPPORTED: &str = "0A000";
+    pub const VIOLATION: &str = "08P01";
+    pub const TOO_LARGE: &str = "54000";
+}
+
+/// One message, its type and what follows the length.
+#[derive(Debug)]
+pub(crate) struct Message {
+    pub kind: u8,
+    pub body: Vec<u8>,
+}
+
+/// Why the bytes cannot be cut into messages; the connection is of no further use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FrameError {
+    Malformed,
+    TooLong,
+}
+
+/// Takes the next whole message, if it is there.
+pub(crate) fn message(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
+    let Some([kind, a, b, c, d]) = ring.peek() else { return Ok(None) };
+    let length = u32::from_be_bytes([a, b, c, d]) as usize;
+    match length.checked_sub(4) {
+        None => Err(FrameError::Malformed),
+        Some(body) if body > LONGEST => Err(FrameError::TooLong),
+        Some(body) if ring.len() < body + 5 => Ok(None),
+        Some(body) => {
+            ring.skip(5);
+            Ok(Some(Message { kind, body: ring.take(body) }))
+        }
+    }
+}
+
+/// What a client's first message wants.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Startup {
+    Session,
+    Encryption,
+    Cancel,
+    Unknown,
+}
+
+/// Takes a message without type, as clients send it first.
+pub(crate) fn startup(ring: &mut Ring) -> Result<Option<Startup>, FrameError> {
+    let Some([a, b, c, d]) = ring.peek() else { return Ok(None) };
+    let length = u32::from_be_bytes([a, b, c, d]) as usize;
+    if length < 8 {
+        return Err(FrameError::Malformed);
+    }
+    if length > LONGEST_STARTUP {
+        return Err(FrameError::TooLong);
+    }
+    if ring.len() < length {
+        return Ok(None);
+    }
+    let body = ring.take(length);
+    Ok(Some(match u32::from_be_bytes([body[4], body[5], body[6], body[7]]) {
+        SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
+        CANCEL_REQUEST => Startup::Cancel,
+        version if version >> 16 == PROTOCOL >> 16 => Startup::Session,
+        _ => Startup::Unknown,
+    }))
+}
+
+/// Writes one message: its type, then whatever `body` appends.
+fn frame(out: &mut Vec<u8>, kind: u8, body: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    let at = out.len();
+    out.extend([0; 4]);
+    body(out);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn text(out: &mut Vec<u8>, text: &str) {
+    out.extend(text.as_bytes());
+    out.push(0);
+}
+
+/// The first message to a db machine.
+pub(crate) fn hello(user: &str, database: &str) -> Vec<u8> {
+    let mut out = vec![0; 4];
+    out.extend(PROTOCOL.to_be_bytes());
+    for word in ["user", user, "database", database] {
+        text(&mut out, word);
+    }
+    out.push(0);
+    let length = out.len() as u32;
+    out[..4].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+/// The answer to a client's startup message, up to and with ReadyForQuery.
+pub(crate) fn welcome() -> Vec<u8> {
+    let mut out = Vec::new();
+    frame(&mut out, b'R', |out| out.extend([0; 4]));
+    for (name, value) in [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        frame(&mut out, b'S', |out| {
+            text(out, name);
+            text(out, value);
+        });
+    }
+    frame(&mut out, b'K', |out| out.extend([0; 8]));
+    out.extend(ready());
+    out
+}
+
+pub(crate) fn ready() -> Vec<u8> {
+    vec![b'Z', 0, 0, 0, 5, b'I']
+}
+
+pub(crate) fn empty_response() -> Vec<u8> {
+    vec![b'I', 0, 0, 0, 4]
+}
+
+pub(crate) fn query(sql: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(sql.len() + 6);
+    frame(&mut out, b'Q', |out| {
+        out.extend(sql);
+        out.push(0);
+    });
+    out
+}
+
+/// An ErrorResponse; `detail` goes into the field D.
+pub(crate) fn error(severity: &str, code: &str, what: &str, detail: Option<&str>) -> Vec<u8> {
+    let mut out = Vec::new();
+    frame(&mut out, b'E', |out| {
+        for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', what)] {
+            out.push(field);
+            text(out, value);
+        }
+        if let Some(detail) = detail {
+            out.push(b'D');
+            text(out, detail);
+        }
+        out.push(0);
+    });
+    out
+}
+
+/// Appends a message as it came.
+pub(crate) fn forward(out: &mut Vec<u8>, message: &Message) {
+    frame(out, message.kind, |out| out.extend(&message.body));
+}
+
+/// A message that ends with a zero, without it.
+fn terminated(body: &[u8]) -> Option<&str> {
+    let (last, rest) = body.split_last()?;
+    let text = std::str::from_utf8(rest).ok()?;
+    (*last == 0 && !text.contains('\0')).then_some(text)
+}
+
+/// The code and the severity of an ErrorResponse.
+pub(crate) fn error_code(body: &[u8]) -> (String, bool) {
+    let (mut code, mut fatal) = (String::new(), false);
+    for field in body.split(|byte| *byte == 0).filter(|field| !field.is_empty()) {
+        let value = String::from_utf8_lossy(&field[1..]);
+        match field[0] {
+            b'C' => code = value.into_owned(),
+            b'S' | b'V' => fatal |= matches!(&*value, "FATAL" | "PANIC"),
+            _ => {}
+        }
+    }
+    (code, fatal)
+}
+
+/// Name and value of a ParameterStatus.
+pub(crate) fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let mut parts = body.split(|byte| *byte == 0).map(|part| std::str::from_utf8(part).ok());
+    Some((parts.next()??, parts.next()??))
+}
+
+/// The first column of a DataRow.
+pub(crate) fn column(body: &[u8]) -> Option<&[u8]> {
+    let length = u32::from_be_bytes(body.get(2..6)?.try_into().ok()?);
+    body.get(6..)?.get(..length as usize)
+}
+
+/// A query message of a client.
+#[derive(Debug)]
+pub(crate) enum Asked {
+    Nothing,
+    Query(Box<Query>),
+}
+
+/// Reads the body of a query message; what is wrong with it where it is not of the agreed form.
+pub(crate) fn asked(body: &[u8]) -> Result<Asked, &'static str> {
+    let sql = terminated(body).ok_or("a query must be UTF-8 and end with its only zero")?;
+    if sql.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
+        return Ok(Asked::Nothing);
+    }
+    let start = sql.find("/*").filter(|at| sql[..*at].trim().is_empty()).ok_or("no leading comment")?;
+    let end = sql.find("*/").filter(|at| *at >= start + 2).ok_or("the comment does not end")?;
+    let rest = &sql[end + 2..];
+    if rest.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
+        return Err("no statement behind the comment");
+    }
+    let (mut id, mut class, mut tenant, mut group, mut patience) = (None, None, None, None, None);
+    let (mut keyed, mut repeat) = (None, None);
+    let mut at = start + 2;
+    for pair in sql[start + 2..end].split(',') {
+        let (name, value) = pair.split_once('=').ok_or("the comment is not made of names and values")?;
+        let from = at + name.len() + 1;
+        at += pair.len() + 1;
+        let lead = value.len() - value.trim_start().len();
+        let (name, value) = (name.trim(), value.trim());
+        let place = from + lead..from + lead + value.len();
+        let slot = match name {
+            "id" => &mut id,
+            "c" => &mut class,
+            "t" => &mut tenant,
+            "cluster" => &mut group,
+            "d" => &mut patience,
+            "k" => &mut keyed,
+            "r" => &mut repeat,
+            _ => continue,
+        };
+        if value.is_empty() || slot.replace((value, place)).is_some() {
+            return Err("a value of the comment is empty or there twice");
+        }
+    }
+    let need = |value: Option<(&str, Range<usize>)>| value.map(|(value, _)| value.to_string());
+    let (patience, place) = patience.ok_or("no d in the comment")?;
+    let millis = Some(patience).filter(|d| d.len() <= MOST_DIGITS && d.bytes().all(|b| b.is_ascii_digit()));
+    let millis = millis.and_then(|d| d.parse::<u64>().ok()).filter(|d| *d > 0);
+    let group = group.and_then(|(group, _)| group.parse().ok()).ok_or("no group number in the comment")?;
+    Ok(Asked::Query(Box::new(Query {
+        id: need(id).ok_or("no id in the comment")?,
+        class: need(class).ok_or("no class in the comment")?,
+        tenant: need(tenant).unwrap_or_default(),
+        group,
+        patience: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
+        keyed: keyed.is_some(),
+        repeat: repeat.is_some_and(|(value, _)| value == "1"),
+        key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
+        statement: Rc::new(Statement { text: sql.into(), patience: place }),
+    })))
+}
--- /dev/null
+++ b/src/net/ring.rs
@@ -0,0 +1,156 @@
+//! The ring buffer that each connection has for each direction.
+
+use std::io::{self, ErrorKind, Read, Write};
+
+/// Size of a buffer when first used.
+const START: usize = 1024;
+/// An empty buffer above this size gives its memory back. Guards against a thousand idle connections that
+/// each keep what their largest message once took.
+const KEEP: usize = 4 * 1024;
+/// Most bytes that one buffer holds: the largest message either protocol may carry, with its frame. A value
+/// is at most 64 KiB, which written out in hexadecimal is twice that.
+pub(crate) const BOUND: usize = 160 * 1024;
+
+/// Why reading stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fill {
+    /// The source has nothing more for now.
+    Drained,
+    /// The source has ended.
+    Ended,
+    /// The buffer is at its bound.
+    Full,
+}
+
+/// More was pushed than the bound admits.
+#[derive(Debug)]
+pub(crate) struct Overflow;
+
+/// A queue of bytes that grows up to [`BOUND`].
+#[derive(Default)]
+pub(crate) struct Ring {
+    buffer: Vec<u8>,
+    head: usize,
+    len: usize,
+}
+
+impl Ring {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Makes room for `more` bytes, if the bound allows.
+    fn reserve(&mut self, more: usize) -> Result<(), Overflow> {
+        let need = self.len + more;
+        if need > BOUND {
+            return Err(Overflow);
+        }
+        if need > self.buffer.len() {
+            let mut buffer = vec![0; need.next_power_of_two().clamp(START, BOUND)];
+            self.copy(0, &mut buffer[..self.len]);
+            (self.buffer, self.head) = (buffer, 0);
+        }
+        Ok(())
+    }
+
+    /// Reads until the source would block, has ended, or the bound is reached.
+    pub fn fill(&mut self, source: &mut impl Read) -> io::Result<Fill> {
+        loop {
+            if self.len == self.buffer.len() && self.reserve(1).is_err() {
+                return Ok(Fill::Full);
+            }
+            let size = self.buffer.len();
+            let tail = (self.head + self.len) % size;
+            let end = if tail < self.head { self.head } else { size };
+            match source.read(&mut self.buffer[tail..end]) {
+                Ok(0) => return Ok(Fill::Ended),
+                Ok(count) => self.len += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.release();
+                    return Ok(Fill::Drained);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Writes until all is gone or the sink would block; true when all is gone.
+    pub fn drain(&mut self, sink: &mut impl Write) -> io::Result<bool> {
+        while self.len > 0 {
+            let end = (self.head + self.len).min(self.buffer.len());
+            match sink.write(&self.buffer[self.head..end]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => self.skip(count),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(true)
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overflow> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.reserve(bytes.len())?;
+        let size = self.buffer.len();
+        let tail = (self.head + self.len) % size;
+        let first = bytes.len().min(size - tail);
+        self.buffer[tail..tail + first].copy_from_slice(&bytes[..first]);
+        self.buffer[..bytes.len() - first].copy_from_slice(&bytes[first..]);
+        self.len += bytes.len();
+        Ok(())
+    }
+
+    /// Copies what stands at `from` without taking it; the caller has seen that there is so much.
+    fn copy(&self, from: usize, into: &mut [u8]) {
+        if into.is_empty() {
+            return;
+        }
+        let start = (self.head + from) % self.buffer.len();
+        let first = into.len().min(self.buffer.len() - start);
+        let rest = into.len() - first;
+        into[..first].copy_from_slice(&self.buffer[start..start + first]);
+        into[first..].copy_from_slice(&self.buffer[..rest]);
+    }
+
+    /// The first bytes, left where they are; none while there are fewer.
+    pub fn peek<const N: usize>(&self) -> Option<[u8; N]> {
+        let mut bytes = [0; N];
+        (self.len >= N).then(|| self.copy(0, &mut bytes))?;
+        Some(bytes)
+    }
+
+    /// A copy of what stands first, `most` bytes at the most, left where it is.
+    pub fn first(&self, most: usize) -> Vec<u8> {
+        let mut bytes = vec![0; most.min(self.len)];
+        self.copy(0, &mut bytes);
+        bytes
+    }
+
+    /// Takes as many bytes as are there, `count` at the most.
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
+        let bytes = self.first(count);
+        self.skip(bytes.len());
+        bytes
+    }
+
+    pub fn skip(&mut self, count: usize) {
+        let count = count.min(self.len);
+        self.len -= count;
+        self.head = if self.len == 0 { 0 } else { (self.head + count) % self.buffer.len() };
+        self.release();
+    }
+
+    fn release(&mut self) {
+        if self.len == 0 && self.buffer.len() > KEEP {
+            self.buffer = Vec::new();
+        }
+    }
+}
--- /dev/null
+++ b/src/net/servers.rs
@@ -0,0 +1,454 @@
+//! The db machines' side: keeps connections to them and carries attempts and probes over these.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use mio::net::TcpStream;
+use mio::Interest;
+
+use super::event_loop::{Due, Slot, Slots, Source};
+use super::pg::{self, code, Message};
+use super::ring::{Fill, Ring};
+use super::{Context, Ended, Event, Listing, Task};
+use crate::interface::{ListKind, MemberId, Outcome, Phase, Report};
+
+const USER: &str = "app";
+const DATABASE: &str = "shop";
+const ASK_LOAD: &[u8] = b"SHOW usage";
+const POSITION: &str = "commit_clock";
+const ROLE: &str = "server_role";
+const PRIMARY: &str = "writer";
+const REPLICA: &str = "reader";
+
+/// Share of the time that a db machine keeps an idle connection after which it is closed from here: what is
+/// written to one that the machine is just closing would end as a reset.
+const KEEP_SHARE: f64 = 0.7;
+/// Idle connections kept for one db machine.
+const KEEP_MOST: usize = 48;
+/// A machine off the list is forgotten after this (seconds), far past every deadline.
+const FORGET_AFTER: f64 = 60.0;
+/// Longest value that is passed on, with its frames.
+const LONGEST_VALUE: usize = super::ring::BOUND - 64;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Connecting,
+    Starting,
+    Idle,
+    Busy,
+}
+
+/// What is being carried out over a connection.
+struct Job {
+    task: Task,
+    sent: f64,
+    give_up: f64,
+}
+
+/// What has come back so far.
+#[derive(Default)]
+struct Reply {
+    value: Vec<u8>,
+    column: Option<Vec<u8>>,
+    complete: bool,
+    code: Option<String>,
+    position: Option<f64>,
+    primary: Option<bool>,
+}
+
+impl Reply {
+    /// What it amounts to; none while that is open.
+    fn outcome(&self) -> Option<Outcome> {
+        Some(match self.code.as_deref() {
+            Some(code::TURNED_AWAY) => Outcome::Full,
+            Some(code::READ_ONLY | code::BEHIND) => Outcome::Miss,
+            Some(_) => Outcome::Error,
+            None if self.complete && self.column.is_some() => Outcome::Ok,
+            None => return None,
+        })
+    }
+}
+
+struct Conn {
+    member: MemberId,
+    address: SocketAddr,
+    stream: TcpStream,
+    inbox: Ring,
+    outbox: Ring,
+    stage: Stage,
+    job: Option<Job>,
+    reply: Reply,
+    /// When the present stage has lasted long enough.
+    until: f64,
+}
+
+/// How a step on a connection went.
+enum Step {
+    Waiting,
+    /// The exchange is over and the connection can carry another.
+    Over,
+    /// The exchange has this outcome and the connection is of no further use.
+    Broken(Outcome),
+}
+
+impl Conn {
+    /// Reads, understands and writes as far as it goes without waiting.
+    fn turn(&mut self, now: f64) -> Step {
+        if self.stage == Stage::Connecting {
+            match self.connected() {
+                Ok(true) => {}
+                Ok(false) => return Step::Waiting,
+                Err(()) => return Step::Broken(Outcome::ConnectFailed),
+            }
+        }
+        loop {
+            if self.outbox.drain(&mut self.stream).is_err() {
+                return self.broken();
+            }
+            let Ok(fill) = self.inbox.fill(&mut self.stream) else { return self.broken() };
+            let before = self.inbox.len();
+            let asking = self.stage;
+            match self.understand(now) {
+                Step::Waiting => {}
+                step => return step,
+            }
+            if fill == Fill::Ended {
+                return self.broken();
+            }
+            // Edge-triggered: go on while a full buffer has been emptied or something new is to be written.
+            if (fill == Fill::Drained || self.inbox.len() == before) && self.stage == asking {
+                return Step::Waiting;
+            }
+        }
+    }
+
+    /// Whether the connection is up; if it has just come up, the startup message is on its way.
+    fn connected(&mut self) -> Result<bool, ()> {
+        if self.stream.take_error().map_err(drop)?.is_some() {
+            return Err(());
+        }
+        if self.stream.peer_addr().is_err() {
+            return Ok(false);
+        }
+        let _ = self.stream.set_nodelay(true);
+        self.stage = Stage::Starting;
+        self.outbox.push(&pg::hello(USER, DATABASE)).map_err(drop)?;
+        Ok(true)
+    }
+
+    /// What it means that the connection has ended. Before the last byte of a request was written it cannot
+    /// have run; after that it may have, unless the answer says otherwise.
+    fn broken(&self) -> Step {
+        Step::Broken(match self.stage {
+            Stage::Connecting | Stage::Starting => Outcome::ConnectFailed,
+            Stage::Busy if !self.outbox.is_empty() => Outcome::ConnectFailed,
+            Stage::Busy | Stage::Idle => self.reply.outcome().unwrap_or(Outcome::Reset),
+        })
+    }
+
+    /// Takes message by message.
+    fn understand(&mut self, now: f64) -> Step {
+        loop {
+            match pg::message(&mut self.inbox) {
+                Ok(None) => return Step::Waiting,
+                Ok(Some(message)) => match self.message(message, now) {
+                    Step::Waiting => {}
+                    step => return step,
+                },
+                Err(_) => return self.broken(),
+            }
+        }
+    }
+
+    fn message(&mut self, message: Message, now: f64) -> Step {
+        match (self.stage, message.kind) {
+            // Notices and the key for cancel requests are passed over.
+            (_, b'N' | b'K') => {}
+            (Stage::Starting, b'S') => {}
+            (Stage::Starting, b'R') if message.body == [0; 4] => {}
+            (Stage::Starting, b'E') => {
+                let (code, _) = pg::error_code(&message.body);
+                let full = code == code::TURNED_AWAY;
+                return Step::Broken(if full { Outcome::Full } else { Outcome::ConnectFailed });
+            }
+            (Stage::Starting, b'Z') => {
+                if !self.ask(now) {
+                    return self.broken();
+                }
+            }
+            (Stage::Busy | Stage::Idle, b'S') => {
+                let Some((name, value)) = pg::parameter(&message.body) else { return Step::Waiting };
+                match (name, value) {
+                    (POSITION, value) => {
+                        self.reply.position = value.parse::<f64>().ok().map(|millis| millis / 1000.0);
+                    }
+                    (ROLE, PRIMARY) => self.reply.primary = Some(true),
+                    (ROLE, REPLICA) => self.reply.primary = Some(false),
+                    _ => {}
+                }
+            }
+            (Stage::Busy, kind @ (b'T' | b'D' | b'C')) => {
+                if self.reply.value.len() + message.body.len() + 5 > LONGEST_VALUE {
+                    return Step::Broken(Outcome::Error);
+                }
+                if kind == b'D' {
+                    self.reply.column = pg::column(&message.body).map(<[u8]>::to_vec);
+                }
+                self.reply.complete |= kind == b'C';
+                pg::forward(&mut self.reply.value, &message);
+            }
+            (Stage::Busy, b'E') => {
+                let (code, fatal) = pg::error_code(&message.body);
+                self.reply.code = Some(code);
+                if fatal {
+                    return self.broken();
+                }
+            }
+            (Stage::Busy, b'Z') => return Step::Over,
+            // Nothing that this exchange could hold: whatever it was, it is not to be relied on.
+            _ => return self.broken(),
+        }
+        Step::Waiting
+    }
+
+    /// Writes the request of the job onto a connection that is ready for one.
+    fn ask(&mut self, now: f64) -> bool {
+        let Some(job) = &self.job else { return false };
+        let sql = match &job.task {
+            Task::Attempt(_, _, statement) => statement.with_patience(job.give_up - now),
+            Task::Probe => ASK_LOAD.to_vec(),
+        };
+        (self.stage, self.until, self.reply) = (Stage::Busy, job.give_up, Reply::default());
+        self.outbox.push(&pg::query(&sql)).is_ok()
+    }
+
+    /// Whether an idle connection has not ended meanwhile without that having been looked at. Guards a
+    /// request from being written to a connection whose end has already arrived.
+    fn alive(&mut self) -> bool {
+        matches!(self.inbox.fill(&mut self.stream), Ok(Fill::Drained)) && self.inbox.is_empty()
+    }
+}
+
+/// A db machine as the list names it.
+struct Machine {
+    address: SocketAddr,
+    since: f64,
+    /// When it was last on the list, in whatever phase.
+    listed: f64,
+    gone: bool,
+    /// Connections that can take a request, the latest used last.
+    idle: Vec<Slot>,
+}
+
+/// All connections to db machines.
+pub(crate) struct Servers {
+    machines: HashMap<MemberId, Machine>,
+    conns: Slots<Conn>,
+    /// Most connections at a time.
+    limit: usize,
+    keepalive: f64,
+    connect_timeout: f64,
+}
+
+impl Servers {
+    pub fn new(limit: usize, keepalive: f64, connect_timeout: f64) -> Servers {
+        let (machines, conns) = (HashMap::new(), Slots::new());
+        Servers { machines, conns, limit, keepalive: keepalive * KEEP_SHARE, connect_timeout }
+    }
+
+    /// Takes in what the list says of addresses. Connections to where a machine no longer is, or made before
+    /// it last started, are closed: a machine that was cut off would leave them open and silent.
+    pub fn list(&mut self, kind: ListKind, listings: &[Listing], now: f64) {
+        if kind != ListKind::Incremental {
+            self.machines.values_mut().for_each(|machine| machine.gone = true);
+        }
+        for Listing { name, address, phase, since, .. } in listings {
+            let (address, since, listed) = (*address, *since, now);
+            let fresh = || Machine { address, since, listed, gone: false, idle: Vec::new() };
+            let machine = self.machines.entry(name.clone()).or_insert_with(fresh);
+            let moved = machine.address != address || machine.since != since || *phase != Phase::Active;
+            let idle = if moved { std::mem::take(&mut machine.idle) } else { Vec::new() };
+            let gone = *phase == Phase::Left;
+            (machine.address, machine.since, machine.listed, machine.gone) = (address, since, listed, gone);
+            idle.into_iter().for_each(|slot| drop(self.conns.remove(slot)));
+        }
+        let gone: Vec<MemberId> =
+            self.machines.iter().filter(|(_, machine)| machine.gone).map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            self.let_go(&name);
+        }
+        self.machines.retain(|_, machine| !machine.gone || now - machine.listed < FORGET_AFTER);
+    }
+
+    /// Closes the idle connections to a machine.
+    pub fn let_go(&mut self, member: &MemberId) {
+        let idle = self.machines.get_mut(member).map(|machine| std::mem::take(&mut machine.idle));
+        idle.into_iter().flatten().for_each(|slot| drop(self.conns.remove(slot)));
+    }
+
+    /// Begins an attempt or a probe; its end is told by an event. The connection that it is on, if any.
+    pub fn send(
+        &mut self,
+        task: Task,
+        member: &MemberId,
+        timeout: f64,
+        context: &mut Context,
+    ) -> Option<Slot> {
+        let sent = context.reactor.now();
+        let job = Job { task, sent, give_up: sent + timeout };
+        while let Some(slot) = self.machines.get_mut(member).and_then(|machine| machine.idle.pop()) {
+            let Some(conn) = self.conns.get_mut(slot) else { continue };
+            if !conn.alive() {
+                self.conns.remove(slot);
+                continue;
+            }
+            conn.job = Some(job);
+            let step = if conn.ask(sent) { conn.turn(sent) } else { conn.broken() };
+            context.reactor.timer(conn.until, Due::Server(slot));
+            self.settle(slot, step, context);
+            return Some(slot);
+        }
+        self.open(job, member, context)
+    }
+
+    fn open(&mut self, job: Job, member: &MemberId, context: &mut Context) -> Option<Slot> {
+        let Some(address) = self.machines.get(member).map(|machine| machine.address) else {
+            return ended(job, member, Outcome::Moot, Reply::default(), context);
+        };
+        if self.conns.len() >= self.limit && !self.evict() {
+            // No descriptor is to be had for it: never sent.
+            let outcome = if let Task::Probe = job.task { Outcome::Full } else { Outcome::Moot };
+            return ended(job, member, outcome, Reply::default(), context);
+        }
+        let Ok(stream) = TcpStream::connect(address) else {
+            return ended(job, member, Outcome::ConnectFailed, Reply::default(), context);
+        };
+        context.counters.connected += 1;
+        let until = (job.sent + self.connect_timeout).min(job.give_up);
+        let slot = self.conns.insert(Conn {
+            member: member.clone(),
+            address,
+            stream,
+            inbox: Ring::default(),
+            outbox: Ring::default(),
+            stage: Stage::Connecting,
+            job: Some(job),
+            reply: Reply::default(),
+            until,
+        });
+        let conn = self.conns.get_mut(slot)?;
+        let (token, both) = (Source::Server(slot).into(), Interest::READABLE | Interest::WRITABLE);
+        context.reactor.timer(until, Due::Server(slot));
+        if context.reactor.registry.register(&mut conn.stream, token, both).is_err() {
+            self.settle(slot, Step::Broken(Outcome::ConnectFailed), context);
+        }
+        Some(slot)
+    }
+
+    /// Closes the idle connection that would be closed next anyway.
+    fn evict(&mut self) -> bool {
+        let idle = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Idle);
+        let oldest = idle.min_by(|(_, a), (_, b)| a.until.total_cmp(&b.until)).map(|(slot, _)| slot);
+        oldest.is_some_and(|slot| self.remove(slot).is_some())
+    }
+
+    fn remove(&mut self, slot: Slot) -> Option<Conn> {
+        let conn = self.conns.remove(slot)?;
+        if let Some(machine) = self.machines.get_mut(&conn.member) {
+            machine.idle.retain(|idle| *idle != slot);
+        }
+        Some(conn)
+    }
+
+    /// A connection may be read from or written to.
+    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let until = conn.until;
+        let step = conn.turn(now);
+        if conn.until != until {
+            context.reactor.timer(conn.until, Due::Server(slot));
+        }
+        self.settle(slot, step, context);
+    }
+
+    /// Tells of an exchange that is over; the connection waits for the next, or ends.
+    fn settle(&mut self, slot: Slot, step: Step, context: &mut Context) {
+        match step {
+            Step::Waiting => {}
+            Step::Broken(outcome) => {
+                let Some(conn) = self.remove(slot) else { return };
+                if let Some(job) = conn.job {
+                    ended(job, &conn.member, outcome, conn.reply, context);
+                }
+            }
+            Step::Over => {
+                let Some(conn) = self.conns.get_mut(slot) else { return };
+                let reply = std::mem::take(&mut conn.reply);
+                // A row is missing, say: it is no answer, though it may have run.
+                let outcome = reply.outcome().unwrap_or(Outcome::Error);
+                let Some(job) = conn.job.take() else { return };
+                let member = conn.member.clone();
+                (conn.stage, conn.until) = (Stage::Idle, context.reactor.now() + self.keepalive);
+                context.reactor.timer(conn.until, Due::Server(slot));
+                let keep = conn.outbox.is_empty() && conn.inbox.is_empty();
+                let address = conn.address;
+                let machine = self.machines.get_mut(&member).filter(|machine| !machine.gone && keep);
+                match machine.filter(|m| m.address == address && m.idle.len() < KEEP_MOST) {
+                    Some(machine) => machine.idle.push(slot),
+                    None => drop(self.conns.remove(slot)),
+                }
+                ended(job, &member, outcome, reply, context);
+            }
+        }
+    }
+
+    /// Gives up an attempt: the machine learns of it by the end of the connection.
+    pub fn cancel(&mut self, slot: Slot, context: &mut Context) {
+        self.settle(slot, Step::Broken(Outcome::Cancelled), context);
+    }
+
+    /// A stage may have lasted long enough.
+    pub fn due(&mut self, slot: Slot, context: &mut Context) {
+        let now = context.reactor.now();
+        let connect_timeout = self.connect_timeout;
+        // Timers are not withdrawn: this one may belong to a stage that is over.
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.until <= now) else { return };
+        let outcome = match (conn.stage, &conn.job) {
+            (Stage::Busy, _) if !conn.outbox.is_empty() => Outcome::ConnectFailed,
+            (Stage::Connecting | Stage::Starting, Some(job)) if now >= job.sent + connect_timeout => {
+                Outcome::ConnectFailed
+            }
+            _ => conn.reply.outcome().unwrap_or(Outcome::Timeout),
+        };
+        self.settle(slot, Step::Broken(outcome), context);
+    }
+}
+
+/// Tells of the end of a job.
+fn ended(job: Job, member: &MemberId, outcome: Outcome, reply: Reply, context: &mut Context) -> Option<Slot> {
+    let probe = matches!(job.task, Task::Probe);
+    let report = reply.column.as_deref().filter(|_| probe).map(report).unwrap_or_default();
+    context.events.push_back(Event::Ended(Box::new(Ended {
+        task: job.task,
+        member: member.clone(),
+        outcome,
+        elapsed: context.reactor.now() - job.sent,
+        position: reply.position,
+        primary: reply.primary,
+        report,
+        value: reply.value,
+    })));
+    None
+}
+
+/// Reads a load report: names and values such as `x0=1767225600.123,x1=1`.
+fn report(text: &[u8]) -> Report {
+    let text = String::from_utf8_lossy(text);
+    let value = |wanted: &str| {
+        let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(name, _)| name.trim() == wanted)?.1.trim().parse::<f64>().ok()
+    };
+    Report { position: value("x0"), primary: value("x1").map(|x1| x1 == 1.0) }
+}
