Let stalled clients make room, bound the wait of the end, log discovery's troubles once

But a client stuck inside a message was never counted as idle, so enough of them would have kept everyone else out, and one that reads no answer would have kept SIGTERM's end waiting (Clients::settle). Discovery's log repeated the same line with each call that failed. Half the sockets stay with clients at the most; what memory denies them goes to the db machines' side.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -16,6 +16,8 @@
 /// How long a client that is told of its fault may take to read it before the connection ends (seconds).
 const LINGER: f64 = 1.0;
 
+/// A connection that has sent part of a message and then nothing for so long (seconds) counts as idle.
+const STALLED: f64 = 10.0;
 /// Being full is logged again only after so long without (seconds): under load it comes and goes.
 const QUIET: f64 = 10.0;
 
@@ -248,10 +250,10 @@
         while let Some(listener) = &self.listener {
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
-            let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns) };
+            let now = context.reactor.now();
+            let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns, now) };
             if self.conns.len() >= self.limit && idlest.is_none() {
                 self.full = true;
-                let now = context.reactor.now();
                 if now >= self.quiet_until {
                     log(format_args!("{} clients, all busy: new connections wait", self.conns.len()));
                 }
@@ -305,8 +307,13 @@
     fn settle(&mut self, slot: Slot, result: Result<(), Over>, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let busy = conn.stage == Stage::Busy;
-        let quiet = self.listener.is_none() && !busy && conn.outbox.is_empty();
-        if result.is_err() || quiet {
+        let closing = self.listener.is_none() && !busy;
+        if closing && !conn.outbox.is_empty() && conn.stage != Stage::Ending {
+            // An answer is still to be written, but not for ever: whoever does not read would keep the end.
+            conn.stage = Stage::Ending;
+            context.reactor.timer(conn.active + LINGER, Due::Client(slot));
+        }
+        if result.is_err() || closing && conn.outbox.is_empty() {
             if busy {
                 context.events.push_back(Event::Gone(slot));
             }
@@ -360,9 +367,10 @@
 }
 
 /// The connection that has been between requests for longest, if there is one.
-fn idlest(conns: &Slots<Conn>) -> Option<Slot> {
+fn idlest(conns: &Slots<Conn>, now: f64) -> Option<Slot> {
     let idle = |conn: &Conn| {
-        matches!(conn.stage, Stage::Idle | Stage::Startup) && conn.inbox.is_empty() && conn.outbox.is_empty()
+        let empty = conn.inbox.is_empty() && conn.outbox.is_empty();
+        matches!(conn.stage, Stage::Idle | Stage::Startup) && (empty || now - conn.active > STALLED)
     };
     let idle = conns.iter().filter(|(_, conn)| idle(conn));
     idle.min_by(|(_, a), (_, b)| a.active.total_cmp(&b.active)).map(|(slot, _)| slot)
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -143,12 +143,14 @@
     current: Option<Slot>,
     budget: Budget,
     index: u64,
+    /// What is wrong at present; logged when it changes, not with each call that fails.
+    trouble: Option<Broken>,
 }
 
 impl Discovery {
     /// Holds the list of that index, and no watch yet.
     pub fn new(address: SocketAddr, index: u64, budget: Budget) -> Discovery {
-        Discovery { address, watches: Slots::new(), current: None, budget, index }
+        Discovery { address, watches: Slots::new(), current: None, budget, index, trouble: None }
     }
 
     /// Opens the watch from the list held, in place of one that may still be there.
@@ -182,7 +184,9 @@
         if let Some(slot) = self.current.take() {
             self.watches.remove(slot);
         }
-        super::log(format_args!("discovery: {why}"));
+        if self.trouble.replace(why) != Some(why) {
+            super::log(format_args!("discovery: {why}"));
+        }
         context.events.push_back(Event::Members(ListKind::Failed, Vec::new()));
     }
 
@@ -195,6 +199,7 @@
             watch.heard = context.reactor.now();
         }
         for line in lines {
+            self.trouble = None;
             let Ok(text) = std::str::from_utf8(&line) else {
                 result = Err("a line that is not text");
                 break;
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -73,21 +73,26 @@
             .map_err(|fault| io::Error::new(io::ErrorKind::InvalidInput, fault))?;
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
-        // A client has at most one attempt out, so a like number of connections goes to either side. Half
-        // the memory is for statements and answers, of which a client has one each, a quarter for buffers.
-        let each =
-            (config.sockets.saturating_sub(SPARES) / 2).min(config.memory / 2 / (BOUND + LONGEST_ANSWER));
-        if each == 0 {
+        // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
+        // Half the memory is for statements and answers, of which a client has one each, a quarter for buffers.
+        let sockets = config.sockets.saturating_sub(SPARES);
+        let clients = (sockets / 2).min(config.memory / 2 / (BOUND + LONGEST_ANSWER));
+        if clients == 0 {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "too few sockets or too little memory"));
         }
         let budget = Budget::new(config.memory / 4);
         let listener = TcpListener::bind(config.listen)?;
-        log(format_args!("{} listens on {}, for {each} clients", config.name, listener.local_addr()?));
+        log(format_args!("{} listens on {}, for {clients} clients", config.name, listener.local_addr()?));
         let names = config.classes.iter().cloned();
         let mut proxy = Proxy {
             policy,
-            clients: Clients::new(listener, each, budget.clone(), context)?,
-            servers: Servers::new(each, budget.clone(), config.keepalive, settings.connect_timeout),
+            clients: Clients::new(listener, clients, budget.clone(), context)?,
+            servers: Servers::new(
+                sockets - clients,
+                budget.clone(),
+                config.keepalive,
+                settings.connect_timeout,
+            ),
             discovery: Discovery::new(config.discovery, config.known.index, budget),
             signals,
             requests: HashMap::new(),
