--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes connections in, reads queries off them and writes the answers.
 
+use std::fmt;
 use std::io;
 use std::net::Shutdown;
 
@@ -15,10 +16,9 @@
 const ACCEPT_AGAIN: f64 = 0.1;
 /// How long a client that is told of its fault may take to read it before the connection ends (seconds).
 const LINGER: f64 = 1.0;
-
 /// A connection that has sent part of a message and then nothing for so long (seconds) counts as idle.
 const STALLED: f64 = 10.0;
-/// Being full is logged again only after so long without (seconds): under load it comes and goes.
+/// What keeps new clients out is logged again only after so long without (seconds): it comes and goes.
 const QUIET: f64 = 10.0;
 
 /// What a connection waits for.
@@ -223,7 +223,7 @@
     limit: usize,
     /// Connections wait in the listener's queue until there is room.
     full: bool,
-    /// Being full is not logged again before then.
+    /// What keeps new ones out is not logged again before then.
     quiet_until: f64,
     /// Whether queries can be carried out.
     serving: bool,
@@ -254,11 +254,8 @@
             let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns, now) };
             if self.conns.len() >= self.limit && idlest.is_none() {
                 self.full = true;
-                if now >= self.quiet_until {
-                    log(format_args!("{} clients, all busy: new connections wait", self.conns.len()));
-                }
-                self.quiet_until = now + QUIET;
-                return;
+                let clients = self.conns.len();
+                return self.complain(now, format_args!("{clients} clients, all busy: new connections wait"));
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -273,13 +270,20 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     // No descriptor or no memory: what waits is taken in when there is some again.
-                    log(format_args!("cannot accept: {error}"));
-                    return context.reactor.timer(context.reactor.now() + ACCEPT_AGAIN, Due::Accept);
+                    context.reactor.timer(now + ACCEPT_AGAIN, Due::Accept);
+                    return self.complain(now, format_args!("cannot accept: {error}"));
                 }
             }
         }
     }
 
+    fn complain(&mut self, now: f64, line: fmt::Arguments) {
+        if now >= self.quiet_until {
+            log(line);
+        }
+        self.quiet_until = now + QUIET;
+    }
+
     fn admit(&mut self, stream: TcpStream, context: &mut Context) {
         let _ = stream.set_nodelay(true);
         let active = context.reactor.now();
@@ -329,6 +333,12 @@
     /// Gives the final answer to the query of a connection.
     pub fn answer(&mut self, slot: Slot, answer: Answer, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.stage == Stage::Busy) else { return };
+        *match answer {
+            Answer::Served(_) => &mut context.counters.served,
+            Answer::Refused(_) => &mut context.counters.refused,
+            Answer::Failed => &mut context.counters.failed,
+            Answer::Invalid(_) => &mut context.counters.malformed,
+        } += 1;
         let result = conn.answer(answer).and_then(|()| conn.turn(slot, self.serving, context));
         self.settle(slot, result, context);
     }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -71,6 +71,9 @@
     Discovery(Slot),
 }
 
+// A token holds the kind, the generation and the index side by side.
+const _: () = assert!(usize::BITS == 64);
+
 impl From<Source> for Token {
     fn from(source: Source) -> Token {
         let (kind, slot) = match source {
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -167,15 +167,15 @@
     fn asked(&mut self, client: Slot, query: Query, context: &mut Context) {
         let class = self.classes.iter().position(|(name, ..)| *name == query.class);
         let Some((class, (_, consistency, effect))) = class.map(|class| (class, &self.classes[class])) else {
-            return self.invalid(client, "unknown class", context);
+            return self.clients.answer(client, Answer::Invalid("unknown class"), context);
         };
         if *effect == Effect::Keyed && !query.keyed {
-            return self.invalid(client, "this class needs a key", context);
+            return self.clients.answer(client, Answer::Invalid("this class needs a key"), context);
         }
         let id = RequestId::from(query.id);
         // Two requests of one id could not be told apart, and the db machine would see a second copy.
         if self.requests.contains_key(&id) {
-            return self.invalid(client, "this id is in use", context);
+            return self.clients.answer(client, Answer::Invalid("this id is in use"), context);
         }
         context.counters.taken += 1;
         let sessions = matches!(consistency, Consistency::Write | Consistency::Session);
@@ -197,11 +197,6 @@
         self.tell(interface::Event::Arrival(arrival), context);
     }
 
-    fn invalid(&mut self, client: Slot, what: &'static str, context: &mut Context) {
-        context.counters.malformed += 1;
-        self.clients.answer(client, Answer::Invalid(what), context);
-    }
-
     /// A client has left: nobody waits for its answer any more, and its attempt is given up.
     fn gone(&mut self, client: Slot, context: &mut Context) {
         let Some(id) = self.asking.remove(&client) else { return };
@@ -220,12 +215,6 @@
     fn answer(&mut self, id: &RequestId, answer: Answer, context: &mut Context) {
         let client = self.requests.get_mut(id).and_then(|request| request.client.take());
         if let Some(client) = client {
-            *match answer {
-                Answer::Served(_) => &mut context.counters.served,
-                Answer::Refused(_) => &mut context.counters.refused,
-                Answer::Failed => &mut context.counters.failed,
-                Answer::Invalid(_) => &mut context.counters.malformed,
-            } += 1;
             self.asking.remove(&client);
             self.clients.answer(client, answer, context);
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -320,27 +320,13 @@
     }
 
     fn open(&mut self, job: Job, member: &MemberId, context: &mut Context) -> Option<Slot> {
-        let Some(address) = self.machines.get(member).map(|machine| machine.address) else {
-            return ended(job, member, Outcome::Moot, Reply::default(), context);
-        };
-        // What the own limits forbid was never sent, and says nothing of the machine.
-        let own = if let Task::Probe = job.task { Outcome::Full } else { Outcome::Moot };
-        if self.conns.len() >= self.limit && !self.evict() {
-            return ended(job, member, own, Reply::default(), context);
-        }
-        let stream = match TcpStream::connect(address) {
-            Ok(stream) => stream,
-            Err(error) => {
-                let theirs = matches!(
-                    error.kind(),
-                    ErrorKind::ConnectionRefused
-                        | ErrorKind::ConnectionReset
-                        | ErrorKind::HostUnreachable
-                        | ErrorKind::NetworkUnreachable
-                        | ErrorKind::TimedOut
-                );
-                let outcome = if theirs { Outcome::ConnectFailed } else { own };
-                return ended(job, member, outcome, Reply::default(), context);
+        let (address, stream) = match self.connect(member) {
+            Ok(connection) => connection,
+            Err(outcome) => {
+                // A probe that could not be made says nothing of the machine either.
+                let probe = matches!(job.task, Task::Probe) && outcome == Outcome::Moot;
+                ended(job, member, if probe { Outcome::Full } else { outcome }, Reply::default(), context);
+                return None;
             }
         };
         context.counters.connected += 1;
@@ -365,6 +351,24 @@
         Some(slot)
     }
 
+    /// Begins a connection; the outcome of what it was for, if there can be none. What the own limits forbid
+    /// was never sent, and is not held against the machine.
+    fn connect(&mut self, member: &MemberId) -> Result<(SocketAddr, TcpStream), Outcome> {
+        let address = self.machines.get(member).map(|machine| machine.address).ok_or(Outcome::Moot)?;
+        if self.conns.len() >= self.limit && !self.evict() {
+            return Err(Outcome::Moot);
+        }
+        let stream = TcpStream::connect(address).map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+            | ErrorKind::TimedOut => Outcome::ConnectFailed,
+            _ => Outcome::Moot,
+        })?;
+        Ok((address, stream))
+    }
+
     /// Closes the idle connection that would be closed next anyway.
     fn evict(&mut self) -> bool {
         let idle = self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Idle);
@@ -446,7 +450,7 @@
 }
 
 /// Tells of the end of a job.
-fn ended(job: Job, member: &MemberId, outcome: Outcome, reply: Reply, context: &mut Context) -> Option<Slot> {
+fn ended(job: Job, member: &MemberId, outcome: Outcome, reply: Reply, context: &mut Context) {
     context.events.push_back(Event::Ended(Box::new(Ended {
         task: job.task,
         member: member.clone(),
@@ -457,7 +461,6 @@
         report: reply.report,
         value: reply.value,
     })));
-    None
 }
 
 /// Reads a load report: names and values such as `x0=1767225600.123,x1=1`.
