Give up after half its time a request that has reached no member

They are writes whose set has no primary: advance() holds them on Choice::Hold, and only the timer just inside the deadline, set in arrival(), answers them. Now a second timer ends the wait at half the time, unless some member has got the request; a connection that was never made does not count as that. The client has the rest to try again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,9 @@
 const COLD_READS: f64 = 1.0;
 /// Share of the tipping multiple that work bound to a cold primary may use.
 const COLD_BOUND: f64 = 0.5;
+/// Share of its time that a request may wait without reaching any member: given up then, its client has as
+/// much time again to try elsewhere.
+const HOLD_SHARE: f64 = 0.5;
 /// Share of the aim that predicted waiting may take at the least and the most worthwhile class.
 const SHED_LEAST: f64 = 0.45;
 const SHED_MOST: f64 = 0.75;
@@ -122,7 +125,10 @@
             }
             Event::Timer { cookie: HOUSEKEEPING } => self.housekeep(out),
             Event::Timer { cookie } => {
-                if self.requests.get(&cookie).is_some_and(|r| !r.done) {
+                // Comes at the end of the time to wait unsent and again just inside the deadline.
+                let over = self.now + 2.0 * self.settings.tick;
+                let given_up = |r: &Request| !r.done && (over >= r.deadline || r.untried());
+                if self.requests.get(&cookie).is_some_and(given_up) {
                     self.conclude(cookie, out);
                 }
             }
@@ -382,7 +388,9 @@
         self.numbers.insert(id.clone(), n);
         let times = (now + aim, now + left);
         let request = Request { lot: self.rng.f64(), session, ..Request::new(id, (class, group), times) };
-        self.requests.insert(n, Request { token, over_share, ..request });
+        let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
+        self.requests.insert(n, Request { token, over_share, hold_until, ..request });
+        out.push(Action::Timer { at: hold_until, cookie: n });
         // Every request has a timer that ends it just inside its deadline, whatever else happens.
         out.push(Action::Timer { at: (now + left - self.settings.tick).max(now), cookie: n });
         if let Some(state) = self.groups.get_mut(&group) {
@@ -443,9 +451,11 @@
             return self.conclude(n, out);
         }
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
+        let waited = self.now >= request.hold_until && request.untried();
         let choice = if bound { self.pick_primary(n) } else { self.pick_read(n) };
         match choice {
             Choice::To(m) => self.send(n, m, out),
+            Choice::Hold if waited => self.conclude(n, out),
             Choice::Hold => {
                 let (Some(r), Some(g)) = (self.requests.get_mut(&n), self.groups.get_mut(&group)) else {
                     return;
@@ -650,6 +660,7 @@
         let (class, group) = (request.class, request.group);
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
+        a.unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         let (sent, cancelled) = (a.sent, a.cancelled);
         let write = self.settings.classes[class].consistency == Consistency::Write;
         if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,12 +94,14 @@
     pub cancelled: bool,
     /// Its member's silence has been counted.
     pub overdue: bool,
+    /// It never reached its member.
+    pub unsent: bool,
 }
 
 impl Attempt {
     /// An attempt just sent.
     pub fn new(member: usize, sent: f64) -> Attempt {
-        Attempt { member, sent, open: true, cancelled: false, overdue: false }
+        Attempt { member, sent, open: true, cancelled: false, overdue: false, unsent: false }
     }
 }
 
@@ -110,6 +112,8 @@
     pub group: u32,
     pub aim_at: f64,
     pub deadline: f64,
+    /// Until then it may wait without having reached any member.
+    pub hold_until: f64,
     /// Position a session read needs.
     pub token: f64,
     pub over_share: bool,
@@ -132,6 +136,7 @@
             group,
             aim_at,
             deadline,
+            hold_until: deadline,
             token: f64::NEG_INFINITY,
             over_share: false,
             session: None,
@@ -142,6 +147,11 @@
             done: false,
         }
     }
+
+    /// Whether no member has got it, as far as is known.
+    pub fn untried(&self) -> bool {
+        self.attempts.iter().all(|a| a.unsent)
+    }
 }
 
 /// What to do with a request now.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -814,3 +814,28 @@
     assert!(let_go(1000));
     assert!(!let_go(20), "a small fleet keeps what is open: a new connection can be slow");
 }
+
+/// Guards against holding on to a request that no member has got until its client has no time left.
+#[test]
+fn what_reached_no_member_is_given_up_at_half_its_time() {
+    let mut d = Drive::new(settings());
+    // The primary's connections fail: a write waits for another primary.
+    for id in ["x", "y"] {
+        d.ask(id, 0);
+        d.answer(id, "p", 0, Outcome::ConnectFailed);
+    }
+    assert_eq!(sent(&d.ask("w", 0)), [] as [&str; 0]);
+    assert_eq!(finals(&d.pass(0.85)), 0, "half of 1.8 s has not gone");
+    let over = d.pass(0.1);
+    let refused = |a: &Action| matches!(a, Action::Refuse { id, backoff } if &**id == "w" && *backoff > 0.0);
+    assert!(over.iter().any(refused), "{over:?}");
+}
+
+/// Guards the other way: what a member has got is not given up before its time.
+#[test]
+fn what_reached_a_member_keeps_all_its_time() {
+    let mut d = Drive::new(settings());
+    d.ask("w", 0);
+    assert_eq!(finals(&d.pass(1.7)), 0);
+    assert_eq!(finals(&d.pass(0.1)), 1);
+}
