--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
-//! dewferry decides, for a proxy, where each read and write of a replicated database goes.
+//! dewferry is a pooler that decides where each read and write of a replicated database goes, and sends it
+//! there. [`cli`] runs it; the network code behind that is private.
 //!
 //! [`Policy`] takes every decision; [`interface`] holds the types it speaks in. A proxy feeds it
 //! events and carries out the actions it gets back:
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -207,3 +207,20 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_late_event_finds_nobody_in_a_place_that_was_used_again() {
+        let mut slots = Slots::new();
+        let old = slots.insert("old");
+        assert_eq!(Source::from(Token::from(Source::Server(old))), Source::Server(old));
+        slots.remove(old);
+        let new = slots.insert("new");
+        assert_eq!(new.index, old.index);
+        assert_eq!((slots.get_mut(old), slots.remove(old)), (None, None));
+        assert_eq!(slots.get_mut(new), Some(&mut "new"));
+    }
+}
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -191,3 +191,46 @@
         self.give_back();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bytes_come_out_in_their_order_however_they_lie() {
+        let mut ring = Ring::new(&Budget::new(BOUND));
+        let (mut put, mut got): (u8, u8) = (0, 0);
+        // Odd sizes put the seam at every place, and more goes in than out, so it grows meanwhile.
+        let mut check = |bytes: Vec<u8>| {
+            for byte in bytes {
+                assert_eq!(byte, got);
+                got = got.wrapping_add(1);
+            }
+            got
+        };
+        for round in 0..2000 {
+            let bytes: Vec<u8> = (0..round % 37).map(|n| put.wrapping_add(n as u8)).collect();
+            ring.push(&bytes).unwrap();
+            put = put.wrapping_add(bytes.len() as u8);
+            check(ring.take(round % 31));
+        }
+        let mut rest = Vec::new();
+        assert!(ring.drain(&mut rest).unwrap());
+        assert_eq!(check(rest), put);
+    }
+
+    #[test]
+    fn all_buffers_share_their_budget_and_give_it_back() {
+        let budget = Budget::new(BOUND + START);
+        let (mut one, mut two) = (Ring::new(&budget), Ring::new(&budget));
+        one.push(&vec![1; BOUND]).unwrap();
+        assert!(one.push(&[1]).is_err(), "past its own bound");
+        two.push(&[2]).unwrap();
+        assert!(two.push(&vec![2; START]).is_err(), "past the budget of both");
+        assert_eq!(two.fill(&mut &[3; BOUND][..]).unwrap(), Fill::Full);
+        one.skip(BOUND);
+        assert_eq!(two.fill(&mut &[3; START][..]).unwrap(), Fill::Ended);
+        drop((one, two));
+        assert_eq!(budget.0.get(), BOUND + START);
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -18,6 +18,13 @@
     (Pooler::start(&known, &discovery, edits), discovery)
 }
 
+/// The same with two machines, the second in another zone.
+fn with_two(near: &Db, far: &Db) -> (Pooler, Discovery) {
+    let discovery = Discovery::new();
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    (Pooler::start(&known, &discovery, &[]), discovery)
+}
+
 /// One query of any class that reads, answered by the machine's next connection, which is given back.
 fn warm(db: &Db, client: &mut Wire) -> Wire {
     client.send(&query(&ask("warm", "reports")));
@@ -55,6 +62,21 @@
     assert!(pooler.counters().contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 connected=1"));
 }
 
+#[test]
+fn the_largest_value_passes_both_ways() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut client = client(&pooler);
+    let sql = format!("{} AND doc = '\\x{}'", ask("1", "reports"), "9f".repeat(64 * 1024));
+    client.send(&query(&sql));
+    let mut wire = db.accept();
+    let got = asked(&mut wire);
+    assert!(got.split_once("*/").unwrap().1 == sql.split_once("*/").unwrap().1);
+    let value = VALUE.repeat(64 * 1024 / VALUE.len());
+    wire.send(&served(&value, "reader"));
+    assert!(client.answer()[1].1.ends_with(&value));
+}
+
 #[rstest]
 #[case::no_comment("SELECT 1", "42601")]
 #[case::no_end("/* id=1,c=reports,d=10,cluster=2", "42601")]
@@ -132,9 +154,8 @@
 #[case::during_startup(1, "connect_failed=1 reset=0")]
 #[case::after_the_last_byte(2, "connect_failed=0 reset=1")]
 fn a_read_goes_on_elsewhere_when_its_connection_breaks(#[case] moment: u8, #[case] counted: &str) {
-    let (near, far, discovery) = (Db::new(), Db::new(), Discovery::new());
-    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
-    let pooler = Pooler::start(&known, &discovery, &[]);
+    let (near, far) = (Db::new(), Db::new());
+    let (pooler, _discovery) = with_two(&near, &far);
     let mut client = client(&pooler);
     match moment {
         0 => drop(near),
@@ -192,9 +213,8 @@
 #[case::behind("72000", "miss=1")]
 #[case::fault("XX000", "error=1")]
 fn what_a_machine_says_decides_the_outcome(#[case] code: &str, #[case] counted: &str) {
-    let (near, far, discovery) = (Db::new(), Db::new(), Discovery::new());
-    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
-    let pooler = Pooler::start(&known, &discovery, &[]);
+    let (near, far) = (Db::new(), Db::new());
+    let (pooler, _discovery) = with_two(&near, &far);
     let mut client = client(&pooler);
     client.send(&query(&ask("1", "reports")));
     let mut wire = near.accept();
