--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -220,7 +220,8 @@
         slots.remove(old);
         let new = slots.insert("new");
         assert_eq!(new.index, old.index);
-        assert_eq!((slots.get_mut(old), slots.remove(old)), (None, None));
+        assert_eq!(slots.get_mut(old), None);
+        assert_eq!(slots.remove(old), None);
         assert_eq!(slots.get_mut(new), Some(&mut "new"));
     }
 }
