SIGHUP rereads the configuration and moves the watch to its discovery address

Nothing registered the signal, whose default ends a process (proxy.rs, Signals::new). Ruled out: the old discovery closing its watch by itself, which the policy already survives by calling again; but it would call the old address, kept in Discovery::address for good. Now the file is read again; discovery's address is taken from it, the rest holds from the next start, and a file that can't be used is logged and changes nothing. The new address is asked for the whole list, since the versions of one service mean nothing to another. Test: a story with an unusable file, a move with a request in hand, and SIGHUP beside SIGTERM.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,7 +22,7 @@
     CheckConfig(CheckConfig),
 }
 
-/// Serve until SIGTERM; SIGUSR1 prints the counters.
+/// Serve until SIGTERM; SIGHUP rereads the configuration, SIGUSR1 prints the counters.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -49,13 +49,14 @@
 pub fn run() -> ExitCode {
     let Args { command } = argh::from_env();
     let result = match command {
-        Command::Serve(Serve { config }) => load(config)
-            .and_then(|config| crate::net::serve(&config).map_err(|error| format!("cannot serve: {error}"))),
+        Command::Serve(Serve { config }) => load(config).and_then(|(path, config)| {
+            crate::net::serve(&config, &path).map_err(|error| format!("cannot serve: {error}"))
+        }),
         Command::Version(Version {}) => {
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(CheckConfig { config }) => load(config).map(|config| {
+        Command::CheckConfig(CheckConfig { config }) => load(config).map(|(_, config)| {
             println!(
                 "usable: {} listens on {} for {} classes of requests, discovery at {}",
                 config.name,
@@ -74,9 +75,9 @@
     }
 }
 
-fn load(path: Option<PathBuf>) -> Result<Config, String> {
+fn load(path: Option<PathBuf>) -> Result<(PathBuf, Config), String> {
     let path = path.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
     let path = path.ok_or("no configuration: give --config or set LB_CONFIG")?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-    Config::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+    let config = Config::load(&path).map_err(|error| error.to_string())?;
+    Ok((path, config))
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use tinyjson::JsonValue;
 
@@ -203,6 +204,13 @@
 }
 
 impl Config {
+    /// Reads a configuration file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let named = |fault: &dyn fmt::Display| ConfigError(format!("{}: {fault}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|error| named(&error))?;
+        Config::parse(&text).map_err(|error| named(&error))
+    }
+
     /// Decodes the text of a configuration file.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
         let value = json(text)?;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -22,6 +22,9 @@
     pub probes: [u64; OUTCOMES.len()],
     pub lists: u64,
     pub lists_failed: u64,
+    /// Times that the configuration was read again, and that it could not be used.
+    pub reloads: u64,
+    pub reloads_failed: u64,
 }
 
 const OUTCOMES: [(Outcome, &str); 9] = [
@@ -55,6 +58,7 @@
         for ((_, name), count) in OUTCOMES.iter().zip(self.probes).filter(|(_, count)| *count > 0) {
             write!(f, " probe_{name}={count}")?;
         }
-        write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)
+        write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
+        write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -153,6 +153,15 @@
         Discovery { address, watches: Slots::new(), current: None, budget, index, trouble: None }
     }
 
+    /// Watches the list at another address from now on; the watch that is open there is left as it is.
+    pub fn move_to(&mut self, address: SocketAddr, context: &mut Context) {
+        if std::mem::replace(&mut self.address, address) != address {
+            // The versions of one service mean nothing to another: the whole list is asked for.
+            self.index = 0;
+            self.listen(context);
+        }
+    }
+
     /// Opens the watch from the list held, in place of one that may still be there.
     pub fn listen(&mut self, context: &mut Context) {
         if let Some(slot) = self.current.take() {
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -3,11 +3,12 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use mio::net::TcpListener;
 use mio::{Interest, Poll};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
 use super::clients::Clients;
@@ -51,27 +52,29 @@
     tenants: Vec<String>,
     zones: Vec<String>,
     probe_timeout: f64,
+    /// Where the configuration is read again from.
+    path: PathBuf,
     draining: bool,
     closing: bool,
 }
 
 /// Serves until told to end.
-pub(crate) fn serve(config: &Config) -> io::Result<()> {
+pub(crate) fn serve(config: &Config, path: &Path) -> io::Result<()> {
     let mut poll = Poll::new()?;
     let reactor = Reactor::new(&poll)?;
     let mut context = Context { reactor, events: Default::default(), counters: Counters::default() };
-    let mut proxy = Proxy::new(config, &mut context)?;
+    let mut proxy = Proxy::new(config, path, &mut context)?;
     event_loop::run(&mut poll, &mut proxy, &mut context)?;
     log(format_args!("{} ends: {}", config.name, context.counters));
     Ok(())
 }
 
 impl Proxy {
-    fn new(config: &Config, context: &mut Context) -> io::Result<Proxy> {
+    fn new(config: &Config, path: &Path, context: &mut Context) -> io::Result<Proxy> {
         let settings = &config.settings;
         let policy = Policy::new(settings.clone(), config.seed)
             .map_err(|fault| io::Error::new(io::ErrorKind::InvalidInput, fault))?;
-        let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1])?;
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
         // Half the memory is for statements and answers, of which a client has one each, a quarter for buffers.
@@ -101,6 +104,7 @@
             tenants: config.tenants.clone(),
             zones: config.zones.clone(),
             probe_timeout: settings.connect_timeout,
+            path: path.to_path_buf(),
             draining: false,
             closing: false,
         };
@@ -276,11 +280,29 @@
         Entry { member: name, zone: zone as u32, group, phase, started_at: since, primary: false }
     }
 
+    /// Reads the configuration again. Only discovery's address is taken from it: the rest is what requests
+    /// in hand were taken in under, and holds from the next start. A file that cannot be used changes nothing.
+    fn reload(&mut self, context: &mut Context) {
+        match Config::load(&self.path) {
+            Ok(config) => {
+                context.counters.reloads += 1;
+                log(format_args!("configuration read again: discovery at {}", config.discovery));
+                self.discovery.move_to(config.discovery, context);
+            }
+            Err(error) => {
+                context.counters.reloads_failed += 1;
+                log(format_args!("configuration kept as it was: {error}"));
+            }
+        }
+    }
+
     fn signal(&mut self, context: &mut Context) {
         let pending: Vec<i32> = self.signals.pending().collect();
         for signal in pending {
             if signal == SIGUSR1 {
                 log(format_args!("{}", context.counters));
+            } else if signal == SIGHUP {
+                self.reload(context);
             } else if !std::mem::replace(&mut self.draining, true) {
                 log(format_args!("asked to end"));
                 context.reactor.timer(context.reactor.now() + LAST_CALL, Due::Drained);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
@@ -24,6 +25,7 @@
 pub struct Pooler {
     child: Child,
     log: Receiver<String>,
+    config: PathBuf,
     pub address: SocketAddr,
 }
 
@@ -53,14 +55,21 @@
         std::thread::spawn(move || {
             stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line))
         });
-        let mut pooler = Pooler { child, log, address: ([127, 0, 0, 1], 0).into() };
+        let mut pooler = Pooler { child, log, config: path, address: ([127, 0, 0, 1], 0).into() };
         let line = pooler.logged("listens on ");
         let address = line.split("listens on ").nth(1).and_then(|rest| rest.split(',').next());
         pooler.address = address.unwrap().parse().unwrap();
-        std::fs::remove_file(path).unwrap();
         pooler
     }
 
+    /// Replaces `from` in the configuration file and asks for it to be read again.
+    pub fn reload(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        assert!(text.contains(from), "{from} is not in the configuration");
+        std::fs::write(&self.config, text.replace(from, to)).unwrap();
+        self.signal("HUP");
+    }
+
     /// Waits for a line of the log that holds `text`.
     pub fn logged(&self, text: &str) -> String {
         loop {
@@ -91,6 +100,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
@@ -242,7 +252,7 @@
         Discovery(listener())
     }
 
-    fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -387,3 +387,36 @@
     assert_eq!(pooler.ended().code(), Some(0));
     assert!(pooler.logged(" ends: ").contains("served=3"));
 }
+
+#[test]
+fn a_reload_moves_the_watch_and_drops_nothing() {
+    let (old, new, moved) = (Db::new(), Db::new(), Discovery::new());
+    let (mut pooler, discovery) = with_one(&old, &[]);
+    let mut client = client(&pooler);
+    let mut watch = discovery.call().0;
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = old.accept();
+    asked(&mut wire);
+    // A file that cannot be used changes nothing, and the pooler goes on.
+    pooler.reload("{\"name\"", "{name");
+    pooler.logged("configuration kept as it was");
+    pooler.reload("{name", "{\"name\"");
+    pooler.logged("configuration read again");
+    assert!(pooler.counters().contains(" reloads=1 reloads_failed=1"));
+    pooler.reload(&discovery.address().to_string(), &moved.address().to_string());
+    // Versions are the new service's own. The old watch, which neither reload before has touched, ends.
+    let (mut news, line) = moved.call();
+    assert!(line.contains("follow=1&since=0 "), "{line}");
+    assert_eq!(std::io::Read::read(&mut watch, &mut [0]).unwrap(), 0);
+    let text = list(1, true, &[new.line("s-1", "here")]) + "\n";
+    news.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    wire.ends();
+    warm(&new, &mut client);
+    // Beside the end it is no obstacle.
+    pooler.signal("TERM");
+    pooler.signal("HUP");
+    client.ends();
+    assert_eq!(pooler.ended().code(), Some(0));
+}
