An answer that is not the form of one answer fails its attempt, as soon as its head shows it

Checked: a probe of what was spoilt printed, for each, where in the answer it was: 289 of 372 stood behind a good RowDescription, 83 before it, none in the startup. Lines at fault: servers.rs took any D of up to 72 KiB as the row, in any order and number, and pg::column alone looked at the length within, for reports only; pg::message waited for the whole of what a head promised. Ruled out: strays on connections used again. Now kind, length, order and the single column are checked as they come; the rest of an answer that has begun is due within the connect time-out; nothing told with a spoilt answer is taken in; a report is read whole or not at all; what came before a reset still counts.

--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -9,6 +9,10 @@
 
 /// Longest body of a message: its frame must fit a buffer together with it.
 const LONGEST: usize = BOUND - 5;
+/// Longest value, and the longest message of a db machine that holds a name or a tag, or any other text.
+const LONGEST_VALUE: usize = 64 * 1024;
+const LONGEST_NAME: usize = 1024;
+const LONGEST_TEXT: usize = 8 * 1024;
 /// Longest startup message: it holds a handful of names.
 const LONGEST_STARTUP: usize = 10_000;
 /// Most digits of a number in a statement's comment; keeps it far inside what a float holds exactly.
@@ -49,16 +53,62 @@
 
 /// Takes the next whole message, if it is there.
 pub(crate) fn message(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
+    let Some((kind, body)) = head(ring)? else { return Ok(None) };
+    if body > LONGEST {
+        return Err(FrameError::TooLong);
+    }
+    Ok(whole(ring, kind, body))
+}
+
+/// The type of the next message and the length of its body.
+fn head(ring: &Ring) -> Result<Option<(u8, usize)>, FrameError> {
     let Some([kind, a, b, c, d]) = ring.peek() else { return Ok(None) };
     let length = u32::from_be_bytes([a, b, c, d]) as usize;
-    match length.checked_sub(4) {
-        None => Err(FrameError::Malformed),
-        Some(body) if body > LONGEST => Err(FrameError::TooLong),
-        Some(body) if ring.len() < body + 5 => Ok(None),
-        Some(body) => {
-            ring.skip(5);
-            Ok(Some(Message { kind, body: ring.take(body) }))
-        }
+    let body = length.checked_sub(4).ok_or(FrameError::Malformed)?;
+    Ok(Some((kind, body)))
+}
+
+/// Takes a message of that head, if all of it is there.
+fn whole(ring: &mut Ring, kind: u8, body: usize) -> Option<Message> {
+    (ring.len() >= body + 5).then(|| {
+        ring.skip(5);
+        Message { kind, body: ring.take(body) }
+    })
+}
+
+/// Takes the next whole message of a db machine, if it is there. One that no db machine would send is found
+/// out by its head, so far as that shows it: nobody waits for the rest of what will never be whole.
+pub(crate) fn reply(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
+    let first = ring.first(1);
+    let longest = match first.first() {
+        None => return Ok(None),
+        Some(b'D') => LONGEST_VALUE + 6,
+        Some(b'E' | b'N' | b'S') => LONGEST_TEXT,
+        Some(b'T' | b'C') => LONGEST_NAME,
+        Some(b'R' | b'K') => 256,
+        Some(b'Z') => 1,
+        Some(_) => return Err(FrameError::Malformed),
+    };
+    let Some((kind, body)) = head(ring)? else { return Ok(None) };
+    if body > longest {
+        return Err(FrameError::TooLong);
+    }
+    if let (b'D', Some(row)) = (kind, ring.peek::<11>()) {
+        column_length(&row[5..], body)?;
+    }
+    let Some(message) = whole(ring, kind, body) else { return Ok(None) };
+    let sound = match kind {
+        b'T' => described(&message.body),
+        b'D' => column(&message.body).is_some(),
+        b'C' => terminated(&message.body).is_some_and(|tag| tag.bytes().all(|b| (b' '..=b'~').contains(&b))),
+        b'S' => parameter(&message.body).is_some(),
+        b'Z' => message.body == [b'I'],
+        _ => true,
+    };
+    if sound {
+        Ok(Some(message))
+    } else {
+        Err(FrameError::Malformed)
     }
 }
 
@@ -205,14 +255,31 @@
 
 /// Name and value of a ParameterStatus.
 pub(crate) fn parameter(body: &[u8]) -> Option<(&str, &str)> {
-    let mut parts = body.split(|byte| *byte == 0).map(|part| std::str::from_utf8(part).ok());
-    Some((parts.next()??, parts.next()??))
+    std::str::from_utf8(body)
+        .ok()?
+        .strip_suffix('\0')?
+        .split_once('\0')
+        .filter(|(_, value)| !value.contains('\0'))
+}
+
+/// Whether a RowDescription tells of one column: a name that ends, and 18 bytes of numbers.
+fn described(body: &[u8]) -> bool {
+    let name = body.strip_prefix(&[0, 1]).and_then(|field| field.get(..field.len().checked_sub(18)?));
+    name.and_then(terminated).is_some()
 }
 
-/// The first column of a DataRow.
+/// The only column of a DataRow; none where its length is not that of the message.
 pub(crate) fn column(body: &[u8]) -> Option<&[u8]> {
-    let length = u32::from_be_bytes(body.get(2..6)?.try_into().ok()?);
-    body.get(6..)?.get(..length as usize)
+    column_length(body, body.len()).ok()?;
+    body.get(6..)
+}
+
+/// Looks whether the head of a DataRow's body tells of one column that fills all of it.
+fn column_length(head: &[u8], body: usize) -> Result<(), FrameError> {
+    match head.first_chunk() {
+        Some([0, 1, a, b, c, d]) if u32::from_be_bytes([*a, *b, *c, *d]) as usize + 6 == body => Ok(()),
+        _ => Err(FrameError::Malformed),
+    }
 }
 
 /// A query message of a client.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -20,6 +20,12 @@
 const ROLE: &str = "server_role";
 const PRIMARY: &str = "writer";
 const REPLICA: &str = "reader";
+/// The fields of a load report.
+const REPORT_POSITION: &str = "x0";
+const REPORT_PRIMARY: &str = "x1";
+
+/// Longest answer that is passed on: a value is at most 64 KiB, and has a column's name and a few frames.
+pub(crate) const LONGEST_ANSWER: usize = 72 * 1024;
 
 /// Share of the time that a db machine keeps an idle connection after which it is closed from here: what is
 /// written to one that the machine is just closing would end as a reset.
@@ -28,8 +34,6 @@
 const KEEP_MOST: usize = 48;
 /// A machine off the list is forgotten after this (seconds), far past every deadline.
 const FORGET_AFTER: f64 = 60.0;
-/// Longest answer that is passed on: a value is at most 64 KiB, and has a column's name and a few frames.
-pub(crate) const LONGEST_ANSWER: usize = 72 * 1024;
 
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +55,7 @@
 #[derive(Default)]
 struct Reply {
     value: Vec<u8>,
+    described: bool,
     row: bool,
     complete: bool,
     code: Option<String>,
@@ -81,6 +86,8 @@
     stage: Stage,
     job: Option<Job>,
     reply: Reply,
+    /// Some of the answer is there: the rest is due soon.
+    begun: bool,
     /// When the present stage has lasted long enough.
     until: f64,
 }
@@ -95,8 +102,18 @@
 }
 
 impl Conn {
-    /// Reads, understands and writes as far as it goes without waiting.
-    fn turn(&mut self, now: f64) -> Step {
+    /// Reads, understands and writes as far as it goes without waiting. Once an answer has begun the rest is
+    /// due within `rest`: guards against answers that say they are longer than what ever comes.
+    fn turn(&mut self, now: f64, rest: f64) -> Step {
+        let step = self.exchange(now);
+        let answered = self.reply.described || self.reply.code.is_some() || !self.inbox.is_empty();
+        if self.stage == Stage::Busy && answered && !std::mem::replace(&mut self.begun, true) {
+            self.until = self.until.min(now + rest);
+        }
+        step
+    }
+
+    fn exchange(&mut self, now: f64) -> Step {
         if self.stage == Stage::Connecting {
             match self.connected() {
                 Ok(true) => {}
@@ -108,7 +125,8 @@
             if self.outbox.drain(&mut self.stream).is_err() {
                 return self.broken();
             }
-            let Ok(fill) = self.inbox.fill(&mut self.stream) else { return self.broken() };
+            // What came before a reset still counts.
+            let fill = self.inbox.fill(&mut self.stream).unwrap_or(Fill::Ended);
             let before = self.inbox.len();
             let asking = self.stage;
             match self.understand(now) {
@@ -149,16 +167,29 @@
         })
     }
 
+    /// What it means that something came that is no part of an answer: the request may have run, and nothing
+    /// that came with it is to be relied on, unless the machine had already said that it did not.
+    fn spoilt(&mut self) -> Step {
+        match (self.stage, self.reply.outcome()) {
+            (Stage::Connecting | Stage::Starting, _) => Step::Broken(Outcome::ConnectFailed),
+            (_, Some(outcome)) if outcome.proves_untouched() => Step::Broken(outcome),
+            _ => {
+                self.reply = Reply::default();
+                Step::Broken(Outcome::Error)
+            }
+        }
+    }
+
     /// Takes message by message.
     fn understand(&mut self, now: f64) -> Step {
         loop {
-            match pg::message(&mut self.inbox) {
+            match pg::reply(&mut self.inbox) {
                 Ok(None) => return Step::Waiting,
                 Ok(Some(message)) => match self.message(message, now) {
                     Step::Waiting => {}
                     step => return step,
                 },
-                Err(_) => return self.broken(),
+                Err(_) => return self.spoilt(),
             }
         }
     }
@@ -176,29 +207,31 @@
             }
             (Stage::Starting, b'Z') => {
                 if !self.ask(now) {
-                    return self.broken();
+                    return Step::Broken(Outcome::Moot);
                 }
             }
-            (Stage::Busy | Stage::Idle, b'S') => {
-                let Some((name, value)) = pg::parameter(&message.body) else { return Step::Waiting };
-                match (name, value) {
-                    (POSITION, value) => {
-                        self.reply.position = value.parse::<f64>().ok().map(|millis| millis / 1000.0);
-                    }
-                    (ROLE, PRIMARY) => self.reply.primary = Some(true),
-                    (ROLE, REPLICA) => self.reply.primary = Some(false),
-                    _ => {}
+            (Stage::Busy | Stage::Idle, b'S') => match pg::parameter(&message.body) {
+                Some((POSITION, value)) => {
+                    self.reply.position = value.parse::<f64>().ok().map(|millis| millis / 1000.0);
                 }
-            }
+                Some((ROLE, PRIMARY)) => self.reply.primary = Some(true),
+                Some((ROLE, REPLICA)) => self.reply.primary = Some(false),
+                _ => {}
+            },
             (Stage::Busy, kind @ (b'T' | b'D' | b'C')) => {
-                if self.reply.value.len() + message.body.len() + 5 > LONGEST_ANSWER {
-                    return Step::Broken(Outcome::Error);
+                // Each once and in this order: anything else is not the answer to one request.
+                let Reply { described, row, complete, .. } = &mut self.reply;
+                let next = match kind {
+                    b'T' => !std::mem::replace(described, true),
+                    b'D' => *described && !std::mem::replace(row, true),
+                    _ => *row && !std::mem::replace(complete, true),
+                };
+                if !next {
+                    return self.spoilt();
                 }
-                self.reply.row |= kind == b'D';
-                self.reply.complete |= kind == b'C';
                 match self.job.as_ref().map(|job| &job.task) {
                     Some(Task::Probe) if kind == b'D' => {
-                        self.reply.report = pg::column(&message.body).map(report).unwrap_or_default();
+                        self.reply.report = pg::column(&message.body).and_then(report).unwrap_or_default();
                     }
                     Some(Task::Probe) => {}
                     _ => pg::forward(&mut self.reply.value, &message),
@@ -212,20 +245,22 @@
                 }
             }
             (Stage::Busy, b'Z') => return Step::Over,
-            // Nothing that this exchange could hold: whatever it was, it is not to be relied on.
-            _ => return self.broken(),
+            // Nothing that this exchange could hold.
+            _ => return self.spoilt(),
         }
         Step::Waiting
     }
 
-    /// Writes the request of the job onto a connection that is ready for one.
+    /// Writes the request of the job onto a connection that is ready for one; false where memory is short, so
+    /// that nothing of it is sent.
     fn ask(&mut self, now: f64) -> bool {
         let Some(job) = &self.job else { return false };
         let sql = match &job.task {
             Task::Attempt(_, _, statement) => statement.with_patience(job.give_up - now),
             Task::Probe => ASK_LOAD.to_vec(),
         };
-        (self.stage, self.until, self.reply) = (Stage::Busy, job.give_up, Reply::default());
+        (self.stage, self.until) = (Stage::Busy, job.give_up);
+        (self.reply, self.begun) = (Reply::default(), false);
         self.outbox.push(&pg::query(&sql)).is_ok()
     }
 
@@ -311,7 +346,11 @@
                 continue;
             }
             conn.job = Some(job);
-            let step = if conn.ask(sent) { conn.turn(sent) } else { conn.broken() };
+            let step = if conn.ask(sent) {
+                conn.turn(sent, self.connect_timeout)
+            } else {
+                Step::Broken(Outcome::Moot)
+            };
             context.reactor.timer(conn.until, Due::Server(slot));
             self.settle(slot, step, context);
             return Some(slot);
@@ -340,6 +379,7 @@
             stage: Stage::Connecting,
             job: Some(job),
             reply: Reply::default(),
+            begun: false,
             until,
         });
         let conn = self.conns.get_mut(slot)?;
@@ -389,7 +429,7 @@
         let now = context.reactor.now();
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let until = conn.until;
-        let step = conn.turn(now);
+        let step = conn.turn(now, self.connect_timeout);
         if conn.until != until {
             context.reactor.timer(conn.until, Due::Server(slot));
         }
@@ -437,15 +477,20 @@
         let now = context.reactor.now();
         let connect_timeout = self.connect_timeout;
         // Timers are not withdrawn: this one may belong to a stage that is over.
+        if self.conns.get_mut(slot).is_none_or(|conn| conn.until > now) {
+            return;
+        }
+        // What has arrived by now still counts, though its event has not been taken up yet.
+        self.ready(slot, context);
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.until <= now) else { return };
-        let outcome = match (conn.stage, &conn.job) {
-            (Stage::Busy, _) if !conn.outbox.is_empty() => Outcome::ConnectFailed,
-            (Stage::Connecting | Stage::Starting, Some(job)) if now >= job.sent + connect_timeout => {
-                Outcome::ConnectFailed
-            }
-            _ => conn.reply.outcome().unwrap_or(Outcome::Timeout),
+        let unmade = conn.job.as_ref().is_some_and(|job| now >= job.sent + connect_timeout);
+        let step = match conn.stage {
+            Stage::Connecting | Stage::Starting if unmade => Step::Broken(Outcome::ConnectFailed),
+            Stage::Busy if !conn.outbox.is_empty() => Step::Broken(Outcome::ConnectFailed),
+            Stage::Busy if conn.begun => conn.spoilt(),
+            _ => Step::Broken(conn.reply.outcome().unwrap_or(Outcome::Timeout)),
         };
-        self.settle(slot, Step::Broken(outcome), context);
+        self.settle(slot, step, context);
     }
 }
 
@@ -463,12 +508,18 @@
     })));
 }
 
-/// Reads a load report: names and values such as `x0=1767225600.123,x1=1`.
-fn report(text: &[u8]) -> Report {
-    let text = String::from_utf8_lossy(text);
-    let value = |wanted: &str| {
-        let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(name, _)| name.trim() == wanted)?.1.trim().parse::<f64>().ok()
-    };
-    Report { position: value("x0"), primary: value("x1").map(|x1| x1 == 1.0) }
+/// Reads a load report: names and values such as `x0=1767225600.123,x1=1`. One that cannot be read as a whole
+/// tells nothing: what is legible in it may be wrong too.
+fn report(text: &[u8]) -> Option<Report> {
+    let mut report = Report::default();
+    for pair in std::str::from_utf8(text).ok()?.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|value| value.is_finite())?;
+        match name.trim() {
+            REPORT_POSITION => report.position = Some(value),
+            REPORT_PRIMARY => report.primary = Some(value == 1.0),
+            _ => {}
+        }
+    }
+    Some(report)
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -281,6 +281,71 @@
     assert_eq!(client.answer()[0].0, b'T');
 }
 
+#[test]
+fn a_report_that_cannot_be_read_tells_nothing() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[(r#""probes":false"#, r#""probes":true"#)]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "browse")));
+    let mut wire = db.accept();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
+    for spoilt in ["x1=0,queue=\u{fffd}", "x1=0x", "}{"] {
+        assert_eq!(asked(&mut wire), "SHOW usage");
+        wire.send(&served(format!("x0={:.3},{spoilt}", now).as_bytes(), "reader"));
+    }
+    // The read waits for a replica known to be fresh, and none of that said so.
+    assert_eq!(asked(&mut wire), "SHOW usage");
+}
+
+#[rstest]
+#[case::noise(b"\x9f\x03\x00\xfe\xc1".to_vec())]
+#[case::a_line(b"HTTP/1.1 500 odd\r\n".to_vec())]
+#[case::of_three_gigabytes(row(VALUE)[..27].iter().chain(b"D\xb2\xd0\x5e\0\0\x01\xb2\xd0\x5d\xf6").copied().collect())]
+#[case::a_value_shorter_than_its_row(row(VALUE).iter().map(|b| if *b == 3 { 2 } else { *b }).collect())]
+#[case::a_row_without_a_description(row(VALUE)[27..].to_vec())]
+#[case::two_rows([row(VALUE), row(VALUE)].concat())]
+#[case::an_end_that_never_comes(row(VALUE)[..30].to_vec())]
+fn a_spoilt_answer_is_a_failed_attempt(#[case] answer: Vec<u8>) {
+    let (near, far) = (Db::new(), Db::new());
+    let (pooler, _discovery) = with_two(&near, &far);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut spoilt = near.accept();
+    asked(&mut spoilt);
+    spoilt.send(&answer);
+    // The connection is of no further use, and the read goes on elsewhere well within its 8.5 s.
+    spoilt.ends();
+    let mut wire = far.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer().iter().map(|(k, b)| frame(*k, b)).collect::<Vec<_>>().concat(), row(VALUE));
+    let counters = pooler.counters();
+    assert!(counters.contains(" ok=1 error=1 "), "{counters}");
+}
+
+#[rstest]
+#[case::a_second_copy(&served(b"stray", "reader"))]
+#[case::noise(b"\x9f\x03\x00\xfe\xc1")]
+fn what_comes_behind_an_answer_does_not_reach_the_next_request(
+    #[case] stray: &[u8],
+    #[values(false, true)] late: bool,
+) {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    let behind: &[u8] = if late { &[] } else { stray };
+    wire.send(&[&served(VALUE, "reader"), behind].concat());
+    assert!(client.answer()[1].1.ends_with(VALUE));
+    if late {
+        wire.send(stray);
+    }
+    wire.ends();
+    warm(&db, &mut client);
+}
+
 #[rstest]
 #[case::busy("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into())]
 #[case::not_http("SSH-2.0-odd\r\n".into())]
