Clients that do not ask, finish a message or read within 2 s are closed; one memory budget for all

Seen: a client that sent nothing, or half a message, was kept until others needed its place (clients.rs had no limit before a startup message, and 10 s for half a message, at the limit only); each sender of rubbish was read for as long as it could fill the buffer, in one turn (Conn::turn), also while it was being ended, and could not make room in that second. At 32 MB the rule 'half the memory by the number of clients' (proxy.rs) came to 67 clients, under the third of 256 descriptors that clients may hold for requests. Now a first query, the rest of a message and reading are due within 2 s; 32 messages are taken at a time; buffers, statements and values draw on one budget, half the memory; 16 spare descriptors instead of 32, of which about ten are used; unknown zones share one number instead of adding one each.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -16,8 +16,12 @@
 const ACCEPT_AGAIN: f64 = 0.1;
 /// How long a client that is told of its fault may take to read it before the connection ends (seconds).
 const LINGER: f64 = 1.0;
-/// A connection that has sent part of a message and then nothing for so long (seconds) counts as idle.
-const STALLED: f64 = 10.0;
+/// How long a client may take to ask for the first time, to complete a message that it has begun, and to read
+/// what it is told (seconds). Guards against those who come to hold a place.
+const PROMPT: f64 = 2.0;
+/// Most messages taken off a connection before the others have their turn. Guards against a client that sends
+/// faster than it can be told that it sends rubbish.
+const TURN: usize = 32;
 /// What keeps new clients out is logged again only after so long without (seconds): it comes and goes.
 const QUIET: f64 = 10.0;
 
@@ -51,21 +55,33 @@
     stage: Stage,
     /// After an error in the extended protocol everything up to Sync is passed over.
     skipping: bool,
+    /// Whether it has asked anything that could be carried out.
+    asked: bool,
+    /// There may be more to read, which no event will announce.
+    more: bool,
     /// When it was last heard of.
     active: f64,
+    /// Since when something has been due from the client: a first query, the rest of a message, or that it
+    /// reads.
+    owing: Option<f64>,
 }
 
 impl Conn {
     /// Reads, understands and writes as far as it goes without waiting.
     fn turn(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
         self.active = context.reactor.now();
-        loop {
+        self.more = false;
+        while self.stage != Stage::Ending {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
             if fill == Fill::Ended {
                 return Err(Over);
             }
             let before = self.inbox.len();
             self.understand(slot, serving, context)?;
+            if self.more {
+                context.reactor.timer(self.active, Due::Client(slot));
+                return Ok(());
+            }
             // The event is edge-triggered: what a full buffer left in the socket must be read now that there
             // is room, since nothing will announce it again.
             if fill == Fill::Drained {
@@ -77,12 +93,23 @@
                 return if stuck { self.fatal(slot, code::NO_MEMORY, "no memory", context) } else { Ok(()) };
             }
         }
+        // One buffer is thrown away and the rest is left unread until the time is over: guards the loop against
+        // a sender that does not stop.
+        self.flush()?;
+        if self.inbox.fill(&mut self.stream).map_err(|_| Over)? == Fill::Ended {
+            return Err(Over);
+        }
+        self.inbox.skip(self.inbox.len());
+        Ok(())
     }
 
     /// Takes message by message. The next is looked at only when the answers so far are written: a client
     /// that sends and does not read gets no further than its buffers.
     fn understand(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
-        while self.flush()? {
+        for _ in 0..TURN {
+            if !self.flush()? {
+                return Ok(());
+            }
             let result = match self.stage {
                 Stage::Startup => match pg::startup(&mut self.inbox) {
                     Ok(None) => return Ok(()),
@@ -94,11 +121,7 @@
                     Ok(Some(message)) => self.message(message, slot, serving, context).map(Ok)?,
                     Err(fault) => Err(fault),
                 },
-                Stage::Busy | Stage::Unready => return Ok(()),
-                Stage::Ending => {
-                    self.inbox.skip(self.inbox.len());
-                    return Ok(());
-                }
+                Stage::Busy | Stage::Unready | Stage::Ending => return Ok(()),
             };
             match result {
                 Ok(()) => {}
@@ -110,9 +133,19 @@
                 }
             }
         }
+        self.more = true;
         Ok(())
     }
 
+    /// Whether something is due from the client.
+    fn owes(&self) -> bool {
+        match self.stage {
+            Stage::Startup | Stage::Ending => true,
+            Stage::Idle => !self.asked || !self.inbox.is_empty() || !self.outbox.is_empty(),
+            Stage::Busy | Stage::Unready => false,
+        }
+    }
+
     fn startup(&mut self, first: Startup, slot: Slot, context: &mut Context) -> Result<(), Over> {
         match first {
             Startup::Encryption => self.outbox.push(b"N")?,
@@ -143,8 +176,12 @@
             b'Q' => match pg::asked(&message.body) {
                 Ok(Asked::Nothing) if serving => self.empty()?,
                 Ok(Asked::Nothing) => self.stage = Stage::Unready,
-                Ok(Asked::Query(query)) => {
-                    self.stage = Stage::Busy;
+                Ok(Asked::Query(mut query)) => {
+                    let Ok(charge) = self.inbox.charge(query.statement.len()) else {
+                        return self.error(code::TURNED_AWAY, "no memory", None);
+                    };
+                    query.statement.charge = Some(charge);
+                    (self.stage, self.asked) = (Stage::Busy, true);
                     context.events.push_back(Event::Asked(slot, query));
                 }
                 Err(what) => {
@@ -166,7 +203,7 @@
     }
 
     fn empty(&mut self) -> Result<(), Over> {
-        self.stage = Stage::Idle;
+        (self.stage, self.asked) = (Stage::Idle, true);
         Ok(self.outbox.push(&[pg::empty_response(), pg::ready()].concat())?)
     }
 
@@ -178,11 +215,17 @@
     fn fatal(&mut self, slot: Slot, code: &str, what: &str, context: &mut Context) -> Result<(), Over> {
         context.counters.malformed += 1;
         self.outbox.push(&pg::error("FATAL", code, what, None))?;
-        self.stage = Stage::Ending;
-        context.reactor.timer(self.active + LINGER, Due::Client(slot));
+        self.end(slot, context);
         Ok(())
     }
 
+    /// From now on the client is only given the time to read what it was told.
+    fn end(&mut self, slot: Slot, context: &mut Context) {
+        let now = context.reactor.now();
+        (self.stage, self.owing) = (Stage::Ending, Some(now));
+        context.reactor.timer(now + LINGER, Due::Client(slot));
+    }
+
     /// Writes what there is to write; true when all is written.
     fn flush(&mut self) -> Result<bool, Over> {
         let written = self.outbox.drain(&mut self.stream).map_err(|_| Over)?;
@@ -251,7 +294,7 @@
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
-            let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns, now) };
+            let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns) };
             if self.conns.len() >= self.limit && idlest.is_none() {
                 self.full = true;
                 let clients = self.conns.len();
@@ -288,7 +331,17 @@
         let _ = stream.set_nodelay(true);
         let active = context.reactor.now();
         let (inbox, outbox) = (Ring::new(&self.budget), Ring::new(&self.budget));
-        let conn = Conn { stream, inbox, outbox, stage: Stage::Startup, skipping: false, active };
+        let conn = Conn {
+            stream,
+            inbox,
+            outbox,
+            stage: Stage::Startup,
+            skipping: false,
+            asked: false,
+            more: false,
+            active,
+            owing: None,
+        };
         let slot = self.conns.insert(conn);
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let (token, both) = (Source::Client(slot).into(), Interest::READABLE | Interest::WRITABLE);
@@ -314,8 +367,13 @@
         let closing = self.listener.is_none() && !busy;
         if closing && !conn.outbox.is_empty() && conn.stage != Stage::Ending {
             // An answer is still to be written, but not for ever: whoever does not read would keep the end.
-            conn.stage = Stage::Ending;
-            context.reactor.timer(conn.active + LINGER, Due::Client(slot));
+            conn.end(slot, context);
+        }
+        if !conn.owes() {
+            conn.owing = None;
+        } else if conn.owing.is_none() {
+            conn.owing = Some(conn.active);
+            context.reactor.timer(conn.active + PROMPT, Due::Client(slot));
         }
         if result.is_err() || closing && conn.outbox.is_empty() {
             if busy {
@@ -368,20 +426,41 @@
         }
     }
 
-    /// The time for a client to read of its fault is over.
+    /// A connection has more to read, or what is due from its client may be overdue.
     pub fn due(&mut self, slot: Slot, context: &mut Context) {
-        if self.conns.get_mut(slot).is_some_and(|conn| conn.stage == Stage::Ending) {
-            self.settle(slot, Err(Over), context);
+        let now = context.reactor.now();
+        if self.conns.get_mut(slot).is_some_and(|conn| conn.more) {
+            self.ready(slot, context);
         }
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        // Timers are not withdrawn: this one may belong to what the client has done meanwhile.
+        let patience = if conn.stage == Stage::Ending { LINGER } else { PROMPT };
+        if conn.owing.is_none_or(|since| now < since + patience) {
+            return;
+        }
+        context.counters.overdue += u64::from(conn.stage != Stage::Ending);
+        // A message that does not end is answered; one that was never begun is not, since the end of a
+        // connection is no answer to a request that crosses it.
+        let unfinished = !conn.inbox.is_empty() && conn.outbox.is_empty() && conn.stage != Stage::Ending;
+        let result = if unfinished {
+            conn.fatal(slot, code::VIOLATION, "message not completed in time", context)
+                .and_then(|()| conn.turn(slot, self.serving, context))
+        } else {
+            Err(Over)
+        };
+        self.settle(slot, result, context);
     }
 }
 
-/// The connection that has been between requests for longest, if there is one.
-fn idlest(conns: &Slots<Conn>, now: f64) -> Option<Slot> {
-    let idle = |conn: &Conn| {
-        let empty = conn.inbox.is_empty() && conn.outbox.is_empty();
-        matches!(conn.stage, Stage::Idle | Stage::Startup) && (empty || now - conn.active > STALLED)
+/// The connection that is to make room for another, if one can: one that is ending, else the one that has been
+/// between requests for longest.
+fn idlest(conns: &Slots<Conn>) -> Option<Slot> {
+    let idle = |conn: &Conn| match conn.stage {
+        Stage::Ending => true,
+        Stage::Startup | Stage::Idle => conn.inbox.is_empty() && conn.outbox.is_empty(),
+        Stage::Busy | Stage::Unready => false,
     };
+    let key = |conn: &Conn| if conn.stage == Stage::Ending { f64::NEG_INFINITY } else { conn.active };
     let idle = conns.iter().filter(|(_, conn)| idle(conn));
-    idle.min_by(|(_, a), (_, b)| a.active.total_cmp(&b.active)).map(|(slot, _)| slot)
+    idle.min_by(|(_, a), (_, b)| key(a).total_cmp(&key(b))).map(|(slot, _)| slot)
 }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -171,8 +171,9 @@
         Some(Duration::try_from_secs_f64(next.at - self.now()).unwrap_or(Duration::ZERO))
     }
 
-    fn due(&mut self) -> Option<Due> {
-        let now = self.now();
+    /// What came due by `now`. A timer that is set meanwhile waits for the next round, so that sockets are
+    /// looked at in between.
+    fn due(&mut self, now: f64) -> Option<Due> {
         if self.timers.peek().is_none_or(|Reverse(next)| next.at > now) {
             return None;
         }
@@ -201,7 +202,8 @@
         for event in &events {
             handler.ready(event.token().into(), context);
         }
-        while let Some(due) = context.reactor.due() {
+        let now = context.reactor.now();
+        while let Some(due) = context.reactor.due(now) {
             handler.due(due, context);
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use crate::counters::Counters;
 use crate::interface::{ListKind, MemberId, Outcome, Phase, Report, RequestId};
 use event_loop::{Reactor, Slot};
+use ring::Charge;
 
 pub(crate) use proxy::serve;
 
@@ -27,9 +28,15 @@
 pub(crate) struct Statement {
     text: Box<str>,
     patience: Range<usize>,
+    /// What it takes of the memory for requests, once that is granted.
+    charge: Option<Charge>,
 }
 
 impl Statement {
+    fn len(&self) -> usize {
+        self.text.len()
+    }
+
     /// The same statement with another time to wait (seconds; told in whole milliseconds, at least one).
     fn with_patience(&self, seconds: f64) -> Vec<u8> {
         let millis = ((seconds * 1000.0) as u64).max(1).to_string();
@@ -50,7 +57,7 @@
     repeat: bool,
     /// The quoted key, where there is one: names the session.
     key: Option<String>,
-    statement: Rc<Statement>,
+    statement: Statement,
 }
 
 /// The final answer to a query.
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -2,7 +2,6 @@
 //! nothing is read or written: that is the connections' part.
 
 use std::ops::Range;
-use std::rc::Rc;
 
 use super::ring::{Ring, BOUND};
 use super::{Query, Statement};
@@ -339,6 +338,6 @@
         keyed: keyed.is_some(),
         repeat: repeat.is_some_and(|(value, _)| value == "1"),
         key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
-        statement: Rc::new(Statement { text: sql.into(), patience: place }),
+        statement: Statement { text: sql.into(), patience: place, charge: None },
     })))
 }
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -14,8 +14,8 @@
 use super::clients::Clients;
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
-use super::ring::{Budget, BOUND};
-use super::servers::{Servers, LONGEST_ANSWER};
+use super::ring::Budget;
+use super::servers::Servers;
 use super::{log, Answer, Context, Ended, Event, Listing, Query, Statement, Task};
 use crate::config::Config;
 use crate::counters::{count, Counters};
@@ -25,7 +25,7 @@
 use crate::Policy;
 
 /// Descriptors kept for the listener, the poll, signals, the log, discovery's watch and surprises.
-const SPARES: usize = 32;
+const SPARES: usize = 16;
 /// After SIGTERM new queries are owed an answer for 0.7 s; this much longer for what is on its way (seconds).
 const LAST_CALL: f64 = 0.75;
 
@@ -77,13 +77,13 @@
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
-        // Half the memory is for statements and answers, of which a client has one each, a quarter for buffers.
+        // Half the memory is for buffers, statements and values, whoever needs them at the time.
         let sockets = config.sockets.saturating_sub(SPARES);
-        let clients = (sockets / 2).min(config.memory / 2 / (BOUND + LONGEST_ANSWER));
+        let clients = sockets / 2;
         if clients == 0 {
-            return Err(io::Error::new(io::ErrorKind::InvalidInput, "too few sockets or too little memory"));
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "too few sockets"));
         }
-        let budget = Budget::new(config.memory / 4);
+        let budget = Budget::new(config.memory / 2);
         let listener = TcpListener::bind(config.listen)?;
         log(format_args!("{} listens on {}, for {clients} clients", config.name, listener.local_addr()?));
         let names = config.classes.iter().cloned();
@@ -195,7 +195,8 @@
             predicted: None,
             repeat: query.repeat,
         };
-        let request = Request { client: Some(client), statement: query.statement, attempts: 0, out: None };
+        let request =
+            Request { client: Some(client), statement: Rc::new(query.statement), attempts: 0, out: None };
         self.requests.insert(id.clone(), request);
         self.asking.insert(client, id);
         self.tell(interface::Event::Arrival(arrival), context);
@@ -269,14 +270,11 @@
         }
     }
 
-    fn entry(&mut self, listing: Listing) -> Entry {
+    fn entry(&self, listing: Listing) -> Entry {
         let Listing { name, zone, group, phase, since, .. } = listing;
         let known = self.zones.iter().position(|known| *known == zone);
-        let zone = known.unwrap_or_else(|| {
-            // A zone that the settings do not name is at least not the own one.
-            self.zones.push(zone);
-            self.zones.len() - 1
-        });
+        // A zone that the settings do not name is at least not the own one.
+        let zone = known.unwrap_or(self.zones.len());
         Entry { member: name, zone: zone as u32, group, phase, started_at: since, primary: false }
     }
 
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -1,6 +1,7 @@
 //! The ring buffer that each connection has for each direction.
 
 use std::cell::Cell;
+use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
 use std::rc::Rc;
 
@@ -38,24 +39,58 @@
         Budget(Rc::new(Cell::new(bytes)))
     }
 
-    /// Trades the memory of a buffer for that of a larger one.
-    fn trade(&self, old: usize, new: usize) -> Result<(), Overflow> {
-        self.0.set((self.0.get() + old).checked_sub(new).ok_or(Overflow)?);
+    /// A part of it, of no size yet.
+    pub fn charge(&self) -> Charge {
+        Charge { budget: self.clone(), bytes: 0 }
+    }
+}
+
+/// What one holder has of a budget; given back when dropped.
+pub(crate) struct Charge {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Charge {
+    /// Makes it so many bytes; unchanged where the budget does not reach.
+    pub fn set(&mut self, bytes: usize) -> Result<(), Overflow> {
+        let Budget(left) = &self.budget;
+        left.set((left.get() + self.bytes).checked_sub(bytes).ok_or(Overflow)?);
+        self.bytes = bytes;
         Ok(())
     }
 }
 
+impl Drop for Charge {
+    fn drop(&mut self) {
+        // Taking less than before always succeeds.
+        let _ = self.set(0);
+    }
+}
+
+impl fmt::Debug for Charge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes", self.bytes)
+    }
+}
+
 /// A queue of bytes that grows up to [`BOUND`], as far as its budget reaches.
 pub(crate) struct Ring {
     buffer: Vec<u8>,
     head: usize,
     len: usize,
-    budget: Budget,
+    charge: Charge,
 }
 
 impl Ring {
     pub fn new(budget: &Budget) -> Self {
-        Ring { buffer: Vec::new(), head: 0, len: 0, budget: budget.clone() }
+        Ring { buffer: Vec::new(), head: 0, len: 0, charge: budget.charge() }
+    }
+
+    /// So many bytes more of the same budget, for something that was in this buffer.
+    pub fn charge(&self, bytes: usize) -> Result<Charge, Overflow> {
+        let mut charge = self.charge.budget.charge();
+        charge.set(bytes).map(|()| charge)
     }
 
     pub fn len(&self) -> usize {
@@ -74,7 +109,7 @@
         }
         if need > self.buffer.len() {
             let size = need.next_power_of_two().clamp(START, BOUND);
-            self.budget.trade(self.buffer.len(), size)?;
+            self.charge.set(size)?;
             let mut buffer = vec![0; size];
             self.copy(0, &mut buffer[..self.len]);
             (self.buffer, self.head) = (buffer, 0);
@@ -175,21 +210,11 @@
 
     fn release(&mut self) {
         if self.len == 0 && self.buffer.len() > KEEP {
-            self.give_back();
+            self.buffer = Vec::new();
+            // Taking less than before always succeeds.
+            let _ = self.charge.set(0);
         }
     }
-
-    fn give_back(&mut self) {
-        let old = std::mem::take(&mut self.buffer);
-        // Taking less than before always succeeds.
-        let _ = self.budget.trade(old.len(), 0);
-    }
-}
-
-impl Drop for Ring {
-    fn drop(&mut self) {
-        self.give_back();
-    }
 }
 
 #[cfg(test)]
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -9,7 +9,7 @@
 
 use super::event_loop::{Due, Slot, Slots, Source};
 use super::pg::{self, code, Message};
-use super::ring::{Budget, Fill, Ring};
+use super::ring::{Budget, Charge, Fill, Ring};
 use super::{Context, Ended, Event, Listing, Task};
 use crate::interface::{ListKind, MemberId, Outcome, Phase, Report};
 
@@ -24,9 +24,6 @@
 const REPORT_POSITION: &str = "x0";
 const REPORT_PRIMARY: &str = "x1";
 
-/// Longest answer that is passed on: a value is at most 64 KiB, and has a column's name and a few frames.
-pub(crate) const LONGEST_ANSWER: usize = 72 * 1024;
-
 /// Share of the time that a db machine keeps an idle connection after which it is closed from here: what is
 /// written to one that the machine is just closing would end as a reset.
 const KEEP_SHARE: f64 = 0.7;
@@ -86,6 +83,8 @@
     stage: Stage,
     job: Option<Job>,
     reply: Reply,
+    /// What the value takes of the memory for requests.
+    held: Charge,
     /// Some of the answer is there: the rest is due soon.
     begun: bool,
     /// When the present stage has lasted long enough.
@@ -234,6 +233,10 @@
                         self.reply.report = pg::column(&message.body).and_then(report).unwrap_or_default();
                     }
                     Some(Task::Probe) => {}
+                    // Guards against many answers that are each within their bound and together are not.
+                    _ if self.held.set(self.reply.value.len() + message.body.len()).is_err() => {
+                        return Step::Broken(Outcome::Error);
+                    }
                     _ => pg::forward(&mut self.reply.value, &message),
                 }
             }
@@ -362,9 +365,7 @@
         let (address, stream) = match self.connect(member) {
             Ok(connection) => connection,
             Err(outcome) => {
-                // A probe that could not be made says nothing of the machine either.
-                let probe = matches!(job.task, Task::Probe) && outcome == Outcome::Moot;
-                ended(job, member, if probe { Outcome::Full } else { outcome }, Reply::default(), context);
+                ended(job, member, outcome, Reply::default(), context);
                 return None;
             }
         };
@@ -379,6 +380,7 @@
             stage: Stage::Connecting,
             job: Some(job),
             reply: Reply::default(),
+            held: self.budget.charge(),
             begun: false,
             until,
         });
@@ -451,6 +453,7 @@
                 let reply = std::mem::take(&mut conn.reply);
                 // A row is missing, say: it is no answer, though it may have run.
                 let outcome = reply.outcome().unwrap_or(Outcome::Error);
+                let _ = conn.held.set(0);
                 let Some(job) = conn.job.take() else { return };
                 let member = conn.member.clone();
                 (conn.stage, conn.until) = (Stage::Idle, context.reactor.now() + self.keepalive);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -10,6 +10,8 @@
 use rstest::rstest;
 
 const VALUE: &[u8] = b"\x9f\x00\x03";
+/// Room for 3 clients beside the spares.
+const THREE_CLIENTS: (&str, &str) = (r#""sockets":1024"#, r#""sockets":22"#);
 
 /// A pooler that knows the machine, and discovery, which has nothing to say.
 fn with_one(db: &Db, edits: &[(&str, &str)]) -> (Pooler, Discovery) {
@@ -59,7 +61,9 @@
     assert!(asked(&mut wire).contains("id=9b20,"));
     wire.send(&served(b"second", "reader"));
     assert!(client.answer()[1].1.ends_with(b"second"));
-    assert!(pooler.counters().contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 connected=1"));
+    assert!(pooler
+        .counters()
+        .contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 overdue=0 connected=1"));
 }
 
 #[test]
@@ -146,7 +150,7 @@
     asked(&mut wire);
     drop(client);
     wire.ends();
-    assert!(pooler.counters().contains(" gone=1 connected=1 sent=1 ok=0"));
+    assert!(pooler.counters().contains(" gone=1 overdue=0 connected=1 sent=1 ok=0"));
 }
 
 #[rstest]
@@ -398,8 +402,7 @@
 #[test]
 fn at_the_limit_idle_clients_make_room_and_busy_ones_do_not() {
     let db = Db::new();
-    // Room for 3 clients beside the spares.
-    let (pooler, _discovery) = with_one(&db, &[(r#""sockets":1024"#, r#""sockets":38"#)]);
+    let (pooler, _discovery) = with_one(&db, &[THREE_CLIENTS]);
     let mut clients: Vec<Wire> = (0..3).map(|_| client(&pooler)).collect();
     // Three are as many as there is room for: none has to leave before a fourth is there.
     assert!(pooler.counters().contains("clients=3"));
@@ -424,6 +427,55 @@
     clients[1].ends();
 }
 
+#[rstest]
+#[case::nothing(vec![], None)]
+#[case::half_a_startup(startup()[..7].to_vec(), Some("08P01"))]
+#[case::a_startup(startup(), None)]
+#[case::half_a_query([&startup(), &query(&ask("1", "reports"))[..40]].concat(), Some("08P01"))]
+#[case::what_asks_nothing([startup(), frame(b'H', b"")].concat(), None)]
+fn who_holds_a_place_and_does_not_ask_is_closed(#[case] sent: Vec<u8>, #[case] code: Option<&str>) {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut usual = client(&pooler);
+    warm(&db, &mut usual);
+    let mut silent = Wire(std::net::TcpStream::connect(pooler.address).unwrap());
+    silent.send(&sent);
+    if sent.len() >= startup().len() {
+        silent.answer();
+    }
+    if let Some(code) = code {
+        assert_eq!(silent.error().0, code);
+    }
+    silent.ends();
+    // Whoever has asked may rest.
+    warm(&db, &mut usual);
+    assert!(pooler.counters().contains(" overdue=1 "));
+}
+
+#[test]
+fn statements_that_the_memory_cannot_hold_are_refused() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[(r#""memory_mb":192"#, r#""memory_mb":1"#)]);
+    let (mut held, mut wires) = (Vec::new(), Vec::new());
+    let sql =
+        |n: usize| format!("{} AND doc = '\\x{}'", ask(&n.to_string(), "reports"), "9f".repeat(64 * 1024));
+    // Half a megabyte is for all: two of the largest, and what it takes to pass them on, leave no room.
+    for n in 0..2 {
+        held.push(client(&pooler));
+        held[n].send(&query(&sql(n)));
+        wires.push(db.accept());
+        asked(&mut wires[n]);
+    }
+    let mut third = client(&pooler);
+    third.send(&query(&sql(2)));
+    assert_eq!(third.error().0, "53300");
+    wires[0].send(&served(VALUE, "reader"));
+    assert_eq!(held[0].answer()[0].0, b'T');
+    // Nothing of it was sent: what the machine gets next is another.
+    third.send(&query(&sql(3)));
+    assert!(asked(&mut wires[0]).contains("id=3,"));
+}
+
 #[test]
 fn after_sigterm_all_that_comes_in_time_is_answered() {
     let db = Db::new();
