The policy keeps no group without members, sessions for 60 s, and no request past its class's time

A served write whose answer told no commit was not remembered at all (done), so that its session could read from before it. A probe that the pooler's own limits forbade counted as Full to keep suspicion off; Moot says so itself now.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,6 +71,8 @@
 const TENANT_LEAST: f64 = 2.0;
 /// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
 const SESSIONS: usize = 20_000;
+/// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
+const SESSION_AGE: f64 = 60.0;
 /// Cookie of the housekeeping timer; requests use their own number, from 1.
 const HOUSEKEEPING: u64 = 0;
 
@@ -112,7 +114,7 @@
                 if outcome == Outcome::Ok {
                     // No sign of health: a probe is answered beside the queue, also by a member that hangs.
                     self.learn(m, report.position, report.primary, false);
-                } else if outcome != Outcome::Full {
+                } else if !matches!(outcome, Outcome::Full | Outcome::Moot) {
                     // Members cap the probes they answer: one turned away by a crowd is not ill.
                     self.suspect(m, 1.0, out);
                 }
@@ -371,7 +373,8 @@
             }
             _ => f64::NEG_INFINITY,
         };
-        let left = left.max(0.0);
+        // Nobody waits longer than a class's clients do; guards against a request that says it would.
+        let left = left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
         self.probes = (self.probes + PROBE_SHARE).min(PROBE_MOST);
@@ -720,8 +723,9 @@
         if self.now < self.crowded_until && self.members[m].in_flight == 0 {
             out.push(Action::LetGo { member: self.members[m].id.clone() });
         }
-        if let (Some(session), Some(commit)) = (session, position) {
-            self.remember(session, commit);
+        if let Some(session) = session {
+            // An answer that does not tell the commit leaves no doubt that it was before now.
+            self.remember(session, position.filter(|p| *p <= self.now).unwrap_or(self.now));
         }
         if finished || self.requests.get(&n).is_none_or(|r| r.done) {
             return self.finish(n);
@@ -748,7 +752,9 @@
         let known = self.sessions.entry(session.clone()).or_insert(commit);
         *known = known.max(commit);
         self.session_order.push_back((session, commit));
-        while self.session_order.len() > SESSIONS {
+        let over = |(n, commit): (usize, f64)| n > SESSIONS || commit < self.now - SESSION_AGE;
+        while self.session_order.front().is_some_and(|(_, commit)| over((self.session_order.len(), *commit)))
+        {
             let Some((old, commit)) = self.session_order.pop_front() else { break };
             if self.sessions.get(&old).is_some_and(|last| *last <= commit) {
                 self.sessions.remove(&old);
@@ -828,6 +834,8 @@
                 }
             }
         }
+        // A group whose last member is forgotten goes with it: lists may name new ones for ever.
+        self.groups.retain(|_, state| !state.members.is_empty() || !state.held.is_empty());
         let groups: Vec<u32> = self.groups.keys().copied().collect();
         for group in groups {
             self.forget(group);
--- a/src/state.rs
+++ b/src/state.rs
@@ -229,4 +229,9 @@
     pub fn members_known(&self) -> usize {
         self.members.len()
     }
+
+    /// How many groups are kept in mind.
+    pub fn groups_known(&self) -> usize {
+        self.groups.len()
+    }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -225,6 +225,36 @@
     assert_eq!(sent(&d.feed(with("after", 2))), ["p"]);
 }
 
+#[test]
+fn a_write_that_hides_its_commit_binds_its_session_all_the_same() {
+    let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, tokens_carried: false, ..settings() });
+    let with = |id: &str, class: usize| {
+        let Event::Arrival(mut a) = Event::arrival(id, class, 0, 1.0) else { unreachable!() };
+        a.session = Some("s".into());
+        Event::Arrival(a)
+    };
+    d.freshen("r");
+    // Without a commit, and with one that nobody can have reached yet.
+    for (id, commit) in [("1", None), ("2", Some(d.now + 1e6)), ("3", Some(f64::NAN))] {
+        d.now += 0.1;
+        d.feed(with(id, 0));
+        d.told(id, "p", 0, Outcome::Ok, Some(true), commit);
+        assert_eq!(sent(&d.feed(with(&format!("{id} read"), 2))), ["p"]);
+        d.told(&format!("{id} read"), "p", 0, Outcome::Ok, Some(true), None);
+        d.freshen("r");
+        assert_eq!(sent(&d.feed(with(&format!("{id} later"), 2))), ["r"]);
+        d.told(&format!("{id} later"), "r", 0, Outcome::Ok, Some(false), None);
+    }
+}
+
+#[test]
+fn a_request_is_held_to_the_time_of_its_class() {
+    let mut d = Drive::new(settings());
+    let acts = d.feed(Event::arrival("w", 0, 0, 1e9));
+    assert!(matches!(acts[..], [.., Action::Send { timeout, .. }] if timeout <= 2.0), "{acts:?}");
+    assert_eq!(finals(&d.pass(2.0)), 1);
+}
+
 #[test]
 fn an_answer_from_a_replica_ends_its_time_as_primary_at_once() {
     let mut d = Drive::new(settings());
@@ -756,6 +786,18 @@
     assert!(d.policy.members_known() <= 80);
 }
 
+/// Groups that come and go with their members are forgotten with them.
+#[test]
+fn groups_whose_members_left_are_forgotten_in_time() {
+    let mut d = Drive::new(settings());
+    for group in 1..500 {
+        let member = |group: u32, phase| Entry { group, phase, ..entry(&format!("n{group}"), 0, false) };
+        d.list(ListKind::Incremental, vec![member(group, Phase::Active), member(group - 1, Phase::Left)]);
+        d.pass(0.5);
+    }
+    assert!(d.policy.groups_known() <= 80, "{}", d.policy.groups_known());
+}
+
 /// Where writes are remembered, a proxy that has just started knows of none: its sessions may have written.
 #[test]
 fn after_a_restart_an_unknown_session_reads_what_is_as_new_as_the_start() {
