One connection that falls silent no longer ejects a primary; the second late attempt does

The logs showed 79 ejections of all nine machines; none was down. Lines at fault: policy.rs housekeep took one attempt unheard for mean + 6 deviations as a hang, though at ten requests a second nothing else need have come in that time; done took one connection not made for a dead process. Ruled out: own limits (73 to 151 descriptors of 1,024) and CPU (0.09 at most). Kept: a primary is ejected at once where two attempts are late and unheard, one alone counts for half, and silence and the failed connection of one attempt count once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,10 +24,14 @@
 const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// ... or at this share of its aim, which leaves time for another within it.
 const OVERDUE_AIM: f64 = 0.6;
+/// One that has had no answer counts as late at so many deviations.
+const LATE_DEVIATIONS: f64 = 2.0;
 /// A member without any answer since an attempt was sent counts as silent at this many deviations.
 const SILENT_DEVIATIONS: f64 = 6.0;
 /// Suspicion at which a member is ejected: two plain failures or one broken connection.
 const EJECT_AT: f64 = 2.0;
+/// Weight of what a single connection cut off would explain as well: a second within half a second ejects.
+const CUT_OFF: f64 = 0.55 * EJECT_AT;
 /// Half-life of suspicion, in multiples of the connect time-out.
 const SUSPICION_HALVES: f64 = 8.0;
 /// First ejection, in multiples of the connect time-out; doubles with each failed trial ...
@@ -664,7 +668,7 @@
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
         a.unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
-        let (sent, cancelled) = (a.sent, a.cancelled);
+        let (sent, cancelled, overdue) = (a.sent, a.cancelled, a.overdue);
         let write = self.settings.classes[class].consistency == Consistency::Write;
         if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
             request.risky = Some((sent, m));
@@ -701,7 +705,11 @@
                 if quick && self.settings.fleet_size > TABLE_LEAST {
                     self.crowded_until = self.now + self.settings.ask_within;
                 }
-                self.suspect(m, EJECT_AT, out);
+                // Refused, its process is down; never made, this one connection may have been cut off, and
+                // its silence may have counted already.
+                if quick || !overdue {
+                    self.suspect(m, if quick { EJECT_AT } else { CUT_OFF }, out);
+                }
             }
             // One broken connection is no proof that its process died: links and single queries break too.
             Outcome::Reset => self.suspect(m, EJECT_AT / 2.0, out),
@@ -796,23 +804,32 @@
             out.push(Action::Listen);
         }
         let mut overdue = Vec::new();
+        // Attempts out to each member that are late and have heard nothing from it.
+        let mut waiting = vec![0; self.members.len()];
         for (&n, request) in &self.requests {
             let class = &settings.classes[request.class];
             let (mean, deviation) = self.latency[request.class];
             let limit = (mean + OVERDUE_DEVIATIONS * deviation).min(class.aim * OVERDUE_AIM);
             for (index, attempt) in request.attempts.iter().enumerate() {
                 let age = self.now - attempt.sent;
+                let unheard = self.members[attempt.member].heard < attempt.sent;
+                if attempt.open && unheard && age > mean + LATE_DEVIATIONS * deviation {
+                    waiting[attempt.member] += 1;
+                }
                 if attempt.open && !attempt.overdue && age > limit {
-                    let unheard = self.members[attempt.member].heard < attempt.sent;
                     let silent = unheard && age > mean + SILENT_DEVIATIONS * deviation;
                     overdue.push((n, index, attempt.member, silent));
                 }
             }
         }
         for (n, index, m, silent) in overdue {
-            // Silence: not one answer since this was sent. Guards against members that hang or are cut off.
+            // Silence: not one answer since this was sent. Guards against members that hang or are cut off. A
+            // primary has no stand-in: it is ejected once a second attempt is late too, since one connection can
+            // fall silent by itself.
             if silent {
-                self.suspect(m, EJECT_AT, out);
+                let primary = self.groups.get(&self.members[m].group).and_then(|g| g.primary);
+                let lone = primary == Some(m) && waiting[m] < 2;
+                self.suspect(m, if lone { CUT_OFF } else { EJECT_AT }, out);
             }
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
             request.attempts[index].overdue |= silent;
@@ -827,7 +844,7 @@
                     self.retries -= 1.0;
                     self.send(n, other, out);
                 }
-            } else if silent && self.settings.cancel && !self.healthy(m) {
+            } else if silent && self.settings.cancel {
                 if let Some(request) = self.requests.get_mut(&n) {
                     request.attempts[index].cancelled = true;
                     out.push(Action::Cancel { id: request.id.clone(), attempt: index });
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -625,6 +625,44 @@
     assert_ne!(sent(&d.ask("next", 3)), ["r"]);
 }
 
+/// A primary has no stand-in: work for it is not held up for one connection that has fallen silent, or was
+/// never made, but is for the second.
+#[test]
+fn one_silent_connection_does_not_eject_a_primary() {
+    let warm = || {
+        let mut d = Drive::new(settings());
+        for i in 0..40 {
+            d.ask(&format!("w{i}"), 0);
+            d.pass(0.05);
+            d.told(&format!("w{i}"), "p", 0, Outcome::Ok, Some(true), None);
+        }
+        d.pass(0.01);
+        d
+    };
+    let mut d = warm();
+    for (id, goals) in [("1", vec!["p"]), ("2", vec!["p"]), ("3", vec![])] {
+        assert_eq!(sent(&d.ask(id, 0)), goals, "{id}");
+        d.pass(0.25);
+    }
+    let mut d = warm();
+    d.ask("1", 0);
+    for (attempt, goals) in [(0, vec!["p"]), (1, vec![])] {
+        d.now += 0.25;
+        let done = Done {
+            id: "1".into(),
+            member: "p".into(),
+            attempt,
+            outcome: Outcome::ConnectFailed,
+            finished: false,
+            elapsed: 0.25,
+            position: None,
+            primary: None,
+            report: Report::default(),
+        };
+        assert_eq!(sent(&d.feed(Event::Done(done))), goals, "{attempt}");
+    }
+}
+
 /// Incident if72e0f: a member that turns work away as full is done with it at once and looks idle.
 #[test]
 fn a_full_member_counts_as_loaded() {
