--- a/src/policy.rs
+++ b/src/policy.rs
@@ -823,9 +823,9 @@
             }
         }
         for (n, index, m, silent) in overdue {
-            // Silence: not one answer since this was sent. Guards against members that hang or are cut off. A
-            // primary has no stand-in: it is ejected once a second attempt is late too, since one connection can
-            // fall silent by itself.
+            // Silence: not one answer since this was sent. Guards against members that hang or are cut off.
+            // A primary has no stand-in: it is ejected once a second attempt is late too, since one
+            // connection can fall silent by itself.
             if silent {
                 let primary = self.groups.get(&self.members[m].group).and_then(|g| g.primary);
                 let lone = primary == Some(m) && waiting[m] < 2;
