Close connections that rest while places run out: those who ask once and stay block a front

Checked with a line of counts twice a second: 127 or 128 connections rested and 0 to 1 was busy, hardly any of them for as long as 2 s, with 56 more that had said nothing. 128 is a third of the 384 descriptors: all that the front may hold. Clients that ask once keep theirs, so nobody had one left to ask on, and only newcomers pushed any out (clients.rs, accept, at the limit of 184). Ruled out: the policy, memory, the listener's queue ('all busy' was never logged). Now a rest may last 2 s while more than a quarter of the places are taken and 0.2 s while more than half are.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -12,6 +12,8 @@
     pub malformed: u64,
     /// Clients that did not ask, end a message or read in time.
     pub overdue: u64,
+    /// Clients whose connection was closed because it had rested for too long.
+    pub rested: u64,
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
@@ -57,7 +59,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Counters { clients, taken, malformed, served, refused, failed, gone, .. } = self;
         write!(f, "clients={clients} taken={taken} malformed={malformed} served={served} refused={refused}")?;
-        write!(f, " failed={failed} gone={gone} overdue={}", self.overdue)?;
+        write!(f, " failed={failed} gone={gone} overdue={} rested={}", self.overdue, self.rested)?;
         write!(f, " connected={} sent={}", self.connected, self.sent)?;
         for ((_, name), count) in OUTCOMES.iter().zip(self.attempts) {
             write!(f, " {name}={count}")?;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,6 +19,12 @@
 /// How long a client may take to ask for the first time, to complete a message that it has begun, and to read
 /// what it is told (seconds). Guards against those who come to hold a place.
 const PROMPT: f64 = 2.0;
+/// How long a connection may rest between requests while more than a quarter of the places are taken, and while
+/// more than half of them are, and how often that is looked at (seconds). Guards against clients that ask once
+/// and keep their connection for good: when all that a front may hold are kept so, it has none left to ask on.
+const RESTING: f64 = 2.0;
+const RESTING_CROWDED: f64 = 0.2;
+const SWEEP: f64 = 0.1;
 /// Most messages taken off a connection before the others have their turn. Guards against a client that sends
 /// faster than it can be told that it sends rubbish.
 const TURN: usize = 32;
@@ -137,6 +143,11 @@
         Ok(())
     }
 
+    /// Whether it is between requests, with nothing on its way from here.
+    fn rests(&self) -> bool {
+        matches!(self.stage, Stage::Startup | Stage::Idle) && self.inbox.is_empty() && self.outbox.is_empty()
+    }
+
     /// Whether something is due from the client.
     fn owes(&self) -> bool {
         match self.stage {
@@ -282,6 +293,7 @@
         context: &mut Context,
     ) -> io::Result<Clients> {
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
+        context.reactor.timer(context.reactor.now() + SWEEP, Due::Rested);
         let (listener, conns) = (Some(listener), Slots::new());
         Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, serving: false })
     }
@@ -296,8 +308,11 @@
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
-            let idlest = if self.conns.len() < self.limit { None } else { idlest(&self.conns) };
-            if self.conns.len() >= self.limit && idlest.is_none() {
+            // One that is being ended goes first.
+            let full = self.conns.len() >= self.limit;
+            let ending = || longest(&self.conns, |conn| conn.stage == Stage::Ending);
+            let idlest = if full { ending().or_else(|| longest(&self.conns, Conn::rests)) } else { None };
+            if full && idlest.is_none() {
                 self.full = true;
                 let clients = self.conns.len();
                 return self.complain(now, format_args!("{clients} clients, all busy: new connections wait"));
@@ -322,6 +337,24 @@
         }
     }
 
+    /// Closes those that have rested for too long, the one that did for longest first.
+    pub fn sweep(&mut self, context: &mut Context) {
+        let now = context.reactor.now();
+        context.reactor.timer(now + SWEEP, Due::Rested);
+        loop {
+            let rest = match self.conns.len() {
+                places if places > self.limit / 2 => RESTING_CROWDED,
+                places if places > self.limit / 4 => RESTING,
+                _ => return,
+            };
+            // Those who have not asked yet have their own time limit.
+            let rested = |conn: &Conn| conn.asked && conn.rests() && now >= conn.active + rest;
+            let Some(slot) = longest(&self.conns, rested) else { return };
+            self.conns.remove(slot);
+            context.counters.rested += 1;
+        }
+    }
+
     fn complain(&mut self, now: f64, line: fmt::Arguments) {
         if now >= self.quiet_until {
             log(line);
@@ -454,15 +487,8 @@
     }
 }
 
-/// The connection that is to make room for another, if one can: one that is ending, else the one that has been
-/// between requests for longest.
-fn idlest(conns: &Slots<Conn>) -> Option<Slot> {
-    let idle = |conn: &Conn| match conn.stage {
-        Stage::Ending => true,
-        Stage::Startup | Stage::Idle => conn.inbox.is_empty() && conn.outbox.is_empty(),
-        Stage::Busy | Stage::Unready => false,
-    };
-    let key = |conn: &Conn| if conn.stage == Stage::Ending { f64::NEG_INFINITY } else { conn.active };
-    let idle = conns.iter().filter(|(_, conn)| idle(conn));
-    idle.min_by(|(_, a), (_, b)| key(a).total_cmp(&key(b))).map(|(slot, _)| slot)
+/// Of the connections that will do, the one not heard of for longest.
+fn longest(conns: &Slots<Conn>, will_do: impl Fn(&Conn) -> bool) -> Option<Slot> {
+    let those = conns.iter().filter(|(_, conn)| will_do(conn));
+    those.min_by(|(_, a), (_, b)| a.active.total_cmp(&b.active)).map(|(slot, _)| slot)
 }
--- a/src/net/event_loop.rs
+++ b/src/net/event_loop.rs
@@ -106,6 +106,7 @@
 pub(crate) enum Due {
     Policy(u64),
     Accept,
+    Rested,
     Client(Slot),
     Server(Slot),
     Discovery(Slot),
--- a/src/net/proxy.rs
+++ b/src/net/proxy.rs
@@ -325,6 +325,7 @@
         match due {
             Due::Policy(cookie) => self.tell(interface::Event::Timer { cookie }, context),
             Due::Accept => self.clients.accept(context),
+            Due::Rested => self.clients.sweep(context),
             Due::Client(slot) => self.clients.due(slot, context),
             Due::Server(slot) => self.servers.due(slot, context),
             Due::Discovery(slot) => self.discovery.due(slot, context),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -63,7 +63,7 @@
     assert!(client.answer()[1].1.ends_with(b"second"));
     assert!(pooler
         .counters()
-        .contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 overdue=0 connected=1"));
+        .contains("taken=2 malformed=0 served=2 refused=0 failed=0 gone=0 overdue=0 rested=0 connected=1"));
 }
 
 #[test]
@@ -150,7 +150,7 @@
     asked(&mut wire);
     drop(client);
     wire.ends();
-    assert!(pooler.counters().contains(" gone=1 overdue=0 connected=1 sent=1 ok=0"));
+    assert!(pooler.counters().contains(" gone=1 overdue=0 rested=0 connected=1 sent=1 ok=0"));
 }
 
 #[rstest]
@@ -395,11 +395,9 @@
     let mut clients: Vec<Wire> = (0..3).map(|_| client(&pooler)).collect();
     // Three are as many as there is room for: none has to leave before a fourth is there.
     assert!(pooler.counters().contains("clients=3"));
-    clients[0].send(&query(""));
-    assert_eq!(clients[0].answer(), [(b'I', vec![])]);
     clients.push(client(&pooler));
-    // The second has been idle for longest now.
-    clients.remove(1).ends();
+    // The first has been idle for longest.
+    clients.remove(0).ends();
     let mut wires = Vec::new();
     for (number, client) in clients.iter_mut().enumerate() {
         client.send(&query(&ask(&number.to_string(), "reports")));
@@ -441,6 +439,21 @@
     assert!(pooler.counters().contains(" overdue=1 "));
 }
 
+#[test]
+fn who_has_asked_and_stays_is_closed_once_places_run_out() {
+    let db = Db::new();
+    let (pooler, _discovery) = with_one(&db, &[THREE_CLIENTS]);
+    let (mut once, mut busy) = (client(&pooler), client(&pooler));
+    busy.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    warm(&db, &mut once);
+    once.ends();
+    assert!(pooler.counters().contains(" overdue=0 rested=1 "));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(busy.answer()[0].0, b'T');
+}
+
 #[test]
 fn a_client_that_sends_without_pause_does_not_keep_the_others_waiting() {
     let db = Db::new();
