A client that reads slowly has its 2 s anew with each step it takes

Found on rereading: the limit on reading ran from when the answer did not fit the socket, so a large value over a slow link would have been cut off though its client went on reading (clients.rs, settle and due).

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -241,7 +241,12 @@
 
     /// Writes what there is to write; true when all is written.
     fn flush(&mut self) -> Result<bool, Over> {
+        let before = self.outbox.len();
         let written = self.outbox.drain(&mut self.stream).map_err(|_| Over)?;
+        if !written && self.outbox.len() < before && self.stage != Stage::Ending {
+            // Who reads slowly reads all the same: its time starts anew.
+            self.owing = None;
+        }
         if written && self.stage == Stage::Ending {
             // Ends the sending only: closing with input unread would reset the connection, and the client
             // might lose the message that says why.
