A workspace of flat packages: routing, pgwire, config, daemon, adapter and what they share

Need: the single crate had a circle between config and net/discovery, and the subsystems to come (config transactions, a registry client, TDS) need packages of their own with dependencies that point one way.

--- a/src/adapter/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,5 +1,4 @@
 //! Runs dewferry instances on the simulator's wire: lines in, lines out, one flush a batch.
-#![forbid(unsafe_code)]
 
 mod wire;
 
--- a/src/adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -4,8 +4,8 @@
 use std::io::Write;
 use std::sync::Arc;
 
-use dewferry::interface::{Action, Arrival, Done, Entry, Event, ListKind, Outcome, Phase, Report};
-use dewferry::Policy;
+use routing::interface::{Action, Arrival, Done, Entry, Event, ListKind, Outcome, Phase, Report};
+use routing::Policy;
 use serde_json::{json, Value};
 
 /// The instances hosted by this process, and the batch being read.
@@ -75,8 +75,8 @@
             }
             "openInstance" => {
                 let info = fields.at(2);
-                let settings = dewferry::config::settings(&info.to_string())
-                    .map_err(|fault| format!("in 'info': {fault}"))?;
+                let settings =
+                    config::settings(&info.to_string()).map_err(|fault| format!("in 'info': {fault}"))?;
                 let base = info["specifics"]["baseTime"].as_f64().unwrap_or(0.0);
                 let seed = fields.at(1);
                 let seed =
--- a/src/net/ring.rs
+++ b/crates/buffer/src/lib.rs
@@ -1,4 +1,4 @@
-//! The ring buffer that each connection has for each direction.
+//! The ring buffer that each connection has for each direction, and the memory budget of all of them.
 
 use std::cell::Cell;
 use std::fmt;
@@ -12,11 +12,11 @@
 const KEEP: usize = 4 * 1024;
 /// Most bytes that one buffer holds: the largest message either protocol may carry, with its frame. A value
 /// is at most 64 KiB, which written out in hexadecimal is twice that.
-pub(crate) const BOUND: usize = 160 * 1024;
+pub const BOUND: usize = 160 * 1024;
 
 /// Why reading stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fill {
+pub enum Fill {
     /// The source has nothing more for now.
     Drained,
     /// The source has ended.
@@ -27,12 +27,12 @@
 
 /// More was pushed than the bound admits.
 #[derive(Debug)]
-pub(crate) struct Overflow;
+pub struct Overflow;
 
 /// The memory that all buffers together may take. Guards against many peers that are each within their
 /// bound and together past the limit of the process, which would be killed for it.
 #[derive(Clone)]
-pub(crate) struct Budget(Rc<Cell<usize>>);
+pub struct Budget(Rc<Cell<usize>>);
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
@@ -46,7 +46,7 @@
 }
 
 /// What one holder has of a budget; given back when dropped.
-pub(crate) struct Charge {
+pub struct Charge {
     budget: Budget,
     bytes: usize,
 }
@@ -75,7 +75,7 @@
 }
 
 /// A queue of bytes that grows up to [`BOUND`], as far as its budget reaches.
-pub(crate) struct Ring {
+pub struct Ring {
     buffer: Vec<u8>,
     head: usize,
     len: usize,
--- a/src/config.rs
+++ b/crates/config/src/lib.rs
@@ -1,18 +1,13 @@
 //! What the pooler reads at its start: the configuration file, and in it the settings that the policy is
 //! handed. The adapter decodes its settings here too.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
-use tinyjson::JsonValue;
-
-use crate::interface::{Class, Consistency, Dedup, Effect, Settings, WhenBehind};
-use crate::net::{discovery, News};
-
-/// Deepest nesting of JSON that is read. Guards the stack: the parser calls itself once a level.
-const DEEPEST: usize = 32;
+use json::Node;
+use listing::News;
+use routing::interface::{Class, Consistency, Dedup, Effect, Settings, WhenBehind};
 
 /// Why a configuration cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,76 +27,23 @@
     }
 }
 
-/// A JSON value that may be absent; what is not there reads as null.
-#[derive(Clone, Copy)]
-pub(crate) struct Node<'a>(Option<&'a JsonValue>);
-
-impl<'a> Node<'a> {
-    pub(crate) fn new(value: &'a JsonValue) -> Self {
-        Node(Some(value))
-    }
-
-    pub(crate) fn at(self, name: &str) -> Node<'a> {
-        Node(self.0.and_then(|value| value.get::<HashMap<String, JsonValue>>()?.get(name)))
-    }
-
-    pub(crate) fn items(self) -> Option<&'a [JsonValue]> {
-        self.0?.get::<Vec<JsonValue>>().map(Vec::as_slice)
-    }
-
-    pub(crate) fn number(self) -> Option<f64> {
-        self.0?.get::<f64>().copied()
-    }
-
-    pub(crate) fn text(self) -> Option<&'a str> {
-        self.0?.get::<String>().map(String::as_str)
-    }
-
-    pub(crate) fn flag(self) -> bool {
-        self.0.and_then(|value| value.get::<bool>()).copied().unwrap_or(false)
-    }
-
-    fn is_null(self) -> bool {
-        self.0.is_none_or(|value| matches!(value, JsonValue::Null))
-    }
-
-    /// A number under that name; `absent` where there is none, a fault where it is something else.
-    fn number_or(self, name: &str, absent: f64) -> Result<f64, ConfigError> {
-        let value = self.at(name);
-        match value.number() {
-            Some(number) => Ok(number),
-            None if value.is_null() => Ok(absent),
-            None => Err(format!("'{name}' is not a number").into()),
-        }
-    }
-
-    fn need_text(self, name: &str) -> Result<&'a str, ConfigError> {
-        self.at(name).text().ok_or_else(|| format!("'{name}' is not a text").into())
+/// A number under that name; `absent` where there is none, a fault where it is something else.
+fn number_or(node: Node, name: &str, absent: f64) -> Result<f64, ConfigError> {
+    let value = node.at(name);
+    match value.number() {
+        Some(number) => Ok(number),
+        None if value.is_null() => Ok(absent),
+        None => Err(format!("'{name}' is not a number").into()),
     }
 }
 
-/// Parses JSON from anywhere: text nested so deeply that parsing it could exhaust the stack is refused.
-pub(crate) fn json(text: &str) -> Result<JsonValue, ConfigError> {
-    let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
-    for byte in text.bytes() {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if quoted => escaped = true,
-            b'"' => quoted = !quoted,
-            b'[' | b'{' if !quoted => depth += 1,
-            b']' | b'}' if !quoted => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-        if depth > DEEPEST {
-            return Err(format!("JSON nested deeper than {DEEPEST} levels").into());
-        }
-    }
-    text.parse().map_err(|error| format!("not JSON: {error}").into())
+fn need_text<'a>(node: Node<'a>, name: &str) -> Result<&'a str, ConfigError> {
+    node.at(name).text().ok_or_else(|| format!("'{name}' is not a text").into())
 }
 
 /// Decodes the settings from the JSON text of the settings object.
 pub fn settings(text: &str) -> Result<Settings, ConfigError> {
-    decode(Node::new(&json(text)?))
+    decode(Node::new(&json::parse(text)?))
 }
 
 fn decode(info: Node) -> Result<Settings, ConfigError> {
@@ -116,10 +58,10 @@
     let mut classes = Vec::new();
     for (index, class) in list.iter().map(Node::new).enumerate() {
         classes.push(Class {
-            aim: class.number_or("aim", 1.0)?,
-            aim_stretch: class.number_or("aimStretch", 0.0)?,
-            deadline: class.number_or("deadline", 1.0)?,
-            dedup_window: class.number_or("dedupWindow", 0.0)?,
+            aim: number_or(class, "aim", 1.0)?,
+            aim_stretch: number_or(class, "aimStretch", 0.0)?,
+            deadline: number_or(class, "deadline", 1.0)?,
+            dedup_window: number_or(class, "dedupWindow", 0.0)?,
             effect: match class.at("effect").text() {
                 Some("read_like") => Effect::Safe,
                 // A scope that is no part of the interface: never repeated.
@@ -131,8 +73,8 @@
                 Some("all") => Dedup::All,
                 _ => Dedup::Cell,
             },
-            late_worth: class.number_or("lateWorth", 0.0)?,
-            value: class.number_or("value", 1.0)?,
+            late_worth: number_or(class, "lateWorth", 0.0)?,
+            value: number_or(class, "value", 1.0)?,
             consistency: match Node::new(&levels[index]).text() {
                 Some("write") => Consistency::Write,
                 Some("session") => Consistency::Session,
@@ -143,31 +85,31 @@
         });
     }
     let tenants = info.at("customers").items().unwrap_or_default().iter();
-    let quota = |tenant| Node::new(tenant).number_or("quotaPerS", f64::INFINITY);
+    let quota = |tenant| number_or(Node::new(tenant), "quotaPerS", f64::INFINITY);
     Ok(Settings {
         classes,
         tenant_quota: tenants.map(quota).collect::<Result<_, _>>()?,
-        over_share_worth: info.number_or("overShareWorth", 1.0)?,
-        fleet_size: info.number_or("fleetSize", 1.0)? as u32,
-        zone: info.number_or("zone", 0.0)? as u32,
-        tick: info.number_or("tick", 0.005)?,
+        over_share_worth: number_or(info, "overShareWorth", 1.0)?,
+        fleet_size: number_or(info, "fleetSize", 1.0)? as u32,
+        zone: number_or(info, "zone", 0.0)? as u32,
+        tick: number_or(info, "tick", 0.005)?,
         probes: limits.at("probes").flag(),
         cancel: limits.at("cancel").flag(),
         may_duplicate: limits.at("mayDuplicate").flag(),
-        max_attempts: limits.number_or("maxAttempts", 1.0)? as u32,
+        max_attempts: number_or(limits, "maxAttempts", 1.0)? as u32,
         retry_after: limits.at("retryAfter").flag(),
-        max_retry_after: limits.number_or("maxRetryAfter", 0.0)?,
-        connect_timeout: limits.number_or("connectTimeout", 0.25)?,
+        max_retry_after: number_or(limits, "maxRetryAfter", 0.0)?,
+        connect_timeout: number_or(limits, "connectTimeout", 0.25)?,
         subscribe: info.at("registryMode").text() == Some("subscribe"),
-        ask_within: rules.number_or("askWithin", 10.0)?,
-        cold_from: rules.number_or("coldFrom", 1.0)?,
-        warm_up: rules.number_or("warmUp", 0.0)?,
-        tip_multiple: rules.number_or("tipMultiple", f64::INFINITY)?,
-        fall: rules.number_or("fall", 1.0)?,
+        ask_within: number_or(rules, "askWithin", 10.0)?,
+        cold_from: number_or(rules, "coldFrom", 1.0)?,
+        warm_up: number_or(rules, "warmUp", 0.0)?,
+        tip_multiple: number_or(rules, "tipMultiple", f64::INFINITY)?,
+        fall: number_or(rules, "fall", 1.0)?,
         gone_is_advice: rules.at("goneIsAdvice").flag(),
         when_behind: match specifics.at("whenBehind").text() {
             Some("refuse") => WhenBehind::Refuse,
-            Some("wait") => WhenBehind::Wait(specifics.number_or("wait", 0.0)?),
+            Some("wait") => WhenBehind::Wait(number_or(specifics, "wait", 0.0)?),
             _ => WhenBehind::Silent,
         },
         tokens_carried: specifics.at("writeMarks").text() == Some("carried"),
@@ -200,7 +142,7 @@
     /// How long a db machine keeps an idle connection (seconds).
     pub keepalive: f64,
     /// The list of db machines as last held.
-    pub(crate) known: News,
+    pub known: News,
 }
 
 impl Config {
@@ -213,11 +155,11 @@
 
     /// Decodes the text of a configuration file.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        let value = json(text)?;
+        let value = json::parse(text)?;
         let root = Node::new(&value);
         let info = root.at("settings");
         let address = |name| -> Result<SocketAddr, ConfigError> {
-            let text = root.need_text(name)?;
+            let text = need_text(root, name)?;
             text.parse().map_err(|_| format!("'{name}' is not an address with a port: '{text}'").into())
         };
         let names = |list: &str| -> Result<Vec<String>, ConfigError> {
@@ -227,10 +169,10 @@
                 .map(|name| name.ok_or_else(|| format!("an entry of '{list}' has no name").into()))
                 .collect()
         };
-        let seed = root.need_text("seed")?;
+        let seed = need_text(root, "seed")?;
         let settings = decode(info).map_err(|ConfigError(fault)| format!("in 'settings': {fault}"))?;
-        crate::check::check(&settings).map_err(|fault| format!("in 'settings': {fault}"))?;
-        let keepalive = info.at("limits").number_or("keepalive", 15.0)?;
+        routing::check(&settings).map_err(|fault| format!("in 'settings': {fault}"))?;
+        let keepalive = number_or(info.at("limits"), "keepalive", 15.0)?;
         if !(keepalive > 0.0 && keepalive.is_finite()) {
             return Err("'keepalive' must be a finite time above 0".to_string().into());
         }
@@ -240,15 +182,15 @@
             discovery: address("discovery")?,
             seed: u64::from_str_radix(seed, 16)
                 .map_err(|_| format!("'seed' is not hexadecimal: '{seed}'"))?,
-            sockets: root.at("limits").number_or("sockets", 1024.0)? as usize,
-            memory: (root.at("limits").number_or("memory_mb", 192.0)? * 1e6) as usize,
+            sockets: number_or(root.at("limits"), "sockets", 1024.0)? as usize,
+            memory: (number_or(root.at("limits"), "memory_mb", 192.0)? * 1e6) as usize,
             settings,
             classes: names("classes")?,
             tenants: names("customers")?,
             zones: names("zones")?,
             keepalive,
             // An old list that cannot be read is worth no more than none: discovery has a new one.
-            known: discovery::news(root.at("known")).unwrap_or_default(),
+            known: listing::news(root.at("known")).unwrap_or_default(),
         })
     }
 }
--- a/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -4,8 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-
-use crate::config::Config;
+use config::Config;
 
 /// dewferry: a pooler that sends each read and write of a replicated database where it belongs.
 #[derive(FromArgs)]
--- a/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::interface::Outcome;
+use routing::interface::Outcome;
 
 /// What was taken in, sent and answered since the start.
 #[derive(Default)]
--- a/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,4 @@
 //! The pooler's program.
-#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
--- a/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -4,13 +4,14 @@
 use std::io;
 use std::net::Shutdown;
 
+use buffer::{Budget, Fill, Overflow, Ring};
+use exchange::Answer;
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
+use pgwire::{code, Asked, FrameError, Message, Startup};
 
 use super::event_loop::{Due, Slot, Slots, Source};
-use super::pg::{self, code, Asked, FrameError, Message, Startup};
-use super::ring::{Budget, Fill, Overflow, Ring};
-use super::{log, Answer, Context, Event};
+use super::{log, Context, Event};
 
 /// Pause before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_AGAIN: f64 = 0.1;
@@ -117,12 +118,12 @@
                 return Ok(());
             }
             let result = match self.stage {
-                Stage::Startup => match pg::startup(&mut self.inbox) {
+                Stage::Startup => match pgwire::startup(&mut self.inbox) {
                     Ok(None) => return Ok(()),
                     Ok(Some(first)) => self.startup(first, slot, context).map(Ok)?,
                     Err(fault) => Err(fault),
                 },
-                Stage::Idle => match pg::message(&mut self.inbox) {
+                Stage::Idle => match pgwire::message(&mut self.inbox) {
                     Ok(None) => return Ok(()),
                     Ok(Some(message)) => self.message(message, slot, serving, context).map(Ok)?,
                     Err(fault) => Err(fault),
@@ -161,7 +162,7 @@
         match first {
             Startup::Encryption => self.outbox.push(b"N")?,
             Startup::Session => {
-                self.outbox.push(&pg::welcome())?;
+                self.outbox.push(&pgwire::welcome())?;
                 self.stage = Stage::Idle;
             }
             Startup::Cancel => return Err(Over),
@@ -181,10 +182,10 @@
             b'X' => return Err(Over),
             b'S' => {
                 self.skipping = false;
-                self.outbox.push(&pg::ready())?;
+                self.outbox.push(&pgwire::ready())?;
             }
             _ if self.skipping => {}
-            b'Q' => match pg::asked(&message.body) {
+            b'Q' => match pgwire::asked(&message.body) {
                 Ok(Asked::Nothing) if serving => self.empty()?,
                 Ok(Asked::Nothing) => self.stage = Stage::Unready,
                 Ok(Asked::Query(mut query)) => {
@@ -193,7 +194,7 @@
                         context.counters.refused += 1;
                         return self.error(code::TURNED_AWAY, "no memory", None);
                     };
-                    query.statement.charge = Some(charge);
+                    query.statement.granted(charge);
                     (self.stage, self.asked) = (Stage::Busy, true);
                     context.events.push_back(Event::Asked(slot, query));
                 }
@@ -205,7 +206,7 @@
             b'P' | b'B' | b'D' | b'E' | b'C' => {
                 self.skipping = true;
                 let what = "only simple queries are served";
-                self.outbox.push(&pg::error("ERROR", code::UNSUPPORTED, what, None))?;
+                self.outbox.push(&pgwire::error("ERROR", code::UNSUPPORTED, what, None))?;
             }
             b'F' => self.error(code::UNSUPPORTED, "function calls are not served", None)?,
             // Flush asks for nothing here; the rest belongs to exchanges that are over or were never begun.
@@ -217,17 +218,17 @@
 
     fn empty(&mut self) -> Result<(), Over> {
         (self.stage, self.asked) = (Stage::Idle, true);
-        Ok(self.outbox.push(&[pg::empty_response(), pg::ready()].concat())?)
+        Ok(self.outbox.push(&[pgwire::empty_response(), pgwire::ready()].concat())?)
     }
 
     fn error(&mut self, code: &str, what: &str, detail: Option<&str>) -> Result<(), Over> {
-        Ok(self.outbox.push(&[pg::error("ERROR", code, what, detail), pg::ready()].concat())?)
+        Ok(self.outbox.push(&[pgwire::error("ERROR", code, what, detail), pgwire::ready()].concat())?)
     }
 
     /// Says what is wrong and ends the connection once that is read.
     fn fatal(&mut self, slot: Slot, code: &str, what: &str, context: &mut Context) -> Result<(), Over> {
         context.counters.malformed += 1;
-        self.outbox.push(&pg::error("FATAL", code, what, None))?;
+        self.outbox.push(&pgwire::error("FATAL", code, what, None))?;
         self.end(slot, context);
         Ok(())
     }
@@ -259,7 +260,7 @@
         self.stage = Stage::Idle;
         match answer {
             Answer::Served(mut value) => {
-                value.extend(pg::ready());
+                value.extend(pgwire::ready());
                 self.outbox.push(&value)?;
             }
             Answer::Refused(backoff) => {
--- a/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -1,15 +1,14 @@
 //! Discovery's side: one watch on the list of db machines, over HTTP/1.1.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 
+use buffer::{Budget, Fill, Ring};
 use mio::net::TcpStream;
 use mio::Interest;
+use routing::interface::ListKind;
 
 use super::event_loop::{Due, Slot, Slots, Source};
-use super::ring::{Budget, Fill, Ring};
-use super::{Context, Event, Listing, News};
-use crate::config::{json, Node};
-use crate::interface::{ListKind, Phase};
+use super::{Context, Event};
 
 const PATH: &str = "/catalog/members";
 /// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s.
@@ -21,8 +20,6 @@
 const LONGEST_SIZE: usize = 256;
 const LONGEST_LINE: usize = 1024 * 1024;
 
-const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-
 /// Where in the answer the next byte stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
@@ -220,7 +217,7 @@
                 }
                 continue;
             }
-            let Some(news) = json(text).ok().and_then(|value| news(Node::new(&value))) else {
+            let Some(news) = listing::parse(text) else {
                 result = Err("a line that is no list");
                 break;
             };
@@ -244,33 +241,3 @@
         }
     }
 }
-
-/// Reads one message of the list; none where it is not of the agreed form. A single entry that cannot be
-/// read is left out: the others are of use without it.
-pub(crate) fn news(root: Node) -> Option<News> {
-    let listings = root.at("endpoints").items()?.iter().filter_map(|entry| listing(Node::new(entry)));
-    Some(News {
-        index: root.at("index").number()? as u64,
-        whole: root.at("snapshot").flag(),
-        listings: listings.collect(),
-    })
-}
-
-fn listing(entry: Node) -> Option<Listing> {
-    let phase = match entry.at("status").text()? {
-        "SERVING" => Phase::Active,
-        "DRAINING" => Phase::Leaving,
-        "DELETED" => Phase::Left,
-        _ => return None,
-    };
-    let address = entry.at("address").text().and_then(|address| address.parse().ok());
-    Some(Listing {
-        name: entry.at("name").text()?.into(),
-        // One that is gone may have no address any more; it must be known to be gone all the same.
-        address: address.or((phase == Phase::Left).then_some(NOWHERE))?,
-        zone: entry.at("zone").text()?.to_string(),
-        group: entry.at("group").number()? as u32,
-        phase,
-        since: entry.at("since_ms").number().unwrap_or(0.0) / 1000.0,
-    })
-}
--- /dev/null
+++ b/crates/daemon/src/net/mod.rs
@@ -0,0 +1,67 @@
+//! The pooler on its sockets, a module for each kind of peer. What passes between them stands here, in no
+//! protocol's form.
+
+mod clients;
+mod discovery;
+mod event_loop;
+mod proxy;
+mod servers;
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::io::{self, Write};
+use std::rc::Rc;
+
+use exchange::{Query, Statement};
+use listing::Listing;
+use routing::interface::{ListKind, MemberId, Outcome, Report, RequestId};
+
+use crate::counters::Counters;
+use event_loop::{Reactor, Slot};
+
+pub(crate) use proxy::serve;
+
+/// Something to send to a db machine.
+#[derive(Clone, Debug)]
+pub(crate) enum Task {
+    /// An attempt of a request, by its number.
+    Attempt(RequestId, usize, Rc<Statement>),
+    /// A question about the machine itself.
+    Probe,
+}
+
+/// How a task ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    task: Task,
+    member: MemberId,
+    outcome: Outcome,
+    /// Since it was sent (seconds).
+    elapsed: f64,
+    position: Option<f64>,
+    primary: Option<bool>,
+    report: Report,
+    value: Vec<u8>,
+}
+
+/// What the connections tell the proxy.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Asked(Slot, Box<Query>),
+    Gone(Slot),
+    Ended(Box<Ended>),
+    Members(ListKind, Vec<Listing>),
+}
+
+/// What every callback is handed.
+pub(crate) struct Context {
+    reactor: Reactor,
+    /// Born but not yet told; each waits until the actions of the one before it are carried out.
+    events: VecDeque<Event>,
+    counters: Counters,
+}
+
+/// Writes a line to the log. A log that nobody reads any more is no reason to end.
+fn log(line: fmt::Arguments) {
+    let _ = writeln!(io::stderr(), "{line}");
+}
--- a/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -6,23 +6,25 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use buffer::Budget;
+use config::Config;
+use exchange::{Answer, Query, Statement};
+use listing::Listing;
 use mio::net::TcpListener;
 use mio::{Interest, Poll};
+use routing::interface::{
+    self, Action, Arrival, Consistency, Done, Effect, Entry, ListKind, Outcome, Phase, RequestId,
+};
+use routing::Policy;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
 use super::clients::Clients;
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
-use super::ring::Budget;
 use super::servers::Servers;
-use super::{log, Answer, Context, Ended, Event, Listing, Query, Statement, Task};
-use crate::config::Config;
+use super::{log, Context, Ended, Event, Task};
 use crate::counters::{count, Counters};
-use crate::interface::{
-    self, Action, Arrival, Consistency, Done, Effect, Entry, ListKind, Outcome, Phase, RequestId,
-};
-use crate::Policy;
 
 /// Descriptors kept for the listener, the poll, signals, the log, discovery's watch and surprises.
 const SPARES: usize = 16;
--- a/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -4,15 +4,16 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
+use buffer::{Budget, Charge, Fill, Ring};
+use listing::Listing;
 use mio::net::TcpStream;
 use mio::Interest;
+use pgwire::{code, Message};
+use routing::interface::{ListKind, MemberId, Outcome, Phase, Report};
 
 use super::event_loop::{Due, Slot, Slots, Source};
-use super::pg::{self, code, Message};
-use super::ring::{Budget, Charge, Fill, Ring};
-use super::{Context, Ended, Event, Listing, Task};
+use super::{Context, Ended, Event, Task};
 use crate::counters::Counters;
-use crate::interface::{ListKind, MemberId, Outcome, Phase, Report};
 
 const USER: &str = "app";
 const DATABASE: &str = "shop";
@@ -155,7 +156,7 @@
         }
         let _ = self.stream.set_nodelay(true);
         self.stage = Stage::Starting;
-        self.outbox.push(&pg::hello(USER, DATABASE)).map_err(drop)?;
+        self.outbox.push(&pgwire::hello(USER, DATABASE)).map_err(drop)?;
         Ok(true)
     }
 
@@ -186,7 +187,7 @@
     /// Takes message by message.
     fn understand(&mut self, now: f64) -> Step {
         loop {
-            match pg::reply(&mut self.inbox) {
+            match pgwire::reply(&mut self.inbox) {
                 Ok(None) => return Step::Waiting,
                 Ok(Some(message)) => match self.message(message, now) {
                     Step::Waiting => {}
@@ -204,7 +205,7 @@
             (Stage::Starting, b'S') => {}
             (Stage::Starting, b'R') if message.body == [0; 4] => {}
             (Stage::Starting, b'E') => {
-                let (code, _) = pg::error_code(&message.body);
+                let (code, _) = pgwire::error_code(&message.body);
                 let full = code == code::TURNED_AWAY;
                 return Step::Broken(if full { Outcome::Full } else { Outcome::ConnectFailed });
             }
@@ -213,7 +214,7 @@
                     return Step::Broken(Outcome::Moot);
                 }
             }
-            (Stage::Busy | Stage::Idle, b'S') => match pg::parameter(&message.body) {
+            (Stage::Busy | Stage::Idle, b'S') => match pgwire::parameter(&message.body) {
                 Some((POSITION, value)) => {
                     self.reply.position = value.parse::<f64>().ok().map(|millis| millis / 1000.0);
                 }
@@ -234,18 +235,18 @@
                 }
                 match self.job.as_ref().map(|job| &job.task) {
                     Some(Task::Probe) if kind == b'D' => {
-                        self.reply.report = pg::column(&message.body).and_then(report);
+                        self.reply.report = pgwire::column(&message.body).and_then(report);
                     }
                     Some(Task::Probe) => {}
                     // Guards against many answers that are each within their bound and together are not.
                     _ if self.held.set(self.reply.value.len() + message.body.len()).is_err() => {
                         return Step::Broken(Outcome::Error);
                     }
-                    _ => pg::forward(&mut self.reply.value, &message),
+                    _ => pgwire::forward(&mut self.reply.value, &message),
                 }
             }
             (Stage::Busy, b'E') => {
-                let (code, fatal) = pg::error_code(&message.body);
+                let (code, fatal) = pgwire::error_code(&message.body);
                 self.reply.code = Some(code);
                 if fatal {
                     return self.broken();
@@ -268,7 +269,7 @@
         };
         (self.stage, self.until) = (Stage::Busy, job.give_up);
         (self.reply, self.begun) = (Reply::default(), false);
-        self.outbox.push(&pg::query(&sql)).is_ok()
+        self.outbox.push(&pgwire::query(&sql)).is_ok()
     }
 
     /// Whether an idle connection has not ended meanwhile without that having been looked at. Guards a
--- a/src/net/pg.rs
+++ b/crates/pgwire/src/lib.rs
@@ -3,8 +3,8 @@
 
 use std::ops::Range;
 
-use super::ring::{Ring, BOUND};
-use super::{Query, Statement};
+use buffer::{Ring, BOUND};
+use exchange::{Query, Statement};
 
 /// Longest body of a message: its frame must fit a buffer together with it.
 const LONGEST: usize = BOUND - 5;
@@ -17,13 +17,13 @@
 /// Most digits of a number in a statement's comment; keeps it far inside what a float holds exactly.
 const MOST_DIGITS: usize = 12;
 
-pub(crate) const PROTOCOL: u32 = 3 << 16;
+pub const PROTOCOL: u32 = 3 << 16;
 const SSL_REQUEST: u32 = 80_877_103;
 const GSS_REQUEST: u32 = 80_877_104;
 const CANCEL_REQUEST: u32 = 80_877_102;
 
 /// SQLSTATE codes that are spoken or understood.
-pub(crate) mod code {
+pub mod code {
     pub const TURNED_AWAY: &str = "53300";
     pub const READ_ONLY: &str = "25006";
     pub const BEHIND: &str = "72000";
@@ -38,20 +38,20 @@
 
 /// One message, its type and what follows the length.
 #[derive(Debug)]
-pub(crate) struct Message {
+pub struct Message {
     pub kind: u8,
     pub body: Vec<u8>,
 }
 
 /// Why the bytes cannot be cut into messages; the connection is of no further use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum FrameError {
+pub enum FrameError {
     Malformed,
     TooLong,
 }
 
 /// Takes the next whole message, if it is there.
-pub(crate) fn message(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
+pub fn message(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
     let Some((kind, body)) = head(ring)? else { return Ok(None) };
     if body > LONGEST {
         return Err(FrameError::TooLong);
@@ -77,7 +77,7 @@
 
 /// Takes the next whole message of a db machine, if it is there. One that no db machine would send is found
 /// out by its head, so far as that shows it: nobody waits for the rest of what will never be whole.
-pub(crate) fn reply(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
+pub fn reply(ring: &mut Ring) -> Result<Option<Message>, FrameError> {
     let first = ring.first(1);
     let longest = match first.first() {
         None => return Ok(None),
@@ -113,7 +113,7 @@
 
 /// What a client's first message wants.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Startup {
+pub enum Startup {
     Session,
     Encryption,
     Cancel,
@@ -121,7 +121,7 @@
 }
 
 /// Takes a message without type, as clients send it first.
-pub(crate) fn startup(ring: &mut Ring) -> Result<Option<Startup>, FrameError> {
+pub fn startup(ring: &mut Ring) -> Result<Option<Startup>, FrameError> {
     let Some([a, b, c, d]) = ring.peek() else { return Ok(None) };
     let length = u32::from_be_bytes([a, b, c, d]) as usize;
     if length < 8 {
@@ -158,7 +158,7 @@
 }
 
 /// The first message to a db machine.
-pub(crate) fn hello(user: &str, database: &str) -> Vec<u8> {
+pub fn hello(user: &str, database: &str) -> Vec<u8> {
     let mut out = vec![0; 4];
     out.extend(PROTOCOL.to_be_bytes());
     for word in ["user", user, "database", database] {
@@ -171,7 +171,7 @@
 }
 
 /// The answer to a client's startup message, up to and with ReadyForQuery.
-pub(crate) fn welcome() -> Vec<u8> {
+pub fn welcome() -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'R', |out| out.extend([0; 4]));
     for (name, value) in [
@@ -192,15 +192,15 @@
     out
 }
 
-pub(crate) fn ready() -> Vec<u8> {
+pub fn ready() -> Vec<u8> {
     vec![b'Z', 0, 0, 0, 5, b'I']
 }
 
-pub(crate) fn empty_response() -> Vec<u8> {
+pub fn empty_response() -> Vec<u8> {
     vec![b'I', 0, 0, 0, 4]
 }
 
-pub(crate) fn query(sql: &[u8]) -> Vec<u8> {
+pub fn query(sql: &[u8]) -> Vec<u8> {
     let mut out = Vec::with_capacity(sql.len() + 6);
     frame(&mut out, b'Q', |out| {
         out.extend(sql);
@@ -210,7 +210,7 @@
 }
 
 /// An ErrorResponse; `detail` goes into the field D.
-pub(crate) fn error(severity: &str, code: &str, what: &str, detail: Option<&str>) -> Vec<u8> {
+pub fn error(severity: &str, code: &str, what: &str, detail: Option<&str>) -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'E', |out| {
         for (field, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', what)] {
@@ -227,7 +227,7 @@
 }
 
 /// Appends a message as it came.
-pub(crate) fn forward(out: &mut Vec<u8>, message: &Message) {
+pub fn forward(out: &mut Vec<u8>, message: &Message) {
     frame(out, message.kind, |out| out.extend(&message.body));
 }
 
@@ -239,7 +239,7 @@
 }
 
 /// The code and the severity of an ErrorResponse.
-pub(crate) fn error_code(body: &[u8]) -> (String, bool) {
+pub fn error_code(body: &[u8]) -> (String, bool) {
     let (mut code, mut fatal) = (String::new(), false);
     for field in body.split(|byte| *byte == 0).filter(|field| !field.is_empty()) {
         let value = String::from_utf8_lossy(&field[1..]);
@@ -253,7 +253,7 @@
 }
 
 /// Name and value of a ParameterStatus.
-pub(crate) fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
     std::str::from_utf8(body)
         .ok()?
         .strip_suffix('\0')?
@@ -268,7 +268,7 @@
 }
 
 /// The only column of a DataRow; none where its length is not that of the message.
-pub(crate) fn column(body: &[u8]) -> Option<&[u8]> {
+pub fn column(body: &[u8]) -> Option<&[u8]> {
     column_length(body, body.len()).ok()?;
     body.get(6..)
 }
@@ -283,13 +283,13 @@
 
 /// A query message of a client.
 #[derive(Debug)]
-pub(crate) enum Asked {
+pub enum Asked {
     Nothing,
     Query(Box<Query>),
 }
 
 /// Reads the body of a query message; what is wrong with it where it is not of the agreed form.
-pub(crate) fn asked(body: &[u8]) -> Result<Asked, &'static str> {
+pub fn asked(body: &[u8]) -> Result<Asked, &'static str> {
     let sql = terminated(body).ok_or("a query must be UTF-8 and end with its only zero")?;
     if sql.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
         return Ok(Asked::Nothing);
@@ -338,6 +338,6 @@
         keyed: keyed.is_some(),
         repeat: repeat.is_some_and(|(value, _)| value == "1"),
         key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
-        statement: Statement { text: sql.into(), patience: place, charge: None },
+        statement: Statement::new(sql.into(), place),
     })))
 }
--- a/src/check.rs
+++ b/crates/routing/src/check.rs
@@ -21,7 +21,7 @@
 impl std::error::Error for SettingsError {}
 
 /// Checks every figure that the policy divides by, waits for or draws shares from.
-pub(crate) fn check(settings: &Settings) -> Result<(), SettingsError> {
+pub fn check(settings: &Settings) -> Result<(), SettingsError> {
     let s = settings;
     let time = |t: f64| t.is_finite() && t > 0.0;
     let part = |p: f64| (0.0..=1.0).contains(&p);
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decides where each read and write of a replicated database goes. No I/O: a proxy feeds [`Policy`] events and
+//! the time, and carries out the actions it gets back; [`interface`] holds the types that pass between them.
+//!
+//! ```
+//! use routing::interface::{Action, Entry, Event, ListKind, Phase, Settings};
+//! use routing::Policy;
+//!
+//! let mut policy = Policy::new(Settings::default(), 7).expect("the defaults are in range");
+//! let mut actions = Vec::new();
+//! let entry = Entry { member: "10.0.0.1:9000".into(), phase: Phase::Active, primary: true, ..Entry::default() };
+//! policy.handle(0.0, Event::Members { kind: ListKind::Saved, entries: vec![entry] }, &mut actions);
+//! policy.handle(0.1, Event::arrival("r1", 0, 0, 1.0), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
+//! ```
+#![warn(missing_docs)]
+
+mod check;
+pub mod interface;
+mod policy;
+mod state;
+
+pub use check::{check, SettingsError};
+pub use policy::Policy;
--- a/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Small scenarios that drive the policy by events. Each guards one decision.
 
-use dewferry::interface::*;
-use dewferry::Policy;
+use routing::interface::*;
+use routing::Policy;
 
 /// Drives one policy and keeps what it did.
 struct Drive {
