--- /dev/null
+++ b/crates/operator/src/document.rs
@@ -0,0 +1,310 @@
+//! What an operator's file holds. An absent setting leaves the platform's word, or the default, in force.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// A whole file. Every key stands in [`crate::schema`] with its unit, range and default.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Document {
+    /// Where clients connect; the platform's address where absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    /// Where discovery is; the platform's address where absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub discovery: Option<SocketAddr>,
+    /// Time limits and budgets.
+    pub limits: Limits,
+    /// The log.
+    pub log: Log,
+    /// How changes of this file are taken in.
+    pub change: ChangePolicy,
+    /// The control socket.
+    pub control: Control,
+    /// What is kept on disk.
+    pub state: State,
+    /// Classes of requests by name: changes to the platform's, or new ones.
+    pub class: BTreeMap<String, ClassEdit>,
+    /// Tenants by name: changes to the platform's, or new ones.
+    pub tenant: BTreeMap<String, TenantEdit>,
+    /// What the operator wants of single members, whatever the list says of them.
+    #[serde(rename = "override")]
+    pub overrides: BTreeMap<String, Override>,
+    /// The members by name, in place of discovery's list; discovery is asked where there are none.
+    pub member: BTreeMap<String, MemberEntry>,
+}
+
+/// Time limits and budgets; the platform's where absent.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)] // Each stands in the schema.
+pub struct Limits {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sockets: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub keepalive_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connect_timeout_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_attempts: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_retry_after_s: Option<f64>,
+}
+
+/// How much is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum LogLevel {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+}
+
+/// In what form it is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum LogFormat {
+    #[default]
+    Human,
+    Json,
+}
+
+/// The log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Log {
+    pub level: LogLevel,
+    pub format: LogFormat,
+}
+
+/// Who confirms a change that has been applied.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Confirm {
+    /// The end of a probation in which health has not worsened.
+    #[default]
+    Auto,
+    /// The operator, within the probation; else it is rolled back.
+    Manual,
+}
+
+/// How changes are taken in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct ChangePolicy {
+    pub confirm: Confirm,
+    pub probation_s: f64,
+    pub confirm_within_s: f64,
+    pub max_members_share: f64,
+    pub max_capacity_share: f64,
+    pub significance: f64,
+    pub worse_by: f64,
+    pub least_requests: u32,
+    pub require_signature: bool,
+    pub keys: Vec<PathBuf>,
+}
+
+impl Default for ChangePolicy {
+    fn default() -> Self {
+        ChangePolicy {
+            confirm: Confirm::Auto,
+            probation_s: 15.0,
+            confirm_within_s: 60.0,
+            max_members_share: 0.34,
+            max_capacity_share: 0.34,
+            significance: 0.001,
+            worse_by: 0.05,
+            least_requests: 30,
+            require_signature: false,
+            keys: Vec::new(),
+        }
+    }
+}
+
+/// The control socket; none where no path is given.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Control {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub socket: Option<PathBuf>,
+    pub idle_s: f64,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Control { socket: None, idle_s: 10.0 }
+    }
+}
+
+/// What is kept on disk; nothing where no folder is given.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct State {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub dir: Option<PathBuf>,
+    pub max_kb: u32,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        State { dir: None, max_kb: 16_384 }
+    }
+}
+
+/// How recent the data behind an answer must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum Reads {
+    Any,
+    Bounded,
+    Session,
+    Fresh,
+    Write,
+}
+
+/// What a repeat of a request can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum Repeats {
+    Safe,
+    Keyed,
+    Never,
+}
+
+/// Among which members repeats of a keyed request are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum Scope {
+    Group,
+    All,
+}
+
+/// A class: of one that the platform names, only what is given changes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct ClassEdit {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reads: Option<Reads>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bound_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeats: Option<Repeats>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub scope: Option<Scope>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub repeat_window_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub aim_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub value: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub late_worth: Option<f64>,
+    pub retired: bool,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct TenantEdit {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub quota_per_s: Option<f64>,
+    pub retired: bool,
+}
+
+/// What the operator wants of a member, whatever the list says of it. Facts of the list that forbid more hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Override {
+    /// It completes its work and gets nothing new.
+    Drain,
+    /// It gets nothing new, its idle connections are closed, and it no longer counts as capacity.
+    Exclude,
+}
+
+/// How a member of the static list is reached. A list of its own type, since it may gain protocols.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Access {
+    /// Reads and writes.
+    #[default]
+    Serving,
+    /// Completes its work.
+    Draining,
+}
+
+/// A member of the static list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct MemberEntry {
+    pub address: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub group: u32,
+    #[serde(default)]
+    pub status: Access,
+}
+
+/// The SHA-256 of a document in its canonical form; two files that say the same have the same.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Digest {
+        Digest(Sha256::digest(bytes).into())
+    }
+
+    /// Its first twelve hexadecimal digits, for people.
+    pub fn short(&self) -> String {
+        self.to_string()[..12].to_string()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.short())
+    }
+}
+
+impl Document {
+    /// Its canonical text: TOML without comments, tables and keys in one order. Reads back as the same document.
+    pub fn text(&self) -> String {
+        // Only a map with keys that are no texts could fail, and there is none.
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    /// The digest of its canonical text.
+    pub fn digest(&self) -> Digest {
+        Digest::of(self.text().as_bytes())
+    }
+}
--- /dev/null
+++ b/crates/operator/src/effective.rs
@@ -0,0 +1,319 @@
+//! What is in force: the platform's configuration with the operator's document laid over it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use config::Config;
+use listing::Listing;
+use routing::interface::{Class, Consistency, Dedup, Effect, Phase, Settings};
+
+use crate::document::{Access, ClassEdit, Document, Override, Reads, Repeats, Scope};
+use crate::schema::{self, When};
+
+/// Why a document that is sound by itself cannot be laid over a platform's configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conflict {
+    /// The key at fault.
+    pub key: String,
+    /// What is wrong, in figures.
+    pub what: String,
+}
+
+/// One value in which two configurations differ.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// The key.
+    pub key: String,
+    /// The old value; none where there was none.
+    pub from: Option<String>,
+    /// The new value; none where there is none any more.
+    pub to: Option<String>,
+    /// Whether it can come into force while the daemon runs.
+    pub when: When,
+}
+
+/// All that is in force at a time.
+#[derive(Clone, Debug)]
+pub struct Effective {
+    /// The operator's document that it was made with.
+    pub document: Document,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that the process may take (bytes).
+    pub memory: usize,
+    /// How long a db machine keeps an idle connection (seconds).
+    pub keepalive: f64,
+    /// What the policy is handed, classes and tenants in the order of the names below.
+    pub settings: Settings,
+    /// Names of the classes; retired ones are not among them.
+    pub classes: Vec<String>,
+    /// Names of the tenants; retired ones are not among them.
+    pub tenants: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// The static list; empty where discovery's holds.
+    pub members: Vec<Listing>,
+}
+
+impl Effective {
+    /// Lays a document over the platform's configuration; all that stands in the way where it does not fit.
+    pub fn new(platform: &Config, document: Document) -> Result<Effective, Vec<Conflict>> {
+        let mut conflicts = Vec::new();
+        let mut conflict = |key: String, what: String| conflicts.push(Conflict { key, what });
+        let limits = &document.limits;
+        let sockets = limits.sockets.map_or(platform.sockets, |sockets| sockets as usize);
+        if sockets > platform.sockets {
+            let what = format!("{sockets} descriptors, of which the process may hold {}", platform.sockets);
+            conflict("limits.sockets".into(), what);
+        }
+        let memory = limits.memory_mb.map_or(platform.memory, |mb| (mb * 1e6) as usize);
+        if memory > platform.memory {
+            let (asked, given) = (memory as f64 / 1e6, platform.memory as f64 / 1e6);
+            conflict("limits.memory_mb".into(), format!("{asked} MB, of which the process may take {given}"));
+        }
+        let mut settings = platform.settings.clone();
+        settings.connect_timeout = limits.connect_timeout_s.unwrap_or(settings.connect_timeout);
+        settings.max_attempts = limits.max_attempts.unwrap_or(settings.max_attempts);
+        settings.max_retry_after = limits.max_retry_after_s.unwrap_or(settings.max_retry_after);
+        let named = platform.classes.iter().cloned().zip(settings.classes);
+        let (mut classes, mut list): (Vec<String>, Vec<Class>) = named.unzip();
+        for (name, edit) in &document.class {
+            let place = classes.iter().position(|known| known == name);
+            if place.is_none() && !edit.retired && edit.reads.is_none() {
+                conflict(
+                    format!("class.{name}.reads"),
+                    "missing for a class that the platform does not name".into(),
+                );
+                continue;
+            }
+            let mut class = place.map_or_else(new_class, |place| list[place].clone());
+            apply(edit, &mut class);
+            if class.aim > class.deadline {
+                let what = format!("aim_s {} is past deadline_s {}", class.aim, class.deadline);
+                conflict(format!("class.{name}"), what);
+            }
+            if class.effect == Effect::Keyed && class.dedup_window <= 0.0 {
+                conflict(
+                    format!("class.{name}.repeat_window_s"),
+                    "0 for a class whose repeats are keyed".into(),
+                );
+            }
+            match place {
+                Some(place) => list[place] = class,
+                None => {
+                    classes.push(name.clone());
+                    list.push(class);
+                }
+            }
+        }
+        let retired = |name: &String| document.class.get(name).is_some_and(|edit| edit.retired);
+        let kept: (Vec<String>, Vec<Class>) =
+            classes.into_iter().zip(list).filter(|(name, _)| !retired(name)).unzip();
+        let classes = kept.0;
+        settings.classes = kept.1;
+        if classes.is_empty() {
+            conflict("class".into(), "no class is left".into());
+        }
+        let quotas = settings.tenant_quota.iter().copied().chain(std::iter::repeat(f64::INFINITY));
+        let mut tenants: Vec<(String, f64)> = platform.tenants.iter().cloned().zip(quotas).collect();
+        for (name, edit) in &document.tenant {
+            match tenants.iter_mut().find(|(known, _)| known == name) {
+                Some((_, quota)) => *quota = edit.quota_per_s.unwrap_or(*quota),
+                None => tenants.push((name.clone(), edit.quota_per_s.unwrap_or(f64::INFINITY))),
+            }
+        }
+        let retired = |name: &String| document.tenant.get(name).is_some_and(|edit| edit.retired);
+        tenants.retain(|(name, _)| !retired(name));
+        let (tenants, quotas): (Vec<String>, Vec<f64>) = tenants.into_iter().unzip();
+        // Without tenants there are no shares at all.
+        settings.tenant_quota = quotas;
+        if let Err(fault) = routing::check(&settings) {
+            conflict(String::new(), fault.to_string());
+        }
+        let mut addresses = BTreeSet::new();
+        for (name, member) in &document.member {
+            if !addresses.insert(member.address) {
+                conflict(format!("member.{name}.address"), format!("{} is another member's", member.address));
+            }
+        }
+        if document.change.require_signature && document.change.keys.is_empty() {
+            conflict(
+                "change.keys".into(),
+                "empty while signatures are required: nothing could ever be taken".into(),
+            );
+        }
+        let members = document.member.iter().map(|(name, member)| Listing {
+            name: name.as_str().into(),
+            address: member.address,
+            zone: member.zone.clone(),
+            group: member.group,
+            phase: if member.status == Access::Draining { Phase::Leaving } else { Phase::Active },
+            since: 0.0,
+        });
+        if !conflicts.is_empty() {
+            return Err(conflicts);
+        }
+        Ok(Effective {
+            listen: document.listen.unwrap_or(platform.listen),
+            discovery: document.discovery.unwrap_or(platform.discovery),
+            sockets,
+            memory,
+            keepalive: limits.keepalive_s.unwrap_or(platform.keepalive),
+            settings,
+            classes,
+            tenants,
+            zones: platform.zones.clone(),
+            members: members.collect(),
+            document,
+        })
+    }
+
+    /// The settings of a class.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().position(|known| known == name).map(|place| &self.settings.classes[place])
+    }
+
+    /// What the operator wants of a member.
+    pub fn wanted(&self, member: &str) -> Option<Override> {
+        self.document.overrides.get(member).copied()
+    }
+
+    /// All values in force, by key, as texts.
+    pub fn values(&self) -> BTreeMap<String, String> {
+        let mut values = document_values(&self.document);
+        let mut put = |key: String, value: String| drop(values.insert(key, value));
+        put("listen".into(), self.listen.to_string());
+        put("discovery".into(), self.discovery.to_string());
+        put("limits.memory_mb".into(), (self.memory as f64 / 1e6).to_string());
+        put("limits.sockets".into(), self.sockets.to_string());
+        put("limits.keepalive_s".into(), self.keepalive.to_string());
+        let s = &self.settings;
+        put("limits.connect_timeout_s".into(), s.connect_timeout.to_string());
+        put("limits.max_attempts".into(), s.max_attempts.to_string());
+        put("limits.max_retry_after_s".into(), s.max_retry_after.to_string());
+        for (name, class) in self.classes.iter().zip(&s.classes) {
+            for (field, value) in class_values(class) {
+                put(format!("class.{name}.{field}"), value);
+            }
+        }
+        for (name, quota) in self.tenants.iter().zip(&s.tenant_quota) {
+            put(format!("tenant.{name}.quota_per_s"), quota.to_string());
+        }
+        values
+    }
+
+    /// What is different in another, by key.
+    pub fn differences(&self, other: &Effective) -> Vec<Difference> {
+        differences(&self.values(), &other.values())
+    }
+}
+
+/// The differences between two sets of values, by key.
+fn differences(old: &BTreeMap<String, String>, new: &BTreeMap<String, String>) -> Vec<Difference> {
+    let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let differ = keys.into_iter().filter(|key| old.get(*key) != new.get(*key));
+    let difference = |key: &String| {
+        let parts: Vec<String> = key.split('.').map(String::from).collect();
+        let when = schema::find(&parts).map_or(When::Live, |setting| setting.when);
+        Difference { key: key.clone(), from: old.get(key).cloned(), to: new.get(key).cloned(), when }
+    };
+    differ.map(difference).collect()
+}
+
+impl Document {
+    /// What is different in another document, by key, defaults included.
+    pub fn differences(&self, other: &Document) -> Vec<Difference> {
+        differences(&document_values(self), &document_values(other))
+    }
+}
+
+/// What a document says, by key; what it leaves to the platform is not there.
+fn document_values(document: &Document) -> BTreeMap<String, String> {
+    fn flatten(prefix: &str, value: &toml::Value, out: &mut BTreeMap<String, String>) {
+        match value {
+            toml::Value::Table(table) => {
+                for (name, value) in table {
+                    let key = if prefix.is_empty() { name.clone() } else { format!("{prefix}.{name}") };
+                    flatten(&key, value, out);
+                }
+            }
+            toml::Value::String(text) => drop(out.insert(prefix.to_string(), text.clone())),
+            other => drop(out.insert(prefix.to_string(), other.to_string())),
+        }
+    }
+    let mut out = BTreeMap::new();
+    if let Ok(value) = toml::Value::try_from(document) {
+        flatten("", &value, &mut out);
+    }
+    out
+}
+
+/// A class that the platform does not name, before the operator's word: repeated never, worth 1.
+fn new_class() -> Class {
+    Class { effect: Effect::Unsafe, ..Class::default() }
+}
+
+fn apply(edit: &ClassEdit, class: &mut Class) {
+    let bound = match class.consistency {
+        Consistency::Bounded(bound) => bound,
+        _ => 1.0,
+    };
+    class.consistency = match edit.reads {
+        None => match class.consistency {
+            Consistency::Bounded(bound) => Consistency::Bounded(edit.bound_s.unwrap_or(bound)),
+            other => other,
+        },
+        Some(Reads::Any) => Consistency::Any,
+        Some(Reads::Bounded) => Consistency::Bounded(edit.bound_s.unwrap_or(bound)),
+        Some(Reads::Session) => Consistency::Session,
+        Some(Reads::Fresh) => Consistency::Fresh,
+        Some(Reads::Write) => Consistency::Write,
+    };
+    class.effect = match edit.repeats {
+        None => class.effect,
+        Some(Repeats::Safe) => Effect::Safe,
+        Some(Repeats::Keyed) => Effect::Keyed,
+        Some(Repeats::Never) => Effect::Unsafe,
+    };
+    class.dedup = match edit.scope {
+        None => class.dedup,
+        Some(Scope::Group) => Dedup::Cell,
+        Some(Scope::All) => Dedup::All,
+    };
+    class.dedup_window = edit.repeat_window_s.unwrap_or(class.dedup_window);
+    class.aim = edit.aim_s.unwrap_or(class.aim);
+    class.deadline = edit.deadline_s.unwrap_or(class.deadline);
+    class.value = edit.value.unwrap_or(class.value);
+    class.late_worth = edit.late_worth.unwrap_or(class.late_worth);
+}
+
+fn class_values(class: &Class) -> Vec<(&'static str, String)> {
+    let (reads, bound) = match class.consistency {
+        Consistency::Any => ("any", None),
+        Consistency::Bounded(bound) => ("bounded", Some(bound)),
+        Consistency::Session => ("session", None),
+        Consistency::Fresh => ("fresh", None),
+        Consistency::Write => ("write", None),
+    };
+    let repeats = match class.effect {
+        Effect::Safe => "safe",
+        Effect::Keyed => "keyed",
+        Effect::Unsafe => "never",
+    };
+    let mut values = vec![
+        ("reads", reads.to_string()),
+        ("repeats", repeats.into()),
+        ("scope", if class.dedup == Dedup::All { "all" } else { "group" }.into()),
+        ("repeat_window_s", class.dedup_window.to_string()),
+        ("aim_s", class.aim.to_string()),
+        ("deadline_s", class.deadline.to_string()),
+        ("value", class.value.to_string()),
+        ("late_worth", class.late_worth.to_string()),
+    ];
+    values.extend(bound.map(|bound| ("bound_s", bound.to_string())));
+    values
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,16 @@
+//! The operator's file, `dewferry.toml`: every setting with its unit, range and default ([`schema`]), what is
+//! wrong with a file and where ([`Fault`]), the document it holds ([`Document`]), and what it makes of the
+//! platform's configuration ([`Effective`]). No I/O: text goes in.
+#![warn(missing_docs)]
+
+mod document;
+mod effective;
+mod read;
+pub mod schema;
+
+pub use document::{
+    Access, ChangePolicy, ClassEdit, Confirm, Control, Digest, Document, Limits, Log, LogFormat, LogLevel,
+    MemberEntry, Override, Reads, Repeats, Scope, State, TenantEdit,
+};
+pub use effective::{Conflict, Difference, Effective};
+pub use read::{read, Fault, Faults, LONGEST};
--- /dev/null
+++ b/crates/operator/src/schema.rs
@@ -0,0 +1,473 @@
+//! Every setting of the operator's file: what it holds, in which unit and range, its default, and whether it
+//! can change while the daemon runs. The one source for reading, for `config defaults` and for the pages.
+
+use std::fmt::Write;
+
+/// What a setting holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A text of at most so many bytes.
+    Text(usize),
+    /// An IP address with a port.
+    Address,
+    /// An absolute path.
+    Path,
+    /// Absolute paths, at most so many.
+    Paths(usize),
+    /// True or false.
+    Flag,
+    /// A whole number in this range.
+    Whole(u32, u32),
+    /// A number in this range.
+    Number(f64, f64),
+    /// One of these words.
+    Choice(&'static [&'static str]),
+}
+
+/// When a new value of a setting comes into force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum When {
+    /// Through a config transaction, while the daemon runs.
+    Live,
+    /// With the next start; a transaction that would change it is refused.
+    Start,
+}
+
+/// One setting.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Where it stands; `*` is any name.
+    pub key: &'static str,
+    /// What it holds.
+    pub kind: Kind,
+    /// Its unit; empty where it has none.
+    pub unit: &'static str,
+    /// Its default as TOML, or what holds where it is absent.
+    pub default: Absent,
+    /// When a new value holds.
+    pub when: When,
+    /// What it does.
+    pub about: &'static str,
+}
+
+/// What holds where a setting is absent.
+#[derive(Clone, Copy, Debug)]
+pub enum Absent {
+    /// This value, as TOML.
+    Is(&'static str),
+    /// What these words say, with an example of a value.
+    Means(&'static str, &'static str),
+    /// It must be there.
+    Needed(&'static str),
+}
+
+use Absent::{Is, Means, Needed};
+use Kind::{Address, Choice, Flag, Number, Path, Paths, Text, Whole};
+use When::{Live, Start};
+
+const fn setting(
+    key: &'static str,
+    kind: Kind,
+    unit: &'static str,
+    default: Absent,
+    when: When,
+    about: &'static str,
+) -> Setting {
+    Setting { key, kind, unit, default, when, about }
+}
+
+const PLATFORM: &str = "the platform's value";
+
+/// All settings, in the order in which they are printed.
+pub const SETTINGS: &[Setting] = &[
+    setting(
+        "listen",
+        Address,
+        "",
+        Means(PLATFORM, "\"127.0.0.1:5432\""),
+        Live,
+        "where clients connect; the new address is bound before the old is let go, open connections live on",
+    ),
+    setting(
+        "discovery",
+        Address,
+        "",
+        Means(PLATFORM, "\"127.0.0.1:8500\""),
+        Live,
+        "where discovery is; goes before the platform's for as long as it stands here",
+    ),
+    setting(
+        "limits.memory_mb",
+        Number(8.0, 65_536.0),
+        "MB",
+        Means(PLATFORM, "64.0"),
+        Live,
+        "memory that the process may take; half of it is for buffers, statements and values",
+    ),
+    setting(
+        "limits.sockets",
+        Whole(64, 1_000_000),
+        "descriptors",
+        Means(PLATFORM, "512"),
+        Live,
+        "file descriptors that the process may hold; half are for clients",
+    ),
+    setting(
+        "limits.keepalive_s",
+        Number(0.1, 3_600.0),
+        "s",
+        Means(PLATFORM, "15.0"),
+        Live,
+        "how long a db machine keeps an idle connection; it is closed from here at 0.7 of that",
+    ),
+    setting(
+        "limits.connect_timeout_s",
+        Number(0.01, 60.0),
+        "s",
+        Means(PLATFORM, "0.25"),
+        Live,
+        "a connection to a db machine that is not made within this has failed",
+    ),
+    setting(
+        "limits.max_attempts",
+        Whole(1, 6),
+        "attempts",
+        Means(PLATFORM, "6"),
+        Live,
+        "most attempts for one request",
+    ),
+    setting(
+        "limits.max_retry_after_s",
+        Number(0.0, 60.0),
+        "s",
+        Means(PLATFORM, "1.0"),
+        Live,
+        "longest time that a refusal asks a client to stay away; 0 gives no advice",
+    ),
+    setting(
+        "log.level",
+        Choice(&["error", "warn", "info", "debug"]),
+        "",
+        Is("\"info\""),
+        Live,
+        "how much is logged",
+    ),
+    setting(
+        "log.format",
+        Choice(&["human", "json"]),
+        "",
+        Is("\"human\""),
+        Start,
+        "a line for people, or one JSON object a line",
+    ),
+    setting(
+        "change.confirm",
+        Choice(&["auto", "manual"]),
+        "",
+        Is("\"auto\""),
+        Live,
+        "auto: a change stands once its probation ends well; manual: it needs `config confirm` too",
+    ),
+    setting(
+        "change.probation_s",
+        Number(0.1, 3_600.0),
+        "s",
+        Is("15.0"),
+        Live,
+        "how long health after a change is compared with health before it",
+    ),
+    setting(
+        "change.confirm_within_s",
+        Number(0.1, 86_400.0),
+        "s",
+        Is("60.0"),
+        Live,
+        "where confirm is manual: rolled back when no word has come by then",
+    ),
+    setting(
+        "change.max_members_share",
+        Number(0.0, 1.0),
+        "share",
+        Is("0.34"),
+        Live,
+        "a change that takes more than this share of the listed members out of use is refused",
+    ),
+    setting(
+        "change.max_capacity_share",
+        Number(0.0, 1.0),
+        "share",
+        Is("0.34"),
+        Live,
+        "the same for any one group's members",
+    ),
+    setting(
+        "change.significance",
+        Number(0.000_000_1, 0.05),
+        "",
+        Is("0.001"),
+        Live,
+        "chance of a false alarm that a probation may take, over all its comparisons together",
+    ),
+    setting(
+        "change.worse_by",
+        Number(0.0, 1.0),
+        "share",
+        Is("0.05"),
+        Live,
+        "least rise in the share of refused or failed requests that counts as worse",
+    ),
+    setting(
+        "change.least_requests",
+        Whole(5, 1_000_000),
+        "requests",
+        Is("30"),
+        Live,
+        "a class in a group with fewer requests than this in either period is not compared",
+    ),
+    setting(
+        "change.require_signature",
+        Flag,
+        "",
+        Is("false"),
+        Live,
+        "take only files with a valid signature under one of the keys; can only be lifted by a signed file",
+    ),
+    setting(
+        "change.keys",
+        Paths(4),
+        "",
+        Is("[]"),
+        Live,
+        "key files for signatures, mode 0600 or stricter; two are valid during a rotation",
+    ),
+    setting(
+        "control.socket",
+        Path,
+        "",
+        Means("no control socket", "\"/run/dewferry/control\""),
+        Start,
+        "Unix socket for `dewferry config plan|apply|confirm|rollback|status|history`, mode 0600",
+    ),
+    setting(
+        "control.idle_s",
+        Number(0.5, 60.0),
+        "s",
+        Is("10.0"),
+        Live,
+        "a control client that neither asks nor reads for so long is closed",
+    ),
+    setting(
+        "state.dir",
+        Path,
+        "",
+        Means("nothing is kept on disk", "\"/var/lib/dewferry\""),
+        Start,
+        "folder for the history of changes; the daemon comes up on the last confirmed one",
+    ),
+    setting(
+        "state.max_kb",
+        Whole(64, 1_048_576),
+        "KiB",
+        Is("16384"),
+        Start,
+        "size at which the history is rewritten without what is no longer needed",
+    ),
+    setting(
+        "class.*.reads",
+        Choice(&["any", "bounded", "session", "fresh", "write"]),
+        "",
+        Means(PLATFORM, "\"bounded\""),
+        Live,
+        "how recent its data must be; a new class must say",
+    ),
+    setting(
+        "class.*.bound_s",
+        Number(0.0, 3_600.0),
+        "s",
+        Means(PLATFORM, "1.0"),
+        Live,
+        "oldest data that a bounded read may see",
+    ),
+    setting(
+        "class.*.repeats",
+        Choice(&["safe", "keyed", "never"]),
+        "",
+        Means("the platform's; never for a new class", "\"safe\""),
+        Live,
+        "what a repeat can do: nothing, nothing within its window under its key, or harm",
+    ),
+    setting(
+        "class.*.scope",
+        Choice(&["group", "all"]),
+        "",
+        Means("the platform's; group for a new class", "\"group\""),
+        Live,
+        "where repeats of a keyed request are dropped",
+    ),
+    setting(
+        "class.*.repeat_window_s",
+        Number(0.0, 2.0),
+        "s",
+        Means("the platform's; 0 for a new class", "2.0"),
+        Live,
+        "how long repeats of a keyed request are dropped",
+    ),
+    setting(
+        "class.*.aim_s",
+        Number(0.001, 3_600.0),
+        "s",
+        Means(PLATFORM, "0.2"),
+        Live,
+        "an answer within this is worth its full value; at most deadline_s",
+    ),
+    setting(
+        "class.*.deadline_s",
+        Number(0.001, 3_600.0),
+        "s",
+        Means(PLATFORM, "0.8"),
+        Live,
+        "how long a client of the class waits at most",
+    ),
+    setting(
+        "class.*.value",
+        Number(0.0, 1_000_000.0),
+        "",
+        Means("the platform's; 1 for a new class", "1.0"),
+        Live,
+        "worth of one answer, against other classes",
+    ),
+    setting(
+        "class.*.late_worth",
+        Number(0.0, 1.0),
+        "share",
+        Means("the platform's; 0 for a new class", "0.0"),
+        Live,
+        "share of its worth that an answer past its aim still has",
+    ),
+    setting("class.*.retired", Flag, "", Is("false"), Live, "new requests of the class are turned away"),
+    setting(
+        "tenant.*.quota_per_s",
+        Number(0.0, 1_000_000_000.0),
+        "requests/s",
+        Means("the platform's; no limit for a new tenant", "1000.0"),
+        Live,
+        "requests within the tenant's share, over all poolers",
+    ),
+    setting(
+        "tenant.*.retired",
+        Flag,
+        "",
+        Is("false"),
+        Live,
+        "its requests count as those of an unknown tenant",
+    ),
+    setting(
+        "override.*",
+        Choice(&["drain", "exclude"]),
+        "",
+        Means("what the list says", "\"drain\""),
+        Live,
+        "what becomes of this member, whatever the list says of it",
+    ),
+    setting(
+        "member.*.address",
+        Address,
+        "",
+        Needed("\"127.0.0.1:5501\""),
+        Live,
+        "where the member listens; a list here takes the place of discovery's",
+    ),
+    setting("member.*.zone", Text(64), "", Is("\"\""), Live, "its zone"),
+    setting(
+        "member.*.group",
+        Whole(0, 1_000_000),
+        "",
+        Is("0"),
+        Live,
+        "its group: one primary and its replicas",
+    ),
+    setting(
+        "member.*.status",
+        Choice(&["serving", "draining"]),
+        "",
+        Is("\"serving\""),
+        Live,
+        "whether it takes new work",
+    ),
+];
+
+impl Kind {
+    /// What would be accepted, in words.
+    pub fn accepted(&self) -> String {
+        match self {
+            Text(most) => format!("a text of at most {most} bytes"),
+            Address => "an IP address with a port, such as \"127.0.0.1:5432\"".into(),
+            Path => "an absolute path".into(),
+            Paths(most) => format!("at most {most} absolute paths in []"),
+            Flag => "true or false".into(),
+            Whole(least, most) => format!("a whole number from {least} to {most}"),
+            Number(least, most) => format!("a number from {least} to {most}"),
+            Choice(words) => format!("one of {}", words.join(", ")),
+        }
+    }
+}
+
+impl Setting {
+    /// Whether a key, given by its parts, is this setting's.
+    pub fn is_at(&self, parts: &[String]) -> bool {
+        let mut own = self.key.split('.');
+        parts.iter().all(|part| own.next().is_some_and(|own| own == "*" || own == part))
+            && own.next().is_none()
+    }
+}
+
+/// The setting at a key, given by its parts.
+pub fn find(parts: &[String]) -> Option<&'static Setting> {
+    SETTINGS.iter().find(|setting| setting.is_at(parts))
+}
+
+/// The names that may stand under a table, given by its parts; `*` where any may.
+pub fn below(parts: &[String]) -> Vec<&'static str> {
+    let mut names = Vec::new();
+    for setting in SETTINGS {
+        let own: Vec<&str> = setting.key.split('.').collect();
+        let fits =
+            own.len() > parts.len() && parts.iter().zip(&own).all(|(part, own)| *own == "*" || own == part);
+        if fits && !names.contains(&own[parts.len()]) {
+            names.push(own[parts.len()]);
+        }
+    }
+    names
+}
+
+/// A commented file that holds every setting and parses to the defaults: what has no value of its own, and what
+/// needs a name, stands in comments.
+pub fn defaults() -> String {
+    let mut out = String::from(
+        "# dewferry's operator file. Every setting stands here with its default, or in a comment with an example\n\
+         # where the platform's value holds unless one is given. Units: s seconds, MB 1,000,000 bytes.\n",
+    );
+    let mut table = "";
+    for setting in SETTINGS {
+        let (head, name) = setting.key.rsplit_once('.').unwrap_or(("", setting.key));
+        let named = setting.key.contains('*');
+        let head_shown = head.replace('*', "NAME");
+        if head != table {
+            let mark = if named { "# " } else { "" };
+            let _ = writeln!(out, "\n{mark}[{head_shown}]");
+            table = head;
+        }
+        let unit = if setting.unit.is_empty() { String::new() } else { format!("; unit: {}", setting.unit) };
+        let start = if setting.when == Start { "; needs a restart" } else { "" };
+        let _ = writeln!(out, "# {}.", setting.about);
+        let _ = writeln!(out, "# {}{unit}{start}.", setting.kind.accepted());
+        let name = if name == "*" { "NAME" } else { name };
+        let _ = match setting.default {
+            Is(value) if named => writeln!(out, "# {name} = {value}"),
+            Is(value) => writeln!(out, "{name} = {value}"),
+            Means(what, example) => writeln!(out, "# Absent: {what}.\n# {name} = {example}"),
+            Needed(example) => writeln!(out, "# Must be given.\n# {name} = {example}"),
+        };
+    }
+    out
+}
--- /dev/null
+++ b/crates/operator/tests/file.rs
@@ -0,0 +1,139 @@
+//! The operator's file: what is accepted, and how each fault is told.
+
+use config::Config;
+use operator::{read, schema, Document, Effective, LONGEST};
+
+const PLATFORM: &str = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f",
+    "limits":{"memory_mb":64,"sockets":512},"settings":{"classes":[
+    {"name":"browse","aim":1,"deadline":2,"effect":"read_like"},{"name":"order","aim":1,"deadline":2}],
+    "customers":[{"name":"acme","quotaPerS":10}],"specifics":{"consistency":["any","write"]},
+    "invariants":{"tipMultiple":2}}}"#;
+
+fn platform() -> Config {
+    Config::parse(PLATFORM).unwrap()
+}
+
+#[test]
+fn the_printed_defaults_hold_every_setting_and_parse_to_the_defaults() {
+    let text = schema::defaults();
+    assert_eq!(read(text.as_bytes()), Ok(Document::default()));
+    for setting in schema::SETTINGS {
+        assert!(text.contains(setting.about), "{}", setting.key);
+    }
+    // The examples are sound too: the file with every example in force is accepted.
+    let examples: String = text
+        .lines()
+        .filter_map(|line| {
+            let bare = line.strip_prefix("# ").unwrap_or(line);
+            let code =
+                bare.starts_with('[') || bare.split_once(" = ").is_some_and(|(key, _)| !key.contains(' '));
+            code.then(|| format!("{bare}\n"))
+        })
+        .collect();
+    let document = read(examples.as_bytes()).unwrap_or_else(|faults| panic!("{faults}\n{examples}"));
+    assert_eq!(document.class.len() + document.member.len() + document.overrides.len(), 3);
+}
+
+#[test]
+fn a_fault_names_line_column_key_and_what_would_be_accepted() {
+    let cases: &[(&[u8], &str)] = &[
+        (
+            b"[limits]\nmemory_md = 3",
+            "line 2, column 1: limits.memory_md: unknown key; accepted: did you mean memory_mb?",
+        ),
+        (
+            b"lissten = \"127.0.0.1:1\"",
+            "line 1, column 1: lissten: unknown key; accepted: did you mean listen?",
+        ),
+        (
+            b"[limits]\nsockets = 3",
+            "line 2, column 11: limits.sockets: 3 is out of range; accepted: a whole number from 64",
+        ),
+        (b"[limits]\nsockets = 3.5", "a number with a point"),
+        (b"[limits]\nkeepalive_s = nan", "limits.keepalive_s: NaN is out of range"),
+        (b"[limits]\nkeepalive_s = inf", "inf is out of range"),
+        (b"listen = \"shop:1\"", "names are not resolved"),
+        (
+            b"[log]\nlevel = \"loud\"",
+            "\"loud\" is none of the choices; accepted: one of error, warn, info, debug",
+        ),
+        (b"[control]\nsocket = \"here\"", "\"here\" is not absolute"),
+        (b"[member.s-1]\nzone = \"a\"", "member.s-1.address: is missing"),
+        (b"class = 3", "class: not a table; accepted: a table of any name"),
+        (b"[override]\n\"a b\" = \"drain\"", "not a name"),
+        (b"a = 1\na = 2", "duplicate key"),
+        (b"ab\ncd\xff", "line 2, column 3: the byte 0xff is not UTF-8"),
+        (b"[limits", "line 1, column 8"),
+    ];
+    for (text, words) in cases {
+        let told = read(text).unwrap_err().to_string();
+        assert!(told.contains(words), "'{words}' is not in: {told}");
+    }
+    let both = read(b"[limits]\nmemory_mb = 1\nsockets = 1").unwrap_err();
+    assert_eq!(both.list.len(), 2);
+}
+
+#[test]
+fn what_is_too_large_or_too_deep_is_refused_at_once() {
+    assert!(read(&vec![b'#'; LONGEST + 1]).unwrap_err().to_string().contains("at most"));
+    assert!(read(b"a = [").is_err());
+    let deep = format!("a = {}{}", "[".repeat(100_000), "]".repeat(100_000));
+    assert!(read(deep.as_bytes()).is_err());
+    let many: String = (0..1000).map(|n| format!("[class.c{n}]\n")).collect();
+    assert!(read(many.as_bytes()).unwrap_err().to_string().contains("at most 256"));
+    let wrong: String = (0..100).map(|n| format!("k{n} = 1\n")).collect();
+    assert!(read(wrong.as_bytes()).unwrap_err().to_string().ends_with("and 80 more"));
+}
+
+#[test]
+fn the_digest_is_of_what_is_said_and_not_of_how() {
+    let one = read(b"[limits]\nsockets = 100\nmemory_mb = 20").unwrap();
+    let other = read(b"limits = { memory_mb = 2e1, sockets = 1_00 } # the same").unwrap();
+    assert_eq!(one.digest(), other.digest());
+    assert_ne!(one.digest(), Document::default().digest());
+    assert_eq!(read(one.text().as_bytes()), Ok(one));
+}
+
+#[test]
+fn a_document_is_laid_over_the_platforms_word() {
+    let document = read(
+        b"[class.browse]\naim_s = 0.5\n[class.report]\nreads = \"bounded\"\nbound_s = 3\n[class.order]\nretired = true
+        [tenant.other]\nquota_per_s = 5\n[tenant.acme]\nretired = true",
+    )
+    .unwrap();
+    let old = Effective::new(&platform(), Document::default()).unwrap();
+    let new = Effective::new(&platform(), document).unwrap();
+    assert_eq!(new.classes, ["browse", "report"]);
+    assert_eq!((new.class("browse").unwrap().aim, new.tenants.as_slice()), (0.5, &["other".to_string()][..]));
+    let differences = old.differences(&new);
+    let of = |key: &str| differences.iter().find(|d| d.key == key).unwrap_or_else(|| panic!("no {key}"));
+    assert_eq!(
+        (of("class.browse.aim_s").from.as_deref(), of("class.browse.aim_s").to.as_deref()),
+        (Some("1"), Some("0.5"))
+    );
+    assert_eq!(of("class.order.reads").to, None);
+    assert_eq!(of("tenant.acme.quota_per_s").to, None);
+    assert!(old.differences(&old).is_empty());
+}
+
+#[test]
+fn what_does_not_fit_the_platform_is_told_in_figures() {
+    for (text, key, words) in [
+        ("[limits]\nmemory_mb = 100", "limits.memory_mb", "100 MB, of which the process may take 64"),
+        ("[limits]\nsockets = 600", "limits.sockets", "600 descriptors, of which the process may hold 512"),
+        ("[class.new]\naim_s = 1", "class.new.reads", "missing"),
+        ("[class.browse]\naim_s = 3", "class.browse", "aim_s 3 is past deadline_s 2"),
+        ("[class.order]\nrepeats = \"keyed\"", "class.order.repeat_window_s", "0 for a class"),
+        ("[class.order]\nretired = true\n[class.browse]\nretired = true", "class", "no class is left"),
+        ("[change]\nrequire_signature = true", "change.keys", "empty"),
+        (
+            "[member.a]\naddress = \"127.0.0.1:9\"\n[member.b]\naddress = \"127.0.0.1:9\"",
+            "member.b.address",
+            "another",
+        ),
+    ] {
+        let conflicts = Effective::new(&platform(), read(text.as_bytes()).unwrap()).unwrap_err();
+        let found = conflicts.iter().any(|c| c.key == key && c.what.contains(words));
+        assert!(found, "{key}: '{words}' is not in {conflicts:?}");
+    }
+}
