--- a/crates/buffer/src/lib.rs
+++ b/crates/buffer/src/lib.rs
@@ -32,11 +32,26 @@
 /// The memory that all buffers together may take. Guards against many peers that are each within their
 /// bound and together past the limit of the process, which would be killed for it.
 #[derive(Clone)]
-pub struct Budget(Rc<Cell<usize>>);
+pub struct Budget(Rc<Pool>);
+
+struct Pool {
+    limit: Cell<usize>,
+    used: Cell<usize>,
+}
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
+        Budget(Rc::new(Pool { limit: Cell::new(bytes), used: Cell::new(0) }))
+    }
+
+    /// So many bytes from now on. Who holds more than that keeps it; nobody gets more until it fits again.
+    pub fn resize(&self, bytes: usize) {
+        self.0.limit.set(bytes);
+    }
+
+    /// Bytes that are held.
+    pub fn used(&self) -> usize {
+        self.0.used.get()
     }
 
     /// A part of it, of no size yet.
@@ -54,8 +69,12 @@
 impl Charge {
     /// Makes it so many bytes; unchanged where the budget does not reach.
     pub fn set(&mut self, bytes: usize) -> Result<(), Overflow> {
-        let Budget(left) = &self.budget;
-        left.set((left.get() + self.bytes).checked_sub(bytes).ok_or(Overflow)?);
+        let Budget(pool) = &self.budget;
+        let used = pool.used.get() - self.bytes + bytes;
+        if bytes > self.bytes && used > pool.limit.get() {
+            return Err(Overflow);
+        }
+        pool.used.set(used);
         self.bytes = bytes;
         Ok(())
     }
@@ -256,6 +275,6 @@
         one.skip(BOUND);
         assert_eq!(two.fill(&mut &[3; START][..]).unwrap(), Fill::Ended);
         drop((one, two));
-        assert_eq!(budget.0.get(), BOUND + START);
+        assert_eq!(budget.used(), 0);
     }
 }
--- /dev/null
+++ b/crates/bundle/tests/signed.rs
@@ -0,0 +1,43 @@
+//! Signatures: what is taken, what is not, and a rotation of keys.
+
+use bundle::{sign, verify, Fault, Key};
+
+fn key(byte: &str) -> Key {
+    Key::parse(&format!("{}\n", byte.repeat(32))).unwrap()
+}
+
+#[test]
+fn a_signed_file_is_taken_under_either_key_of_a_rotation() {
+    let (old, new) = (key("a1"), key("b2"));
+    let text = sign("listen = \"127.0.0.1:1\"", &old).unwrap();
+    let keys = [key("b2"), key("a1")];
+    assert_eq!(verify(&text, &keys), Ok(old.id()));
+    let again = sign(&text, &new).unwrap();
+    assert_eq!(verify(&again, &keys), Ok(new.id()));
+    assert_eq!(again.matches("dewferry-signature").count(), 1);
+    assert_eq!(verify(&again, &keys[1..]), Err(Fault::UnknownKey(new.id().into())));
+}
+
+#[test]
+fn a_change_at_any_byte_is_found() {
+    let keys = [key("a1")];
+    let text = sign("a = 1\nb = 2\n", &keys[0]).unwrap();
+    for at in 0..text.trim_end().len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[at] ^= 1;
+        let Ok(spoilt) = String::from_utf8(bytes) else { continue };
+        assert!(verify(&spoilt, &keys).is_err(), "{at}");
+    }
+    assert!(verify(&text.replace("b = 2", "b = 2\nc = 3"), &keys).is_err());
+    assert!(verify(&format!("{text}c = 3\n"), &keys).is_err());
+}
+
+#[test]
+fn what_is_no_key_or_no_signature_is_told_apart() {
+    assert_eq!(Key::parse("a1").unwrap_err(), Fault::Key);
+    assert_eq!(Key::parse(&"zz".repeat(32)).unwrap_err(), Fault::Key);
+    let keys = [key("a1")];
+    assert_eq!(verify("a = 1\n", &keys), Err(Fault::Unsigned));
+    assert_eq!(verify("a = 1\n# dewferry-signature: 2 x y\n", &keys), Err(Fault::Form));
+    assert!(!format!("{:?}", keys[0]).contains("a1a1"));
+}
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -44,7 +44,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth (seconds).
     pub aim: f64,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod check;
 pub mod interface;
 mod policy;
+mod reconfigure;
 mod state;
 
 pub use check::{check, SettingsError};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::check::{check, SettingsError};
 use crate::interface::*;
 pub use crate::state::Policy;
-use crate::state::{Attempt, Choice, Member, Request};
+use crate::state::{Attempt, Choice, Member, Request, Terms};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -86,18 +86,24 @@
     /// A policy with these settings; all its randomness comes from the seed. Refuses settings out of range.
     pub fn new(settings: Settings, seed: u64) -> Result<Policy, SettingsError> {
         check(&settings)?;
-        let shortest = settings.classes.iter().map(|c| c.aim).fold(1.0, f64::min);
         let mut policy = Policy::blank(settings, fastrand::Rng::with_seed(seed));
-        let s = &policy.settings;
-        policy.latency = s.classes.iter().map(|c| (c.aim * LATENCY_GUESS, c.aim * LATENCY_GUESS)).collect();
-        policy.tenants = s.tenant_quota.iter().map(|_| (TENANT_LEAST, 0.0)).collect();
-        let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { 1.0 };
-        policy.bound = s.classes.iter().map(bound).fold(1.0, f64::min);
+        policy.derive();
         (policy.retries, policy.probes) = (RETRY_MOST / 2.0, PROBE_MOST);
-        policy.tick = (shortest * TICK_SHARE).clamp(0.01, 0.1);
         Ok(policy)
     }
 
+    /// Derives from the settings what goes with them. What is known of classes and tenants already stays.
+    pub(crate) fn derive(&mut self) {
+        let classes = &self.settings.classes;
+        let guesses =
+            classes.iter().skip(self.latency.len()).map(|c| (c.aim * LATENCY_GUESS, c.aim * LATENCY_GUESS));
+        self.latency.extend(guesses);
+        self.tenants.resize(self.settings.tenant_quota.len(), (TENANT_LEAST, self.now));
+        let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { 1.0 };
+        self.bound = classes.iter().map(bound).fold(1.0, f64::min);
+        self.tick = (classes.iter().map(|c| c.aim).fold(1.0, f64::min) * TICK_SHARE).clamp(0.01, 0.1);
+    }
+
     /// Takes one event at the time `now` and appends what the proxy is to do.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -349,7 +355,7 @@
         self.latency[class].0 * member.ratio.max(0.5) * crowd.max(1.0)
     }
 
-    fn warmth(&self, m: usize) -> f64 {
+    pub(crate) fn warmth(&self, m: usize) -> f64 {
         let s = &self.settings;
         let age = self.now - self.members[m].cold_since;
         if age >= s.warm_up {
@@ -396,7 +402,9 @@
         self.next += 1;
         self.numbers.insert(id.clone(), n);
         let times = (now + aim, now + left);
-        let request = Request { lot: self.rng.f64(), session, ..Request::new(id, (class, group), times) };
+        let terms = Terms::of(&self.settings);
+        let request =
+            Request { lot: self.rng.f64(), session, terms, ..Request::new(id, (class, group), times) };
         let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
         self.requests.insert(n, Request { token, over_share, hold_until, ..request });
         out.push(Action::Timer { at: hold_until, cookie: n });
@@ -431,8 +439,7 @@
         if harmless {
             let late = class.late_worth == 0.0 && self.now >= request.aim_at - self.settings.tick;
             let wait = if late { class.deadline } else { class.aim * BACKOFF_AIM };
-            let most = if self.settings.retry_after { self.settings.max_retry_after } else { 0.0 };
-            let backoff = (wait * (0.5 + self.rng.f64())).min(most);
+            let backoff = (wait * (0.5 + self.rng.f64())).min(request.terms.backoff);
             out.push(Action::Refuse { id, backoff });
         } else {
             out.push(Action::Fail { id });
@@ -453,9 +460,9 @@
         let closed = request.risky.is_some_and(|(sent, _)| match class.effect {
             Effect::Safe => false,
             Effect::Unsafe => true,
-            Effect::Keyed => self.now >= sent + class.dedup_window - self.settings.connect_timeout,
+            Effect::Keyed => self.now >= sent + class.dedup_window - request.terms.connect,
         });
-        let spent = request.attempts.len() as u32 >= self.settings.max_attempts;
+        let spent = request.attempts.len() as u32 >= request.terms.attempts;
         if closed || spent || self.now >= cutoff {
             return self.conclude(n, out);
         }
@@ -899,7 +906,7 @@
             let busy = state.scout.as_ref().is_some_and(out_now);
             let fits = |r: &Request| {
                 let write = self.settings.classes[r.class].consistency == Consistency::Write;
-                let spent = r.attempts.len() as u32 >= self.settings.max_attempts || self.now >= r.deadline;
+                let spent = r.attempts.len() as u32 >= r.terms.attempts || self.now >= r.deadline;
                 write && !spent && !r.done && r.risky.is_none()
             };
             let mut held = state.held.iter().copied();
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -105,6 +105,24 @@
     }
 }
 
+/// Limits that a request was taken in under, and ends under whatever the settings become meanwhile.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Terms {
+    pub attempts: u32,
+    /// Longest back-off that a refusal may tell (seconds).
+    pub backoff: f64,
+    /// A connection not made within this fails (seconds).
+    pub connect: f64,
+}
+
+impl Terms {
+    /// The limits of these settings.
+    pub fn of(settings: &Settings) -> Terms {
+        let backoff = if settings.retry_after { settings.max_retry_after } else { 0.0 };
+        Terms { attempts: settings.max_attempts, backoff, connect: settings.connect_timeout }
+    }
+}
+
 /// A request that is not finished, or still has attempts out.
 pub(crate) struct Request {
     pub id: RequestId,
@@ -125,6 +143,7 @@
     pub risky: Option<(f64, usize)>,
     pub held: bool,
     pub done: bool,
+    pub terms: Terms,
 }
 
 impl Request {
@@ -145,6 +164,7 @@
             risky: None,
             held: false,
             done: false,
+            terms: Terms::default(),
         }
     }
 
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -928,3 +928,53 @@
     assert_eq!(finals(&d.pass(1.7)), 0);
     assert_eq!(finals(&d.pass(0.1)), 1);
 }
+
+/// New settings reach requests that come after them; one in hand ends under those it came with.
+#[test]
+fn a_request_ends_under_the_settings_it_was_taken_in_under() {
+    let entry = |name: &str| Entry { member: name.into(), ..Entry::default() };
+    let settings = |classes: usize, attempts, aim| Settings {
+        classes: (0..classes)
+            .map(|n| Class { aim: if n == 0 { 0.5 } else { aim }, ..Class::default() })
+            .collect(),
+        max_attempts: attempts,
+        ..Settings::default()
+    };
+    let mut policy = Policy::new(settings(2, 2, 0.5), 7).unwrap();
+    let mut out = Vec::new();
+    let entries = (0..6).map(|n| entry(&format!("s-{n}"))).collect();
+    policy.handle(0.0, Event::Members { kind: ListKind::Full, entries }, &mut out);
+    policy.handle(0.1, Event::arrival("old", 1, 0, 1.0), &mut out);
+    // A class with a request in hand cannot change under it, nor vanish.
+    let fault = policy.reconfigure(settings(2, 4, 0.3)).unwrap_err();
+    assert_eq!(fault.field, "classes[1]");
+    assert!(policy.reconfigure(settings(1, 4, 0.5)).is_err());
+    assert!(policy.reconfigure(Settings { tick: 0.0, ..settings(3, 4, 0.5) }).is_err());
+    assert!(policy.class_in_hand(1) && !policy.class_in_hand(0));
+    assert!(policy.reconfigure(settings(3, 4, 0.5)).is_ok());
+    let mut later = Vec::new();
+    policy.handle(0.1, Event::arrival("new", 2, 0, 1.0), &mut later);
+    assert_eq!(turned_away(&mut policy, "old", out), 2);
+    assert_eq!(turned_away(&mut policy, "new", later), 4);
+}
+
+/// How many attempts a request gets whose members all turn it away; the first is among `actions`.
+fn turned_away(policy: &mut Policy, id: &str, mut actions: Vec<Action>) -> usize {
+    let sent = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { id: to, member, .. } if &**to == id => Some(member.clone()),
+            _ => None,
+        })
+    };
+    let mut attempt = 0;
+    while let Some(member) = sent(&actions) {
+        actions.clear();
+        let (outcome, report) = (Outcome::Full, Report::default());
+        let (finished, elapsed, position, primary) = (false, 0.001, None, None);
+        let id = id.into();
+        let done = Done { id, member, attempt, outcome, finished, elapsed, position, primary, report };
+        policy.handle(0.11, Event::Done(done), &mut actions);
+        attempt += 1;
+    }
+    attempt
+}
