--- /dev/null
+++ b/crates/daemon/src/cli/mod.rs
@@ -0,0 +1,121 @@
+//! The command line.
+
+mod config;
+mod print;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use ::config::Config;
+use argh::FromArgs;
+
+use crate::net::Operator;
+
+/// dewferry: a pooler that sends each read and write of a replicated database where it belongs.
+#[derive(FromArgs)]
+#[argh(
+    example = "dewferry serve --config platform.json --operator dewferry.toml",
+    example = "dewferry config apply dewferry.toml --socket /run/dewferry/control --note 'raise quota'",
+    error_code(0, "done"),
+    error_code(1, "refused by the check, or something else is under way"),
+    error_code(2, "wrong usage, or a file that cannot be read"),
+    error_code(3, "the change was rolled back")
+)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Config(config::Args),
+    Version(Version),
+    CheckConfig(CheckConfig),
+}
+
+/// Serve until SIGTERM; SIGHUP rereads the files, SIGUSR1 prints the counters.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// the platform's configuration; the variable LB_CONFIG where this is not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// the operator's file, dewferry.toml; without it nothing but the platform's word holds
+    #[argh(option)]
+    operator: Option<PathBuf>,
+    /// folder of the history; needed to come up where the operator's file, which may name it, is bad
+    #[argh(option)]
+    state: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+/// Read the platform's configuration, and the operator's file where given, and say whether they can be used.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check-config")]
+struct CheckConfig {
+    /// the platform's configuration; the variable LB_CONFIG where this is not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// the operator's file
+    #[argh(option)]
+    operator: Option<PathBuf>,
+}
+
+/// Runs the program as its command line says.
+pub fn run() -> ExitCode {
+    let Args { command } = argh::from_env();
+    let result = match command {
+        Command::Serve(Serve { config, operator, state }) => load(config).and_then(|(path, config)| {
+            if operator.is_none() && state.is_some() {
+                return Err("--state without --operator: there would be no changes to keep".into());
+            }
+            let operator = operator.map(|file| Operator { file, state });
+            crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
+        }),
+        Command::Config(args) => return config::run(args),
+        Command::Version(Version {}) => {
+            println!("dewferry {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::CheckConfig(CheckConfig { config, operator: Some(file) }) => {
+            return config::check(&file, config, false);
+        }
+        Command::CheckConfig(CheckConfig { config, operator: None }) => load(config).map(|(_, config)| {
+            println!(
+                "usable: {} listens on {} for {} classes of requests, discovery at {}",
+                config.name,
+                config.listen,
+                config.classes.len(),
+                config.discovery
+            );
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => fail(&message),
+    }
+}
+
+/// Says why nothing was done.
+fn fail(message: &str) -> ExitCode {
+    eprintln!("dewferry: {message}");
+    ExitCode::from(2)
+}
+
+/// The platform's configuration: of the path given, or of the variable's.
+fn load(path: Option<PathBuf>) -> Result<(PathBuf, Config), String> {
+    let path = path.or_else(|| std::env::var_os("LB_CONFIG").map(PathBuf::from));
+    let path = path.ok_or("no configuration: give --config or set LB_CONFIG")?;
+    let config = read(&path)?;
+    Ok((path, config))
+}
+
+fn read(path: &Path) -> Result<Config, String> {
+    Config::load(path).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/cli/print.rs
@@ -0,0 +1,88 @@
+//! Answers for people and for machines.
+
+use control::{Found, Response, Status};
+use transaction::Entry;
+
+/// Prints an answer: one JSON object, or lines.
+pub(super) fn response(response: &Response, json: bool) {
+    if json {
+        print!("{}", String::from_utf8_lossy(&response.line()));
+        return;
+    }
+    match (&response.status, &response.history) {
+        (Some(status), _) => print_status(status),
+        (None, Some(history)) => print_history(history),
+        (None, None) => println!("{}", response.message),
+    }
+    for Found { code, severity, what } in &response.findings {
+        println!("  {severity:8} {code}: {what}");
+    }
+    if response.findings.iter().any(Found::guarded) {
+        println!("  what is guarded can be allowed by name: --allow CODE");
+    }
+    for change in &response.changes {
+        let value = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".into());
+        let restart = if change.needs_restart { "  (needs a restart)" } else { "" };
+        println!("  {}: {} -> {}{restart}", change.key, value(&change.from), value(&change.to));
+    }
+    if response.more_changes > 0 {
+        println!("  and {} more", response.more_changes);
+    }
+}
+
+fn print_status(status: &Status) {
+    let Status { name, version, generation, digest, note, stage, confirmed, .. } = status;
+    println!("{name}  dewferry {version}");
+    println!("generation  {generation}  {}  {note}", digest.get(..12).unwrap_or(digest));
+    println!("confirmed   {confirmed}");
+    println!(
+        "stage       {stage}{}",
+        status.until.map(|until| format!(", until {}", clock(until))).unwrap_or_default()
+    );
+    println!("since       {}", clock(status.since));
+    println!("members     {}, {} overridden", status.members, status.overrides);
+    println!("in hand     {} requests", status.requests);
+    println!("on disk     {}", if status.lasting { "yes" } else { "no" });
+    if let Some(last) = status.last.as_ref().filter(|last| !last.why.is_empty()) {
+        println!("last        {} was undone: {}", last.number, last.why);
+    }
+}
+
+fn print_history(history: &[Entry]) {
+    println!("{:>6}  {:12}  {:20}  {:12}  note", "number", "digest", "at (UTC)", "fate");
+    for entry in history {
+        let fate = format!("{:?}", entry.fate).to_lowercase();
+        let digest = entry.digest.get(..12).unwrap_or(&entry.digest);
+        let why = if entry.why.is_empty() { String::new() } else { format!("  [{}]", entry.why) };
+        println!("{:>6}  {digest:12}  {:20}  {fate:12}  {}{why}", entry.number, clock(entry.at), entry.note);
+    }
+}
+
+/// A Unix time as a date and a time of day, in UTC.
+fn clock(at: f64) -> String {
+    let seconds = at.max(0.0) as u64;
+    let (days, rest) = (seconds / 86_400, seconds % 86_400);
+    // The civil calendar from days since 1970, by eras of 400 years that begin in March.
+    let shifted = days + 719_468;
+    let (era, day) = (shifted / 146_097, shifted % 146_097);
+    let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+    let in_year = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * in_year + 2) / 153;
+    let (date, month) = (in_year - (153 * month + 2) / 5 + 1, if month < 10 { month + 3 } else { month - 9 });
+    let year = year + era * 400 + u64::from(month <= 2);
+    format!("{year:04}-{month:02}-{date:02}T{:02}:{:02}:{:02}", rest / 3_600, rest / 60 % 60, rest % 60)
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_clock_tells_the_date() {
+        for (at, text) in [
+            (0.0, "1970-01-01T00:00:00"),
+            (951_782_400.0, "2000-02-29T00:00:00"),
+            (1_767_225_599.9, "2025-12-31T23:59:59"),
+        ] {
+            assert_eq!(super::clock(at), text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/files.rs
@@ -0,0 +1,75 @@
+//! Files of the operator's: read whole within bounds, and only where they are what they must be.
+
+use std::fs::File;
+use std::io::Read;
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
+use std::path::Path;
+use std::time::Duration;
+
+use bundle::Key;
+use operator::{Document, LONGEST};
+
+/// Times that a file that changes under its reader is read again, and the pause before (the file of a writer
+/// who is at it takes no longer).
+const TRIES: u32 = 3;
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Reads a file of at most so many bytes. One that is replaced meanwhile is read as it was when it was opened;
+/// one that is written to in place is read again, and refused if that goes on.
+pub(crate) fn read(path: &Path, longest: usize) -> Result<Vec<u8>, String> {
+    let named = |fault: String| format!("{}: {fault}", path.display());
+    for attempt in 0..TRIES {
+        if attempt > 0 {
+            std::thread::sleep(PAUSE);
+        }
+        let mut file = File::open(path).map_err(|error| named(error.to_string()))?;
+        let state = |file: &File| file.metadata().map(|m| (m.len(), m.mtime(), m.mtime_nsec(), m.is_file()));
+        let before = state(&file).map_err(|error| named(error.to_string()))?;
+        if !before.3 {
+            return Err(named("not a regular file".into()));
+        }
+        if before.0 > longest as u64 {
+            return Err(named(format!("{} bytes; at most {longest} are read", before.0)));
+        }
+        let mut bytes = Vec::with_capacity(before.0 as usize);
+        let taken = Read::by_ref(&mut file).take(longest as u64 + 1).read_to_end(&mut bytes);
+        taken.map_err(|error| named(error.to_string()))?;
+        let after = state(&file).map_err(|error| named(error.to_string()))?;
+        if before == after && bytes.len() as u64 == before.0 {
+            return Ok(bytes);
+        }
+    }
+    Err(named("it is being written to; write a new file and rename it over this one".into()))
+}
+
+/// Reads the operator's file.
+pub(crate) fn document(path: &Path) -> Result<(String, Document), String> {
+    let bytes = read(path, LONGEST)?;
+    let named = |fault: String| {
+        let place = format!("{}: ", path.display());
+        fault.lines().map(|line| format!("{place}{line}")).collect::<Vec<_>>().join("\n")
+    };
+    let document = operator::read(&bytes).map_err(|faults| named(faults.to_string()))?;
+    Ok((String::from_utf8_lossy(&bytes).into_owned(), document))
+}
+
+/// Reads a key file, which nobody but its owner may read.
+pub(crate) fn key(path: &Path) -> Result<Key, String> {
+    let named = |fault: String| format!("{}: {fault}", path.display());
+    let mode = std::fs::metadata(path).map_err(|error| named(error.to_string()))?.permissions().mode();
+    if mode & 0o077 != 0 {
+        return Err(named(format!("mode {:04o}; accepted: 0600 or stricter", mode & 0o7777)));
+    }
+    let bytes = read(path, bundle::LONGEST_KEY)?;
+    let text = String::from_utf8(bytes).map_err(|_| named(bundle::Fault::Key.to_string()))?;
+    Key::parse(&text).map_err(|fault| named(fault.to_string()))
+}
+
+/// Whether a file's text may be taken under the change policy in force.
+pub(crate) fn signed(text: &str, policy: &operator::ChangePolicy) -> Result<(), String> {
+    if !policy.require_signature {
+        return Ok(());
+    }
+    let keys = policy.keys.iter().map(|path| key(path)).collect::<Result<Vec<Key>, String>>()?;
+    bundle::verify(text, &keys).map(drop).map_err(|fault| fault.to_string())
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,7 +4,10 @@
 
 pub mod cli;
 mod counters;
+mod files;
 mod net;
+mod numbers;
+mod store;
 
 #[cfg(doctest)]
 #[doc = include_str!("../../../README.md")]
--- /dev/null
+++ b/crates/daemon/src/net/change.rs
@@ -0,0 +1,296 @@
+//! Changes of configuration, as far as they are not the sockets': the transaction's machine, what is in force,
+//! the history on disk, and the answers to control calls. The proxy puts a generation in force and tells here.
+
+use std::collections::VecDeque;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use ::control::{Code, Response, Status};
+use config::Config;
+use operator::{Confirm, Conflict, Difference, Document, Effective};
+use transaction::{
+    check, Bad, Finding, Health, History, Input, Machine, Mode, Outcome, Proposal, Roster, Rules, Severity,
+    Stage, Start, Verdict, View, TURN,
+};
+
+use crate::files;
+use crate::store::{Store, Writer};
+
+/// How far back health is known when a change comes (seconds); as long as a probation of the default length.
+const LOOK_BACK: f64 = 15.0;
+
+/// What a daemon comes up on.
+pub(crate) struct Opening {
+    pub path: PathBuf,
+    pub effective: Effective,
+    start: Start,
+    history: History,
+    store: Option<Store>,
+}
+
+/// Reads the operator's file and the history, and settles on what to come up on. What must be told loudly goes
+/// to `loud`. Where there is neither a usable file nor a history, that is a fault.
+pub(crate) fn open(
+    path: &Path,
+    state: Option<PathBuf>,
+    platform: &Config,
+    now: f64,
+    loud: &mut Vec<String>,
+) -> Result<Opening, String> {
+    let read = files::document(path);
+    let dir = state.or_else(|| read.as_ref().ok().and_then(|(_, document)| document.state.dir.clone()));
+    let (mut store, history) = match &dir {
+        None => (None, History::default()),
+        Some(dir) => {
+            let (store, history, cut) = Store::open(dir)?;
+            loud.extend(cut);
+            (Some(store), history)
+        }
+    };
+    let confirmed = history.confirmed().map(|generation| generation.document.clone());
+    let fits = |document: Document| -> Result<Document, String> {
+        let conflicts = |c: Vec<Conflict>| words(&c);
+        Effective::new(platform, document.clone()).map(|_| document).map_err(conflicts)
+    };
+    // The file must be signed where the last confirmed one, or it itself, asks for that.
+    let file = read.and_then(|(text, document)| {
+        let policy = confirmed.as_ref().map_or(&document.change, |confirmed| &confirmed.change);
+        files::signed(&text, policy).map_err(|fault| format!("{}: {fault}", path.display()))?;
+        fits(document).map_err(|fault| format!("{}: {fault}", path.display()))
+    });
+    if let (Err(fault), None) = (&file, &confirmed) {
+        return Err(fault.clone());
+    }
+    let start = history.start(file, now);
+    loud.extend(start.loud.clone());
+    let effective = Effective::new(platform, (*start.generation.document).clone());
+    let effective = effective
+        .map_err(|c| format!("generation {} no longer fits: {}", start.generation.number, words(&c)))?;
+    if let Some(store) = &mut store {
+        store.record(&start.records)?;
+    }
+    let mut history = history;
+    start.records.iter().for_each(|record| history.take(record));
+    Ok(Opening { path: path.to_path_buf(), effective, start, history, store })
+}
+
+fn words(conflicts: &[Conflict]) -> String {
+    conflicts.iter().map(|c| format!("{}: {}", c.key, c.what)).collect::<Vec<_>>().join("\n")
+}
+
+/// All that changes have to do with.
+pub(crate) struct Changes {
+    pub machine: Machine,
+    pub health: Health,
+    pub roster: Roster,
+    /// Inputs that wait for the machine: what its actions bring about comes after them.
+    pub inputs: VecDeque<Input>,
+    pub effective: Effective,
+    pub platform: Config,
+    pub path: PathBuf,
+    writer: Option<Writer>,
+    /// Since when the present generation is in force (Unix seconds).
+    pub since: f64,
+}
+
+/// A change that has been read and laid over the platform's word.
+pub(crate) struct Read {
+    effective: Effective,
+    differences: Vec<Difference>,
+    findings: Vec<Finding>,
+}
+
+impl Changes {
+    pub fn new(
+        opening: Opening,
+        platform: Config,
+        waker: impl FnOnce() -> std::io::Result<mio::Waker>,
+        now: f64,
+    ) -> std::io::Result<Changes> {
+        let Opening { path, effective, start, history, store } = opening;
+        let most = effective.document.state.max_kb as usize * 1024;
+        let writer = store.map(|store| store.spawn(waker()?, most)).transpose()?;
+        Ok(Changes {
+            machine: Machine::new(history, start.generation),
+            health: Health::new(now, LOOK_BACK),
+            roster: Roster::default(),
+            inputs: VecDeque::new(),
+            effective,
+            platform,
+            path,
+            writer,
+            since: now,
+        })
+    }
+
+    /// Has a step written; without a folder it is done at once.
+    pub fn persist(&mut self, step: u64, record: &transaction::Record) {
+        let result = match &mut self.writer {
+            None => Ok(()),
+            Some(writer) => match writer.append(step, record, self.machine.history()) {
+                // Its end is told by the disk.
+                Ok(()) => return,
+                Err(fault) => Err(fault),
+            },
+        };
+        self.inputs.push_back(Input::Persisted { step, result });
+    }
+
+    /// Takes up what the disk has done; faults of the log as a whole.
+    pub fn written(&mut self) -> Vec<String> {
+        let mut faults = Vec::new();
+        while let Some((step, result)) = self.writer.as_mut().and_then(Writer::done) {
+            if step > 0 {
+                self.inputs.push_back(Input::Persisted { step, result });
+            } else if let Err(fault) = result {
+                faults.push(fault);
+            }
+        }
+        faults
+    }
+
+    /// Lays a document over the platform's word and looks at what it would do now.
+    pub fn read(&self, document: Document, view: &View) -> Result<Read, Vec<Finding>> {
+        let effective = Effective::new(&self.platform, document).map_err(|conflicts| {
+            let finding = |c: &Conflict| Finding {
+                code: "conflict",
+                severity: Severity::Error,
+                what: format!("{}: {}", c.key, c.what),
+            };
+            conflicts.iter().map(finding).collect::<Vec<_>>()
+        })?;
+        let differences = self.effective.differences(&effective);
+        let findings = check(&self.effective, &effective, &differences, view);
+        Ok(Read { effective, differences, findings })
+    }
+
+    /// What a file would do.
+    pub fn plan(&self, document: Document, view: &View) -> Response {
+        match self.read(document, view) {
+            Err(findings) => Response::new(Code::Refused, "does not fit").with_findings(&findings),
+            Ok(read) => {
+                let stands = transaction::refused(&read.findings, &[]);
+                let code = if stands { Code::Refused } else { Code::Ok };
+                let message = format!(
+                    "{} values would change; {}",
+                    read.differences.len(),
+                    if stands { "the check stands in the way" } else { "nothing stands in the way" }
+                );
+                Response::new(code, message).with_findings(&read.findings).with_changes(&read.differences)
+            }
+        }
+    }
+
+    /// Puts a document before the machine.
+    pub fn propose(
+        &mut self,
+        caller: Option<u64>,
+        document: Document,
+        note: String,
+        confirm_within: Option<f64>,
+        allow: Vec<String>,
+        view: &View,
+    ) {
+        // By the policy in force: a change cannot loosen its own probation.
+        let policy = &self.effective.document.change;
+        let mode = match (confirm_within, policy.confirm) {
+            (Some(within), _) => Mode::Manual(within),
+            (None, Confirm::Manual) => Mode::Manual(policy.confirm_within_s),
+            (None, Confirm::Auto) => Mode::Auto(policy.probation_s),
+        };
+        let findings = match self.read(document.clone(), view) {
+            Ok(read) => {
+                // Kept no longer than the check needs it: it is made again when the change is put in force.
+                drop(read.effective);
+                read.findings
+            }
+            Err(findings) => findings,
+        };
+        let document = Arc::new(document);
+        self.inputs.push_back(Input::Propose(Proposal { caller, document, note, mode, findings, allow }));
+    }
+
+    /// Counts how a request ended.
+    pub fn note(&mut self, now: f64, (class, group): (u16, u32), repeat: bool, bad: Option<Bad>, took: f64) {
+        self.health.note(now, class, group, repeat, bad, took);
+    }
+
+    /// What has become worse since the change on probation, if anything.
+    pub fn worse(&self, now: f64, name: impl Fn(u16) -> String) -> Option<String> {
+        if !matches!(self.machine.stage(), Stage::Probation(_)) {
+            return None;
+        }
+        let policy = &self.machine.base().document.change;
+        let rules = Rules {
+            significance: policy.significance,
+            worse_by: policy.worse_by,
+            least: policy.least_requests.into(),
+            looks: (policy.probation_s.max(policy.confirm_within_s) / TURN).ceil() as u32,
+        };
+        match self.health.judge(now, &rules) {
+            Verdict::Fine => None,
+            Verdict::Worse(judged) => Some(judged.words(&name(judged.class))),
+        }
+    }
+
+    /// What is in force and under way.
+    pub fn status(&self, requests: usize) -> Response {
+        let current = self.machine.current();
+        let (stage, until) = match self.machine.stage() {
+            Stage::Idle => ("idle", None),
+            Stage::Staging => ("staging", None),
+            Stage::Applying => ("applying", None),
+            Stage::Probation(until) => ("probation", Some(*until)),
+            Stage::Confirming => ("confirming", None),
+            Stage::Reverting(_) => ("reverting", None),
+        };
+        let status = Status {
+            name: self.platform.name.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            generation: current.number,
+            digest: current.digest.to_string(),
+            note: current.note.clone(),
+            since: self.since,
+            confirmed: self.machine.base().number,
+            stage: stage.into(),
+            until,
+            members: self.roster.listed().count(),
+            requests,
+            overrides: self.effective.document.overrides.len(),
+            lasting: self.writer.is_some(),
+            last: self.machine.history().entries().next_back().cloned(),
+        };
+        Response { status: Some(status), ..Response::new(Code::Ok, format!("generation {}", current.number)) }
+    }
+}
+
+/// What a caller is told of what became of its call.
+pub(crate) fn response(outcome: &Outcome) -> Response {
+    let about = |code, number: u64, message: String| Response {
+        generation: Some(number),
+        ..Response::new(code, message)
+    };
+    match outcome {
+        Outcome::Refused(findings) => {
+            Response::new(Code::Refused, "the check stands in the way; nothing has changed")
+                .with_findings(findings)
+        }
+        Outcome::Busy(number) => {
+            about(Code::Busy, *number, format!("generation {number} is not done with; nothing has changed"))
+        }
+        Outcome::Unchanged(number) => {
+            about(Code::Unchanged, *number, format!("generation {number} says the same already"))
+        }
+        Outcome::Applied { number, until } => Response {
+            until: Some(*until),
+            ..about(Code::Applied, *number, format!("generation {number} is in force, on probation"))
+        },
+        Outcome::Confirmed(number) => about(Code::Confirmed, *number, format!("generation {number} stands")),
+        Outcome::RolledBack { number, to, why } => {
+            let message = format!("generation {number} was rolled back, {to} holds: {why}");
+            about(Code::RolledBack, *number, message)
+        }
+        Outcome::NotTaken(why) => Response::new(Code::NotTaken, format!("nothing has changed: {why}")),
+        Outcome::Nothing => Response::new(Code::Nothing, "no change is on probation"),
+    }
+}
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -1,6 +1,5 @@
 //! The clients' side: takes connections in, reads queries off them and writes the answers.
 
-use std::fmt;
 use std::io;
 use std::net::Shutdown;
 
@@ -11,7 +10,7 @@
 use pgwire::{code, Asked, FrameError, Message, Startup};
 
 use super::event_loop::{Due, Slot, Slots, Source};
-use super::{log, Context, Event};
+use super::{Context, Event};
 
 /// Pause before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_AGAIN: f64 = 0.1;
@@ -279,6 +278,8 @@
 pub(crate) struct Clients {
     /// Gone once no more are taken in: each connection then ends as soon as nothing is owed on it.
     listener: Option<TcpListener>,
+    /// The one before, while the change that replaced it may still be undone: it takes in as well.
+    previous: Option<TcpListener>,
     conns: Slots<Conn>,
     budget: Budget,
     /// Most connections at a time.
@@ -301,7 +302,16 @@
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
         context.reactor.timer(context.reactor.now() + SWEEP, Due::Rested);
         let (listener, conns) = (Some(listener), Slots::new());
-        Ok(Clients { listener, conns, budget, limit, full: false, quiet_until: 0.0, serving: false })
+        Ok(Clients {
+            listener,
+            previous: None,
+            conns,
+            budget,
+            limit,
+            full: false,
+            quiet_until: 0.0,
+            serving: false,
+        })
     }
 
     pub fn is_empty(&self) -> bool {
@@ -310,7 +320,12 @@
 
     /// Takes in all that wait.
     pub fn accept(&mut self, context: &mut Context) {
-        while let Some(listener) = &self.listener {
+        self.accept_from(false, context);
+        self.accept_from(true, context);
+    }
+
+    fn accept_from(&mut self, previous: bool, context: &mut Context) {
+        while let Some(listener) = if previous { &self.previous } else { &self.listener } {
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
@@ -321,7 +336,7 @@
             if full && idlest.is_none() {
                 self.full = true;
                 let clients = self.conns.len();
-                return self.complain(now, format_args!("{clients} clients, all busy: new connections wait"));
+                return self.complain(now, &format!("{clients} clients, all busy: new connections wait"));
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -337,12 +352,47 @@
                 Err(error) => {
                     // No descriptor or no memory: what waits is taken in when there is some again.
                     context.reactor.timer(now + ACCEPT_AGAIN, Due::Accept);
-                    return self.complain(now, format_args!("cannot accept: {error}"));
+                    return self.complain(now, &format!("cannot accept: {error}"));
                 }
             }
         }
     }
 
+    /// Where new clients come in, of the two addresses at most.
+    pub fn listen_on(&mut self, mut listener: TcpListener, context: &mut Context) -> io::Result<()> {
+        context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
+        self.previous = self.listener.replace(listener);
+        self.accept(context);
+        Ok(())
+    }
+
+    /// Back to the address before, which has never been let go.
+    pub fn listen_again(&mut self) {
+        if self.previous.is_some() {
+            std::mem::swap(&mut self.listener, &mut self.previous);
+        }
+    }
+
+    /// Lets go of the address before; who waits there is taken in first, and open connections live on.
+    pub fn let_go(&mut self, context: &mut Context) {
+        self.accept(context);
+        self.previous = None;
+    }
+
+    /// So many connections at a time from now on; those between requests make room at once, the others as they
+    /// come to rest.
+    pub fn set_limit(&mut self, limit: usize, context: &mut Context) {
+        self.limit = limit;
+        while self.conns.len() > self.limit {
+            let Some(slot) = longest(&self.conns, Conn::rests) else { break };
+            self.conns.remove(slot);
+            context.counters.rested += 1;
+        }
+        if std::mem::replace(&mut self.full, false) {
+            self.accept(context);
+        }
+    }
+
     /// Closes those that have rested for too long, the one that did for longest first.
     pub fn sweep(&mut self, context: &mut Context) {
         let now = context.reactor.now();
@@ -361,9 +411,9 @@
         }
     }
 
-    fn complain(&mut self, now: f64, line: fmt::Arguments) {
+    fn complain(&mut self, now: f64, line: &str) {
         if now >= self.quiet_until {
-            log(line);
+            logging::warn!(event = "clients.held_up", "{line}");
         }
         self.quiet_until = now + QUIET;
     }
@@ -460,7 +510,7 @@
     pub fn close(&mut self, context: &mut Context) {
         // What has come in until now is still read, and owed an answer.
         self.accept(context);
-        self.listener = None;
+        (self.listener, self.previous) = (None, None);
         let all: Vec<Slot> = self.conns.iter().map(|(slot, _)| slot).collect();
         for slot in all {
             self.ready(slot, context);
--- /dev/null
+++ b/crates/daemon/src/net/control.rs
@@ -0,0 +1,215 @@
+//! The control socket: takes calls off local connections, a line each, and writes the answers. What a call does
+//! is not known here.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+
+use ::control::{Code, Lines, Request, Response};
+use mio::net::{UnixListener, UnixStream};
+use mio::Interest;
+
+use super::event_loop::{Due, Slot, Slots, Source};
+use super::{Context, Event};
+
+/// Most connections at a time; a further one is closed at once.
+const MOST: usize = 8;
+/// A line past this (bytes) is a long one, of which one at a time is taken in: it can need megabytes.
+const LONG: usize = 64 * 1024;
+/// Bytes read at a time.
+const PIECE: usize = 16 * 1024;
+
+struct Conn {
+    stream: UnixStream,
+    lines: Lines,
+    outbox: Vec<u8>,
+    written: usize,
+    /// A call of it is not answered yet; no further one is read until then.
+    waits: bool,
+    /// Ends once all is written.
+    ending: bool,
+    /// When it last asked, or read.
+    heard: f64,
+}
+
+/// The socket and all connections on it.
+pub(crate) struct Controls {
+    listener: UnixListener,
+    path: PathBuf,
+    conns: Slots<Conn>,
+    idle: f64,
+}
+
+impl Controls {
+    /// Listens at a path; only the owner's processes can connect. A socket that a daemon left behind when it
+    /// was killed is taken over, one that answers is not.
+    pub fn new(path: &Path, idle: f64, context: &mut Context) -> io::Result<Controls> {
+        if path.exists() {
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                return Err(io::Error::new(ErrorKind::AddrInUse, "another daemon answers there"));
+            }
+            std::fs::remove_file(path)?;
+        }
+        // Bound inside a folder that only the owner may enter, and moved out once its mode is set: at no time
+        // can another user connect.
+        let name = path.file_name().ok_or(ErrorKind::InvalidInput)?;
+        let private = path.with_extension(format!("{}.new", std::process::id()));
+        std::fs::DirBuilder::new().mode(0o700).create(&private)?;
+        let inside = private.join(name);
+        let bound = UnixListener::bind(&inside).and_then(|listener| {
+            std::fs::set_permissions(&inside, PermissionsExt::from_mode(0o600))?;
+            std::fs::rename(&inside, path)?;
+            Ok(listener)
+        });
+        let _ = std::fs::remove_dir_all(&private);
+        let mut listener = bound?;
+        context.reactor.registry.register(&mut listener, Source::Control.into(), Interest::READABLE)?;
+        Ok(Controls { listener, path: path.to_path_buf(), conns: Slots::new(), idle })
+    }
+
+    /// Closes a connection that is silent for so long (seconds), from now on.
+    pub fn set_idle(&mut self, idle: f64) {
+        self.idle = idle;
+    }
+
+    pub fn accept(&mut self, context: &mut Context) {
+        loop {
+            let mut stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) =>
+                {
+                    continue
+                }
+                // Without a descriptor what waits is announced again with the next that comes.
+                Err(_) => return,
+            };
+            if self.conns.len() >= MOST {
+                let full = Response::new(Code::Busy, format!("{MOST} control connections are open"));
+                let _ = stream.write(&full.line());
+                continue;
+            }
+            let heard = context.reactor.now();
+            let conn = Conn {
+                stream,
+                lines: Lines::default(),
+                outbox: Vec::new(),
+                written: 0,
+                waits: false,
+                ending: false,
+                heard,
+            };
+            let slot = self.conns.insert(conn);
+            let Some(conn) = self.conns.get_mut(slot) else { return };
+            let (token, both) = (Source::Caller(slot).into(), Interest::READABLE | Interest::WRITABLE);
+            if context.reactor.registry.register(&mut conn.stream, token, both).is_err() {
+                self.conns.remove(slot);
+                continue;
+            }
+            context.reactor.timer(heard + self.idle, Due::Caller(slot));
+            self.ready(slot, context);
+        }
+    }
+
+    /// A connection may be read from or written to.
+    pub fn ready(&mut self, slot: Slot, context: &mut Context) {
+        if self.turn(slot, context).is_err() {
+            self.conns.remove(slot);
+        }
+    }
+
+    fn turn(&mut self, slot: Slot, context: &mut Context) -> io::Result<()> {
+        let others =
+            self.conns.iter().filter(|(other, conn)| *other != slot && conn.lines.held() > LONG).count();
+        let Some(conn) = self.conns.get_mut(slot) else { return Ok(()) };
+        conn.flush(context.reactor.now())?;
+        let mut piece = [0; PIECE];
+        while !conn.waits && !conn.ending && conn.outbox.is_empty() {
+            if let Some(line) = conn.lines.take() {
+                match Request::read(&line) {
+                    Ok(request) => {
+                        conn.waits = true;
+                        context.events.push_back(Event::Called(slot, Box::new(request.call)));
+                    }
+                    Err(fault) => conn.last_word(Code::Malformed, fault, context.reactor.now())?,
+                }
+                continue;
+            }
+            match conn.stream.read(&mut piece) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(count) => {
+                    conn.heard = context.reactor.now();
+                    let long = conn.lines.held() + count > LONG;
+                    if long && others > 0 {
+                        conn.last_word(Code::Busy, "another long call is being taken in".into(), conn.heard)?;
+                    } else if conn.lines.push(&piece[..count]).is_err() {
+                        conn.last_word(Code::Malformed, "the call is too long".into(), conn.heard)?;
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers the call of a connection; it may have left meanwhile.
+    pub fn answer(&mut self, slot: Slot, response: &Response, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.waits) else { return };
+        (conn.waits, conn.heard) = (false, now);
+        conn.outbox.extend(response.line());
+        context.reactor.timer(now + self.idle, Due::Caller(slot));
+        self.ready(slot, context);
+    }
+
+    /// A connection may have been silent for long enough.
+    pub fn due(&mut self, slot: Slot, context: &mut Context) {
+        let now = context.reactor.now();
+        let until = match self.conns.get_mut(slot) {
+            Some(conn) if !conn.waits => conn.heard + self.idle,
+            _ => return,
+        };
+        if now >= until {
+            self.conns.remove(slot);
+        } else {
+            context.reactor.timer(until, Due::Caller(slot));
+        }
+    }
+}
+
+impl Drop for Controls {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+impl Conn {
+    fn flush(&mut self, now: f64) -> io::Result<()> {
+        while self.written < self.outbox.len() {
+            match self.stream.write(&self.outbox[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    self.written += count;
+                    self.heard = now;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        (self.outbox, self.written) = (Vec::new(), 0);
+        if self.ending {
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
+    /// Says what is wrong and ends the connection once that is written.
+    fn last_word(&mut self, code: Code, fault: String, now: f64) -> io::Result<()> {
+        self.outbox.extend(Response::new(code, fault).line());
+        self.ending = true;
+        self.flush(now)
+    }
+}
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -191,7 +191,7 @@
             self.watches.remove(slot);
         }
         if self.trouble.replace(why) != Some(why) {
-            super::log(format_args!("discovery: {why}"));
+            logging::warn!(event = "discovery.lost", "discovery: {why}");
         }
         context.events.push_back(Event::Members(ListKind::Failed, Vec::new()));
     }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -26,6 +26,18 @@
     next: u32,
 }
 
+impl Slot {
+    /// The slot as a number, for those who only hand it back.
+    pub fn number(self) -> u64 {
+        u64::from(self.generation) << 32 | u64::from(self.index)
+    }
+
+    /// The slot of a number.
+    pub fn of(number: u64) -> Slot {
+        Slot { index: number as u32, generation: (number >> 32) as u32 }
+    }
+}
+
 impl<T> Slots<T> {
     pub fn new() -> Self {
         Slots { slab: Slab::new(), next: 0 }
@@ -69,6 +81,9 @@
     Client(Slot),
     Server(Slot),
     Discovery(Slot),
+    Control,
+    Caller(Slot),
+    Disk,
 }
 
 // A token holds the kind, the generation and the index side by side.
@@ -82,6 +97,9 @@
             Source::Client(slot) => (2, Some(slot)),
             Source::Server(slot) => (3, Some(slot)),
             Source::Discovery(slot) => (4, Some(slot)),
+            Source::Control => (5, None),
+            Source::Caller(slot) => (6, Some(slot)),
+            Source::Disk => (7, None),
         };
         let Slot { index, generation } = slot.unwrap_or(Slot { index: 0, generation: 0 });
         Token(kind << 61 | (generation as usize) << 32 | index as usize)
@@ -96,7 +114,10 @@
             1 => Source::Signals,
             2 => Source::Client(slot),
             3 => Source::Server(slot),
-            _ => Source::Discovery(slot),
+            4 => Source::Discovery(slot),
+            5 => Source::Control,
+            6 => Source::Caller(slot),
+            _ => Source::Disk,
         }
     }
 }
@@ -110,6 +131,9 @@
     Client(Slot),
     Server(Slot),
     Discovery(Slot),
+    Caller(Slot),
+    /// A change of configuration is to be looked at.
+    Change,
     Drained,
 }
 
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -1,17 +1,18 @@
 //! The pooler on its sockets, a module for each kind of peer. What passes between them stands here, in no
 //! protocol's form.
 
+mod change;
 mod clients;
+mod control;
 mod discovery;
 mod event_loop;
 mod proxy;
 mod servers;
 
 use std::collections::VecDeque;
-use std::fmt;
-use std::io::{self, Write};
 use std::rc::Rc;
 
+use ::control::Call;
 use exchange::{Query, Statement};
 use listing::Listing;
 use routing::interface::{ListKind, MemberId, Outcome, Report, RequestId};
@@ -19,7 +20,7 @@
 use crate::counters::Counters;
 use event_loop::{Reactor, Slot};
 
-pub(crate) use proxy::serve;
+pub(crate) use proxy::{serve, Operator};
 
 /// Something to send to a db machine.
 #[derive(Clone, Debug)]
@@ -51,6 +52,8 @@
     Gone(Slot),
     Ended(Box<Ended>),
     Members(ListKind, Vec<Listing>),
+    /// A control connection asks.
+    Called(Slot, Box<Call>),
 }
 
 /// What every callback is handed.
@@ -60,8 +63,3 @@
     events: VecDeque<Event>,
     counters: Counters,
 }
-
-/// Writes a line to the log. A log that nobody reads any more is no reason to end.
-fn log(line: fmt::Arguments) {
-    let _ = writeln!(io::stderr(), "{line}");
-}
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -1,33 +1,39 @@
 //! Feeds what the connections tell to the [`Policy`] and carries out what it answers. Nothing is decided
 //! here but what the limits of the process force.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use ::control::{Call, Code, Response};
 use buffer::Budget;
 use config::Config;
 use exchange::{Answer, Query, Statement};
 use listing::Listing;
 use mio::net::TcpListener;
-use mio::{Interest, Poll};
+use mio::{Interest, Poll, Waker};
+use operator::{Effective, Override};
 use routing::interface::{
     self, Action, Arrival, Consistency, Done, Effect, Entry, ListKind, Outcome, Phase, RequestId,
 };
 use routing::Policy;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
+use transaction::{Action as Step, Bad, Input, MemberView, Notice, View, SPARES};
 
+use super::change::{self, Changes};
 use super::clients::Clients;
+use super::control::Controls;
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
 use super::servers::Servers;
-use super::{log, Context, Ended, Event, Task};
+use super::{Context, Ended, Event, Task};
 use crate::counters::{count, Counters};
+use crate::files;
+use crate::numbers::{Assigned, Named, Numbers};
 
-/// Descriptors kept for the listener, the poll, signals, the log, discovery's watch and surprises.
-const SPARES: usize = 16;
 /// After SIGTERM new queries are owed an answer for 0.7 s; this much longer for what is on its way (seconds).
 const LAST_CALL: f64 = 0.75;
 
@@ -39,6 +45,12 @@
     attempts: usize,
     /// The attempt that is out, until its end is handled: its number and its connection, if it has one.
     out: Option<(usize, Option<Slot>)>,
+    /// What it counts under: the lasting number of its class, its group, whether it is a repeat, its tenant.
+    class: u16,
+    group: u32,
+    repeat: bool,
+    tenant: usize,
+    taken: f64,
 }
 
 struct Proxy {
@@ -50,8 +62,18 @@
     requests: HashMap<RequestId, Request>,
     /// Which request each busy client waits for.
     asking: HashMap<Slot, RequestId>,
-    classes: Vec<(String, Consistency, Effect)>,
-    tenants: Vec<String>,
+    /// The classes and tenants that new requests are of.
+    classes: Vec<Named>,
+    tenants: Vec<(String, usize)>,
+    numbers: Numbers,
+    budget: Budget,
+    /// Changes through the operator's file; none where there is no such file.
+    changes: Option<Box<Changes>>,
+    control: Option<Controls>,
+    log: logging::Handle,
+    /// Where clients are told to connect, and where they were told before a change that may still be undone.
+    listen: SocketAddr,
+    listened: Option<SocketAddr>,
     zones: Vec<String>,
     probe_timeout: f64,
     /// Where the configuration is read again from.
@@ -60,58 +82,102 @@
     closing: bool,
 }
 
+/// The operator's side of a daemon.
+pub(crate) struct Operator {
+    /// The operator's file.
+    pub file: PathBuf,
+    /// The folder of the history, where the file's word for it is not to be relied on.
+    pub state: Option<PathBuf>,
+}
+
 /// Serves until told to end.
-pub(crate) fn serve(config: &Config, path: &Path) -> io::Result<()> {
+pub(crate) fn serve(config: &Config, path: &Path, operator: Option<Operator>) -> io::Result<()> {
     let mut poll = Poll::new()?;
     let reactor = Reactor::new(&poll)?;
     let mut context = Context { reactor, events: Default::default(), counters: Counters::default() };
-    let mut proxy = Proxy::new(config, path, &mut context)?;
+    let mut proxy = Proxy::new(config, path, operator, &mut context)?;
     event_loop::run(&mut poll, &mut proxy, &mut context)?;
-    log(format_args!("{} ends: {}", config.name, context.counters));
+    logging::info!(event = "ended", "{} ends: {}", config.name, context.counters);
     Ok(())
 }
 
 impl Proxy {
-    fn new(config: &Config, path: &Path, context: &mut Context) -> io::Result<Proxy> {
-        let settings = &config.settings;
-        let policy = Policy::new(settings.clone(), config.seed)
-            .map_err(|fault| io::Error::new(io::ErrorKind::InvalidInput, fault))?;
+    fn new(
+        config: &Config,
+        path: &Path,
+        operator: Option<Operator>,
+        context: &mut Context,
+    ) -> io::Result<Proxy> {
+        let invalid = |fault: String| io::Error::new(io::ErrorKind::InvalidInput, fault);
+        let now = context.reactor.now();
+        let mut loud = Vec::new();
+        let opening =
+            operator.map(|operator| change::open(&operator.file, operator.state, config, now, &mut loud));
+        let opening = opening.transpose().map_err(invalid)?;
+        let effective = match &opening {
+            Some(opening) => opening.effective.clone(),
+            // Nothing but the platform's word, which has been checked with it.
+            None => Effective::new(config, Default::default()).map_err(|conflicts| {
+                invalid(conflicts.into_iter().map(|c| c.what).collect::<Vec<_>>().join("; "))
+            })?,
+        };
+        let log = logging::start(effective.document.log.level, effective.document.log.format);
+        for line in loud {
+            logging::error!(event = "config.loud", "{line}");
+        }
+        let mut numbers = Numbers::default();
+        let Assigned { settings, classes, tenants } =
+            numbers.assign(&effective, |_| false).map_err(invalid)?;
+        let (connect_timeout, keepalive) = (settings.connect_timeout, effective.keepalive);
+        let policy = Policy::new(settings, config.seed).map_err(|fault| invalid(fault.to_string()))?;
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
         // Half the memory is for buffers, statements and values, whoever needs them at the time.
-        let sockets = config.sockets.saturating_sub(SPARES);
+        let sockets = effective.sockets.saturating_sub(SPARES);
         let clients = sockets / 2;
         if clients == 0 {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "too few sockets"));
         }
-        let budget = Budget::new(config.memory / 2);
-        let listener = TcpListener::bind(config.listen)?;
-        log(format_args!("{} listens on {}, for {clients} clients", config.name, listener.local_addr()?));
-        let names = config.classes.iter().cloned();
+        let budget = Budget::new(effective.memory / 2);
+        let listener = TcpListener::bind(effective.listen)?;
+        let address = listener.local_addr()?;
+        logging::info!(event = "listening", "{} listens on {address}, for {clients} clients", config.name);
+        let registry = &context.reactor.registry;
+        let waker = || Waker::new(registry, Source::Disk.into());
+        let changes = opening.map(|opening| Changes::new(opening, config.clone(), waker, now)).transpose()?;
+        let control = &effective.document.control;
+        let controls = control.socket.as_ref().map(|path| {
+            Controls::new(path, control.idle_s, context)
+                .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
+        });
         let mut proxy = Proxy {
             policy,
             clients: Clients::new(listener, clients, budget.clone(), context)?,
-            servers: Servers::new(
-                sockets - clients,
-                budget.clone(),
-                config.keepalive,
-                settings.connect_timeout,
-            ),
-            discovery: Discovery::new(config.discovery, config.known.index, budget),
+            servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
+            discovery: Discovery::new(effective.discovery, config.known.index, budget.clone()),
             signals,
             requests: HashMap::new(),
             asking: HashMap::new(),
-            classes: names.zip(&settings.classes).map(|(n, c)| (n, c.consistency, c.effect)).collect(),
-            tenants: config.tenants.clone(),
-            zones: config.zones.clone(),
-            probe_timeout: settings.connect_timeout,
+            classes,
+            tenants,
+            numbers,
+            budget,
+            changes: changes.map(Box::new),
+            control: controls.transpose()?,
+            log,
+            listen: effective.listen,
+            listened: None,
+            zones: effective.zones.clone(),
+            probe_timeout: connect_timeout,
             path: path.to_path_buf(),
             draining: false,
             closing: false,
         };
         context.events.push_back(Event::Members(ListKind::Saved, config.known.listings.clone()));
         proxy.drain(context);
+        proxy.intend(&effective, context);
+        proxy.drain(context);
         Ok(proxy)
     }
 
@@ -122,7 +188,8 @@
                 Event::Asked(client, query) => self.asked(client, *query, context),
                 Event::Gone(client) => self.gone(client, context),
                 Event::Ended(ended) => self.ended(*ended, context),
-                Event::Members(kind, listings) => self.members(kind, listings, context),
+                Event::Members(kind, listings) => self.listed(kind, listings, context),
+                Event::Called(caller, call) => self.called(caller, *call, context),
             }
         }
     }
@@ -164,18 +231,20 @@
                     self.servers.send(Task::Probe, &member, self.probe_timeout, context);
                 }
                 Action::LetGo { member } => self.servers.let_go(&member),
+                // With a list of the operator's own there may be no discovery at all.
+                Action::Listen if self.changes.as_ref().is_some_and(|changes| changes.roster.is_fixed()) => {}
                 Action::Listen => self.discovery.listen(context),
-                Action::Log(text) => log(format_args!("{text}")),
+                Action::Log(text) => logging::info!(event = "decided", "{text}"),
             }
         }
     }
 
     fn asked(&mut self, client: Slot, query: Query, context: &mut Context) {
-        let class = self.classes.iter().position(|(name, ..)| *name == query.class);
-        let Some((class, (_, consistency, effect))) = class.map(|class| (class, &self.classes[class])) else {
+        let class = self.classes.iter().find(|class| class.name == query.class);
+        let Some(&Named { number: class, id: counted, consistency, effect, .. }) = class else {
             return self.clients.answer(client, Answer::Invalid("unknown class"), context);
         };
-        if *effect == Effect::Keyed && !query.keyed {
+        if effect == Effect::Keyed && !query.keyed {
             return self.clients.answer(client, Answer::Invalid("this class needs a key"), context);
         }
         let id = RequestId::from(query.id);
@@ -185,7 +254,9 @@
         }
         context.counters.taken += 1;
         let sessions = matches!(consistency, Consistency::Write | Consistency::Session);
-        let tenant = self.tenants.iter().position(|name| *name == query.tenant);
+        let tenant = self.tenants.iter().find(|(name, _)| *name == query.tenant).map(|(_, number)| *number);
+        // One that is not known has no number that the policy knows.
+        let tenant = tenant.unwrap_or(usize::MAX);
         let arrival = Arrival {
             id: id.clone(),
             class,
@@ -193,12 +264,21 @@
             left: query.patience,
             token_age: None,
             session: query.key.filter(|_| sessions).map(Into::into),
-            tenant: tenant.unwrap_or(self.tenants.len()),
+            tenant,
             predicted: None,
             repeat: query.repeat,
         };
-        let request =
-            Request { client: Some(client), statement: Rc::new(query.statement), attempts: 0, out: None };
+        let request = Request {
+            client: Some(client),
+            statement: Rc::new(query.statement),
+            attempts: 0,
+            out: None,
+            class: counted,
+            group: query.group,
+            repeat: query.repeat,
+            tenant,
+            taken: context.reactor.now(),
+        };
         self.requests.insert(id.clone(), request);
         self.asking.insert(client, id);
         self.tell(interface::Event::Arrival(arrival), context);
@@ -220,8 +300,17 @@
 
     /// Gives a request its final answer, unless it has had one.
     fn answer(&mut self, id: &RequestId, answer: Answer, context: &mut Context) {
-        let client = self.requests.get_mut(id).and_then(|request| request.client.take());
-        if let Some(client) = client {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        if let Some(client) = request.client.take() {
+            if let Some(changes) = &mut self.changes {
+                let bad = match answer {
+                    Answer::Served(_) => None,
+                    Answer::Refused(_) => Some(Bad::Refused),
+                    Answer::Failed | Answer::Invalid(_) => Some(Bad::Failed),
+                };
+                let now = context.reactor.now();
+                changes.note(now, (request.class, request.group), request.repeat, bad, now - request.taken);
+            }
             self.asking.remove(&client);
             self.clients.answer(client, answer, context);
         }
@@ -258,6 +347,19 @@
         self.carry_out(actions, context);
     }
 
+    /// The list tells something. It is a fact: with an operator's file his intents are laid over it, and no
+    /// change that is under way holds it back.
+    fn listed(&mut self, kind: ListKind, listings: Vec<Listing>, context: &mut Context) {
+        match &mut self.changes {
+            None => self.members(kind, listings, context),
+            Some(changes) => {
+                if let Some((kind, listings)) = changes.roster.fact(kind, listings) {
+                    self.members(kind, listings, context);
+                }
+            }
+        }
+    }
+
     fn members(&mut self, kind: ListKind, listings: Vec<Listing>, context: &mut Context) {
         context.counters.lists += u64::from(kind != ListKind::Failed);
         context.counters.lists_failed += u64::from(kind == ListKind::Failed);
@@ -280,31 +382,279 @@
         Entry { member: name, zone: zone as u32, group, phase, started_at: since, primary: false }
     }
 
-    /// Reads the configuration again. Only discovery's address is taken from it: the rest is what requests
-    /// in hand were taken in under, and holds from the next start. A file that cannot be used changes nothing.
+    /// Reads the configuration again. Of the platform's only discovery's address is taken: the rest is what
+    /// requests in hand were taken in under, and holds from the next start. The operator's file goes through a
+    /// transaction. A file that cannot be used changes nothing.
     fn reload(&mut self, context: &mut Context) {
         match Config::load(&self.path) {
             Ok(config) => {
                 context.counters.reloads += 1;
-                log(format_args!("configuration read again: discovery at {}", config.discovery));
-                self.discovery.move_to(config.discovery, context);
+                let mut address = config.discovery;
+                if let Some(changes) = &mut self.changes {
+                    changes.platform.discovery = address;
+                    address = changes.effective.document.discovery.unwrap_or(address);
+                    changes.effective.discovery = address;
+                }
+                logging::info!(event = "config.reread", "configuration read again: discovery at {address}");
+                self.discovery.move_to(address, context);
             }
             Err(error) => {
                 context.counters.reloads_failed += 1;
-                log(format_args!("configuration kept as it was: {error}"));
+                logging::error!(event = "config.kept", "configuration kept as it was: {error}");
+            }
+        }
+        let Some(changes) = &self.changes else { return };
+        let read = files::document(&changes.path).and_then(|(text, document)| {
+            files::signed(&text, &changes.effective.document.change).map(|()| document)
+        });
+        match read {
+            Ok(document) => self.propose(None, document, "SIGHUP".into(), None, Vec::new(), context),
+            Err(fault) => {
+                context.counters.reloads_failed += 1;
+                logging::error!(event = "config.kept", "operator file not taken: {fault}");
+            }
+        }
+    }
+
+    fn propose(
+        &mut self,
+        caller: Option<Slot>,
+        document: operator::Document,
+        note: String,
+        within: Option<f64>,
+        allow: Vec<String>,
+        context: &mut Context,
+    ) {
+        let view = self.view();
+        let Some(changes) = &mut self.changes else { return };
+        changes.propose(caller.map(Slot::number), document, note, within, allow, &view);
+        self.change(context);
+    }
+
+    /// Lets the transaction take its steps.
+    fn change(&mut self, context: &mut Context) {
+        while let Some(changes) = &mut self.changes {
+            let Some(input) = changes.inputs.pop_front() else { return };
+            let mut steps = Vec::new();
+            changes.machine.handle(context.reactor.now(), input, &mut steps);
+            for step in steps {
+                self.step(step, context);
+            }
+        }
+    }
+
+    fn step(&mut self, step: Step, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(changes) = &mut self.changes else { return };
+        match step {
+            Step::Persist { step, record } => changes.persist(step, &record),
+            Step::Apply(generation) => {
+                let begun = std::time::Instant::now();
+                let number = generation.number;
+                let result = self.put(&generation.document, context);
+                let took = begun.elapsed().as_micros() as u64;
+                logging::debug!(event = "config.put", generation = number, took_us = took, "put in force");
+                let Some(changes) = &mut self.changes else { return };
+                changes.since = now;
+                // Before anything else that waits: it is in force now.
+                changes.inputs.push_front(Input::Applied { number, result });
+            }
+            Step::Watch => changes.health.freeze(now),
+            Step::Settle => {
+                changes.health.thaw();
+                self.listened = None;
+                self.clients.let_go(context);
+            }
+            Step::Timer(at) => context.reactor.timer(at, Due::Change),
+            Step::Reply(caller, outcome) => {
+                if let Some(control) = &mut self.control {
+                    control.answer(Slot::of(caller), &change::response(&outcome), context);
+                }
+            }
+            Step::Notice(notice) => noticed(&notice),
+        }
+    }
+
+    /// Puts a document in force, all of it or nothing. What can fail comes first; from there on nothing can.
+    fn put(&mut self, document: &operator::Document, context: &mut Context) -> Result<(), String> {
+        let Some(changes) = &self.changes else { return Ok(()) };
+        let effective = Effective::new(&changes.platform, document.clone())
+            .map_err(|conflicts| conflicts.into_iter().map(|c| c.what).collect::<Vec<_>>().join("; "))?;
+        let mut listener = None;
+        if effective.listen != self.listen && self.listened != Some(effective.listen) {
+            let bound = TcpListener::bind(effective.listen);
+            listener = Some(bound.map_err(|error| format!("listen: {}: {error}", effective.listen))?);
+        }
+        let mut numbers = self.numbers.clone();
+        let Assigned { settings, classes, tenants } =
+            numbers.assign(&effective, |number| self.policy.class_in_hand(number))?;
+        let connect_timeout = settings.connect_timeout;
+        self.policy.reconfigure(settings).map_err(|fault| fault.to_string())?;
+        (self.numbers, self.classes, self.tenants) = (numbers, classes, tenants);
+        if let Some(listener) = listener {
+            // Only a lack of memory in the kernel could fail here; then the old address alone takes in.
+            match self.clients.listen_on(listener, context) {
+                Ok(()) => self.listened = Some(std::mem::replace(&mut self.listen, effective.listen)),
+                Err(error) => logging::error!(event = "listen.failed", "{}: {error}", effective.listen),
+            }
+        } else if self.listened == Some(effective.listen) {
+            self.clients.listen_again();
+            self.listened = Some(std::mem::replace(&mut self.listen, effective.listen));
+        }
+        let sockets = effective.sockets.saturating_sub(SPARES);
+        self.clients.set_limit(sockets / 2, context);
+        self.servers.set_limits(sockets - sockets / 2, effective.keepalive, connect_timeout);
+        self.budget.resize(effective.memory / 2);
+        self.probe_timeout = connect_timeout;
+        self.log.set(effective.document.log.level);
+        if let Some(control) = &mut self.control {
+            control.set_idle(effective.document.control.idle_s);
+        }
+        self.discovery.move_to(effective.discovery, context);
+        self.intend(&effective, context);
+        if let Some(changes) = &mut self.changes {
+            changes.effective = effective;
+        }
+        Ok(())
+    }
+
+    /// Lays the operator's intents over the list.
+    fn intend(&mut self, effective: &Effective, context: &mut Context) {
+        let Some(changes) = &mut self.changes else { return };
+        if let Some((kind, listings)) = changes.roster.intend(effective) {
+            self.members(kind, listings, context);
+        }
+        let excluded = effective.document.overrides.iter().filter(|(_, wish)| **wish == Override::Exclude);
+        for (name, _) in excluded {
+            self.servers.let_go(&name.as_str().into());
+        }
+    }
+
+    /// What a change would meet now.
+    fn view(&self) -> View {
+        let Some(changes) = &self.changes else { return View::default() };
+        let known: BTreeMap<&str, (f64, bool)> =
+            self.policy.members().map(|(id, _, warmth, primary)| (&**id, (warmth, primary))).collect();
+        let members = changes.roster.listed().map(|listing| {
+            let (warmth, primary) = known.get(&*listing.name).copied().unwrap_or((1.0, false));
+            let (name, group) = (listing.name.to_string(), listing.group);
+            MemberView { name, group, serving: listing.phase == Phase::Active, warmth, primary }
+        });
+        let mut view = View { members: members.collect(), ..View::default() };
+        for ((class, group), count) in changes.health.traffic() {
+            *view.traffic.entry((self.numbers.name(class).to_string(), group)).or_insert(0) += count;
+        }
+        let tenants: HashMap<usize, &String> = self.tenants.iter().map(|(name, n)| (*n, name)).collect();
+        for request in self.requests.values() {
+            let class = self.numbers.name(request.class).to_string();
+            *view.traffic.entry((class.clone(), request.group)).or_insert(0) += 1;
+            *view.classes_in_hand.entry(class).or_insert(0) += 1;
+            if let Some(tenant) = tenants.get(&request.tenant) {
+                *view.tenants_in_hand.entry(tenant.to_string()).or_insert(0) += 1;
+            }
+        }
+        view.clients_busy = self.asking.len();
+        view.servers_busy = self.servers.busy();
+        view.memory_in_use = self.budget.used();
+        view
+    }
+
+    /// Answers a control call, at once or once the transaction has come so far.
+    fn called(&mut self, caller: Slot, call: Call, context: &mut Context) {
+        let Some(changes) = &mut self.changes else { return };
+        let unreadable = |fault: String| Response::new(Code::Unreadable, fault);
+        let read = |text: &str| {
+            let policy = &changes.effective.document.change;
+            files::signed(text, policy)?;
+            operator::read(text.as_bytes()).map_err(|faults| faults.to_string())
+        };
+        let response = match call {
+            Call::Plan { text } => match read(&text) {
+                Ok(document) => {
+                    let view = self.view();
+                    self.changes
+                        .as_ref()
+                        .map_or_else(|| unreadable(String::new()), |c| c.plan(document, &view))
+                }
+                Err(fault) => unreadable(fault),
+            },
+            Call::Apply { text, note, confirm_within_s, allow } => match read(&text) {
+                Ok(_) if confirm_within_s.is_some_and(|s| !(0.1..=86_400.0).contains(&s)) => {
+                    Response::new(Code::Malformed, "confirm_within_s: accepted: 0.1 to 86400")
+                }
+                Ok(document) => {
+                    return self.propose(Some(caller), document, note, confirm_within_s, allow, context);
+                }
+                Err(fault) => unreadable(fault),
+            },
+            Call::Confirm { generation } => {
+                changes
+                    .inputs
+                    .push_back(Input::Confirm { caller: Some(caller.number()), number: generation });
+                return self.change(context);
+            }
+            Call::Rollback { to, allow } => {
+                let probation = matches!(changes.machine.stage(), transaction::Stage::Probation(_));
+                if probation && to.is_none_or(|to| to == changes.machine.base().number) {
+                    changes.inputs.push_back(Input::Rollback { caller: Some(caller.number()) });
+                    return self.change(context);
+                }
+                match changes.machine.history().earlier(to).cloned() {
+                    Some(earlier) => {
+                        let (document, note) =
+                            ((*earlier.document).clone(), format!("back to {}", earlier.number));
+                        return self.propose(Some(caller), document, note, None, allow, context);
+                    }
+                    None => Response::new(Code::Nothing, "no such confirmed generation is kept"),
+                }
+            }
+            Call::Status {} => changes.status(self.requests.len()),
+            Call::History {} => {
+                let entries = changes.machine.history().entries().cloned().collect();
+                Response { history: Some(entries), ..Response::new(Code::Ok, "the newest last") }
+            }
+            Call::Show {} => {
+                let current = changes.machine.current();
+                let (text, number) = (Some(current.document.text()), current.number);
+                Response {
+                    text,
+                    generation: Some(number),
+                    ..Response::new(Code::Ok, format!("generation {number}"))
+                }
             }
+        };
+        if let Some(control) = &mut self.control {
+            control.answer(caller, &response, context);
         }
     }
 
+    /// The disk has done something.
+    fn written(&mut self, context: &mut Context) {
+        let Some(changes) = &mut self.changes else { return };
+        for fault in changes.written() {
+            logging::error!(event = "history.kept_long", "the history cannot be rewritten: {fault}");
+        }
+        self.change(context);
+    }
+
+    /// Looks after a change on probation.
+    fn probation(&mut self, context: &mut Context) {
+        let (now, numbers) = (context.reactor.now(), &self.numbers);
+        let Some(changes) = &mut self.changes else { return };
+        let worse = changes.worse(now, |class| numbers.name(class).to_string());
+        changes.inputs.push_back(Input::Time(worse));
+        self.change(context);
+    }
+
     fn signal(&mut self, context: &mut Context) {
         let pending: Vec<i32> = self.signals.pending().collect();
         for signal in pending {
             if signal == SIGUSR1 {
-                log(format_args!("{}", context.counters));
+                logging::info!(event = "counters", left_out = self.log.left_out(), "{}", context.counters);
             } else if signal == SIGHUP {
                 self.reload(context);
             } else if !std::mem::replace(&mut self.draining, true) {
-                log(format_args!("asked to end"));
+                logging::info!(event = "ending", "asked to end");
                 context.reactor.timer(context.reactor.now() + LAST_CALL, Due::Drained);
             }
         }
@@ -319,6 +669,9 @@
             Source::Client(slot) => self.clients.ready(slot, context),
             Source::Server(slot) => self.servers.ready(slot, context),
             Source::Discovery(slot) => self.discovery.ready(slot, context),
+            Source::Control => self.control.iter_mut().for_each(|control| control.accept(context)),
+            Source::Caller(slot) => self.control.iter_mut().for_each(|control| control.ready(slot, context)),
+            Source::Disk => self.written(context),
         }
         self.drain(context);
     }
@@ -331,6 +684,8 @@
             Due::Client(slot) => self.clients.due(slot, context),
             Due::Server(slot) => self.servers.due(slot, context),
             Due::Discovery(slot) => self.discovery.due(slot, context),
+            Due::Caller(slot) => self.control.iter_mut().for_each(|control| control.due(slot, context)),
+            Due::Change => self.probation(context),
             Due::Drained => {
                 self.closing = true;
                 self.clients.close(context);
@@ -343,3 +698,39 @@
         self.closing && self.clients.is_empty()
     }
 }
+
+/// Tells the log how a change goes.
+fn noticed(notice: &Notice) {
+    match notice {
+        Notice::Refused(codes) => {
+            let codes = codes.join(", ");
+            logging::warn!(event = "config.refused", codes, "a change is refused; nothing has changed");
+        }
+        Notice::Staged(number) => logging::debug!(event = "config.staged", generation = number, "on record"),
+        Notice::Applied(number) => {
+            logging::info!(
+                event = "config.applied",
+                generation = number,
+                "generation {number} is in force, on probation"
+            );
+        }
+        Notice::Confirmed(number) => {
+            logging::info!(event = "config.confirmed", generation = number, "generation {number} stands");
+        }
+        Notice::RolledBack(number, to, why) => {
+            logging::warn!(
+                event = "config.rolled_back",
+                generation = number,
+                to,
+                "generation {number} is undone, {to} holds again: {why}"
+            );
+        }
+        Notice::NotTaken(number, why) => {
+            logging::error!(
+                event = "config.not_taken",
+                generation = number,
+                "generation {number} is not taken: {why}"
+            );
+        }
+    }
+}
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -307,6 +307,17 @@
         Servers { machines, conns, limit, budget, keepalive: keepalive * KEEP_SHARE, connect_timeout }
     }
 
+    /// Other limits from now on; connections that are busy end under those that they began with.
+    pub fn set_limits(&mut self, limit: usize, keepalive: f64, connect_timeout: f64) {
+        (self.limit, self.keepalive, self.connect_timeout) = (limit, keepalive * KEEP_SHARE, connect_timeout);
+        while self.conns.len() > self.limit && self.evict() {}
+    }
+
+    /// Connections that carry an attempt or a probe, or are being made for one.
+    pub fn busy(&self) -> usize {
+        self.conns.iter().filter(|(_, conn)| conn.stage != Stage::Idle).count()
+    }
+
     /// Takes in what the list says of addresses. Connections to where a machine no longer is, or made before
     /// it last started, are closed: a machine that was cut off would leave them open and silent.
     pub fn list(&mut self, kind: ListKind, listings: &[Listing], now: f64) {
--- a/crates/transaction/src/health.rs
+++ b/crates/transaction/src/health.rs
@@ -118,6 +118,18 @@
     pub chance: f64,
 }
 
+impl Judged {
+    /// The same in words, with the class's name.
+    pub fn words(&self, class: &str) -> String {
+        let Judged { group, measure, before, after, requests: (old, new), chance, .. } = self;
+        let unit = if *measure == "latency" { " s" } else { "" };
+        format!(
+            "{measure} of class {class} in group {group} went from {before:.4}{unit} to {after:.4}{unit} \
+             ({old} requests before, {new} since, chance {chance:.1e})"
+        )
+    }
+}
+
 /// Counts how requests end, before a change and since one.
 pub struct Health {
     slice: f64,
--- a/crates/transaction/src/lib.rs
+++ b/crates/transaction/src/lib.rs
@@ -12,7 +12,7 @@
 mod machine;
 mod roster;
 
-pub use check::{check, refused, Finding, MemberView, Severity, View};
+pub use check::{check, refused, Finding, MemberView, Severity, View, SPARES};
 pub use health::{Bad, Health, Judged, Rules, Verdict, MOST_CELLS};
 pub use history::{Entry, Fate, Generation, History, Record, Start, MOST_ENTRIES};
 pub use machine::{
--- a/crates/transaction/src/machine.rs
+++ b/crates/transaction/src/machine.rs
@@ -12,7 +12,6 @@
 use operator::Document;
 
 use crate::check::{refused, Finding};
-use crate::health::Verdict;
 use crate::history::{Generation, History, Record};
 
 /// How often health is looked at during a probation (seconds): a rollback begins this long after what it is
@@ -81,8 +80,8 @@
         /// Who waits for it.
         caller: Option<Caller>,
     },
-    /// Time has passed; how health is.
-    Time(Verdict),
+    /// Time has passed; what has become worse, if anything.
+    Time(Option<String>),
 }
 
 /// Why a change was undone.
@@ -267,14 +266,9 @@
                 }
                 self.revert(Why::Asked, out);
             }
-            Input::Time(verdict) => {
+            Input::Time(worse) => {
                 let Stage::Probation(until) = self.stage else { return };
-                if let Verdict::Worse(judged) = verdict {
-                    let (before, after) = (judged.before, judged.after);
-                    let what = format!(
-                        "{} of class {} in group {} went from {before:.4} to {after:.4} over {} and {} requests",
-                        judged.measure, judged.class, judged.group, judged.requests.0, judged.requests.1
-                    );
+                if let Some(what) = worse {
                     return self.revert(Why::Worse(what), out);
                 }
                 if now < until {
--- a/crates/transaction/src/roster.rs
+++ b/crates/transaction/src/roster.rs
@@ -73,6 +73,11 @@
         Some((kind, news))
     }
 
+    /// Whether the operator's own list is in force.
+    pub fn is_fixed(&self) -> bool {
+        self.fixed.is_some()
+    }
+
     /// The members that the list in force names, as it names them.
     pub fn listed(&self) -> impl Iterator<Item = &Listing> {
         self.fixed.as_ref().unwrap_or(&self.facts).values()
--- a/crates/transaction/tests/explored.rs
+++ b/crates/transaction/tests/explored.rs
@@ -10,8 +10,8 @@
 use proptest::prelude::*;
 use routing::interface::{ListKind, Phase};
 use transaction::{
-    Action, Finding, Generation, Health, History, Input, Judged, Machine, Mode, Outcome, Proposal, Record,
-    Roster, Severity, Stage, Verdict,
+    Action, Finding, Generation, Health, History, Input, Machine, Mode, Outcome, Proposal, Record, Roster,
+    Severity, Stage,
 };
 
 const PLATFORM: &str = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f",
@@ -203,16 +203,7 @@
             Move::Rollback => self.input(Input::Rollback { caller: None }),
             Move::Pass(ms, worse) => {
                 self.now += f64::from(ms) / 1000.0;
-                let judged = Judged {
-                    class: 0,
-                    group: 0,
-                    measure: "failed",
-                    before: 0.0,
-                    after: 1.0,
-                    requests: (50, 50),
-                    chance: 0.0,
-                };
-                self.input(Input::Time(if worse { Verdict::Worse(judged) } else { Verdict::Fine }));
+                self.input(Input::Time(worse.then(|| "worse".to_string())));
             }
             Move::Crash { torn } => {
                 // What was being written is either all there or cut; the rest never was.
