--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -16,6 +16,11 @@
 #[test]
 fn the_printed_defaults_hold_every_setting_and_parse_to_the_defaults() {
     let text = schema::defaults();
+    assert_eq!(
+        text,
+        include_str!("../../../deploy/dewferry.toml"),
+        "deploy/dewferry.toml is what is printed"
+    );
     assert_eq!(read(text.as_bytes()), Ok(Document::default()));
     for setting in schema::SETTINGS {
         assert!(text.contains(setting.about), "{}", setting.key);
