HTTP/1.1 of a client in a package without I/O; discovery's watch uses it

Change: http1 builds requests and takes answers apart (sized, chunked, until the end; informational heads, keep-alive, trailers), refuses lengths that contradict each other, and bounds heads and pieces. Discovery's watch is built on it; cutting bytes into lines moved to buffer, for the watch and the control socket.

--- a/crates/buffer/src/lib.rs
+++ b/crates/buffer/src/lib.rs
@@ -1,5 +1,9 @@
 //! The ring buffer that each connection has for each direction, and the memory budget of all of them.
 
+mod lines;
+
+pub use lines::{Lines, TooLong};
+
 use std::cell::Cell;
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
--- a/crates/control/tests/messages.rs
+++ b/crates/control/tests/messages.rs
@@ -1,6 +1,7 @@
 //! The messages: both ways, and what is none of them.
 
-use control::{Call, Code, Lines, Request, Response, TooLong, LONGEST_LINE};
+use buffer::{Lines, TooLong};
+use control::{Call, Code, Request, Response, LONGEST_LINE};
 
 #[test]
 fn a_call_reads_back_as_it_was_written() {
@@ -41,7 +42,7 @@
     let (status, show) = (Request::new(Call::Status {}).line(), Request::new(Call::Show {}).line());
     let bytes = [status.clone(), show.clone()].concat();
     for at in 0..bytes.len() {
-        let mut lines = Lines::default();
+        let mut lines = Lines::new(LONGEST_LINE);
         let mut taken = Vec::new();
         for piece in [&bytes[..at], &bytes[at..]] {
             lines.push(piece).unwrap();
@@ -52,7 +53,7 @@
         assert_eq!(taken, [&status[..status.len() - 1], &show[..show.len() - 1]]);
         assert_eq!(lines.held(), 0);
     }
-    let mut lines = Lines::default();
+    let mut lines = Lines::new(LONGEST_LINE);
     assert_eq!(lines.push(&vec![b'a'; LONGEST_LINE]), Ok(()));
     assert_eq!((lines.take(), lines.push(b"a")), (None, Err(TooLong)));
 }
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -5,7 +5,8 @@
 use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 
-use ::control::{Code, Lines, Request, Response};
+use ::control::{Code, Request, Response, LONGEST_LINE};
+use buffer::Lines;
 use mio::net::{UnixListener, UnixStream};
 use mio::Interest;
 
@@ -92,7 +93,7 @@
             let heard = context.reactor.now();
             let conn = Conn {
                 stream,
-                lines: Lines::default(),
+                lines: Lines::new(LONGEST_LINE),
                 outbox: Vec::new(),
                 written: 0,
                 waits: false,
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use buffer::{Budget, Fill, Ring};
+use buffer::{Budget, Fill, Lines, Ring};
+use http1::{Answer, Fault, Head, Piece, Request};
 use mio::net::TcpStream;
 use mio::Interest;
 use routing::interface::ListKind;
@@ -13,24 +14,9 @@
 const PATH: &str = "/catalog/members";
 /// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s.
 const SILENCE: f64 = 5.0;
-/// Most header fields of an answer that are looked at.
-const FIELDS: usize = 32;
-/// Longest head of an answer, longest line that gives a chunk's size, and longest line of a watch.
-const LONGEST_HEAD: usize = 8 * 1024;
-const LONGEST_SIZE: usize = 256;
+/// Longest line of a watch (bytes).
 const LONGEST_LINE: usize = 1024 * 1024;
 
-/// Where in the answer the next byte stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Part {
-    Head,
-    Size,
-    /// So many bytes of a chunk are still to come.
-    Chunk(u64),
-    /// The line end behind a chunk.
-    End,
-}
-
 /// The watch is of no further use; why, for the log.
 type Broken = &'static str;
 
@@ -38,8 +24,8 @@
     stream: TcpStream,
     inbox: Ring,
     outbox: Ring,
-    part: Part,
-    line: Vec<u8>,
+    answer: Answer,
+    lines: Lines,
     /// Whether any news, or word that there is none, has come over it.
     told: bool,
     heard: f64,
@@ -58,7 +44,7 @@
         loop {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| "the connection broke")?;
             let before = self.inbox.len();
-            while self.part(lines)? {}
+            self.understand(lines)?;
             match fill {
                 Fill::Ended => return Err("the watch ended"),
                 Fill::Drained => return Ok(()),
@@ -68,68 +54,22 @@
         }
     }
 
-    /// Takes the next part of the answer; false when it is not all there.
-    fn part(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<bool, Broken> {
-        match self.part {
-            Part::Head => {
-                let head = self.inbox.first(LONGEST_HEAD);
-                let mut fields = [httparse::EMPTY_HEADER; FIELDS];
-                let mut response = httparse::Response::new(&mut fields);
-                match response.parse(&head) {
-                    Ok(httparse::Status::Complete(length)) => {
-                        let chunked = response.headers.iter().any(|field| {
-                            field.name.eq_ignore_ascii_case("transfer-encoding")
-                                && field.value.eq_ignore_ascii_case(b"chunked")
-                        });
-                        if response.code != Some(200) || !chunked {
-                            return Err("the call was turned down");
-                        }
-                        self.inbox.skip(length);
-                        self.part = Part::Size;
-                        Ok(true)
-                    }
-                    Ok(httparse::Status::Partial) if head.len() < LONGEST_HEAD => Ok(false),
-                    _ => Err("not HTTP"),
-                }
-            }
-            Part::Size => {
-                let size = self.inbox.first(LONGEST_SIZE);
-                match httparse::parse_chunk_size(&size) {
-                    Ok(httparse::Status::Complete((_, 0))) => Err("the watch ended"),
-                    Ok(httparse::Status::Complete((length, size))) => {
-                        self.inbox.skip(length);
-                        self.part = Part::Chunk(size);
-                        Ok(true)
+    /// Takes what is there of the answer.
+    fn understand(&mut self, lines: &mut Vec<Vec<u8>>) -> Result<(), Broken> {
+        while let Some(piece) = self.answer.next(&mut self.inbox).map_err(Fault::words)? {
+            match piece {
+                Piece::Head(Head { status: 200, chunked: true, .. }) => {}
+                Piece::Head(_) => return Err("the call was turned down"),
+                Piece::Body(bytes) => {
+                    self.lines.push(&bytes).map_err(|_| "a line too long")?;
+                    while let Some(line) = self.lines.take() {
+                        lines.push(line);
                     }
-                    Ok(httparse::Status::Partial) if size.len() < LONGEST_SIZE => Ok(false),
-                    _ => Err("not a chunk"),
                 }
+                Piece::End => return Err("the watch ended"),
             }
-            Part::Chunk(left) => {
-                let bytes = self.inbox.take(usize::try_from(left).unwrap_or(usize::MAX));
-                let left = left - bytes.len() as u64;
-                self.part = if left == 0 { Part::End } else { Part::Chunk(left) };
-                for piece in bytes.split_inclusive(|byte| *byte == b'\n') {
-                    self.line.extend(piece);
-                    if piece.ends_with(b"\n") {
-                        lines.push(std::mem::take(&mut self.line));
-                    }
-                }
-                if self.line.len() > LONGEST_LINE {
-                    return Err("a line too long");
-                }
-                Ok(left == 0)
-            }
-            Part::End => match self.inbox.peek() {
-                None => Ok(false),
-                Some([b'\r', b'\n']) => {
-                    self.inbox.skip(2);
-                    self.part = Part::Size;
-                    Ok(true)
-                }
-                Some(_) => Err("not a chunk"),
-            },
         }
+        Ok(())
     }
 }
 
@@ -169,12 +109,11 @@
         };
         let (mut outbox, heard) = (Ring::new(&self.budget), context.reactor.now());
         let (index, host) = (self.index, self.address);
-        let request = format!(
-            "GET {PATH}?follow=1&since={index} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
-        );
-        let pushed = outbox.push(request.as_bytes());
-        let (inbox, line) = (Ring::new(&self.budget), Vec::new());
-        let watch = Watch { stream, inbox, outbox, part: Part::Head, line, told: false, heard };
+        let target = format!("{PATH}?follow=1&since={index}");
+        let asked = Request { method: "GET", target: &target, host: &host.to_string(), ..Request::default() };
+        let pushed = outbox.push(&asked.bytes());
+        let (inbox, lines, answer) = (Ring::new(&self.budget), Lines::new(LONGEST_LINE), Answer::default());
+        let watch = Watch { stream, inbox, outbox, answer, lines, told: false, heard };
         let slot = self.watches.insert(watch);
         self.current = Some(slot);
         let Some(watch) = self.watches.get_mut(slot) else { return };
--- a/crates/daemon/tests/changes.rs
+++ b/crates/daemon/tests/changes.rs
@@ -390,7 +390,7 @@
     let config = operator.0.join("platform.json");
     std::fs::copy(first.platform(), &config).unwrap();
     first.kill();
-    // The shell lets files grow to 4 KiB and no further; what would be written past that fails.
+    // The shell lets files grow to 8 KiB and no further; what would be written past that fails.
     let script = "trap '' XFSZ; ulimit -f 8; exec \"$0\" \"$@\"";
     let mut child = Command::new("bash")
         .args(["-c", script, PROGRAM, "serve", "--config", config.to_str().unwrap(), "--operator"])
