Registry client: the sync machine, etcd's JSON form, members and drains, endpoints

Change: package registry, without I/O. Members are validated one by one; a bad value costs that member's change alone. base64 comes in for the gateway's keys.

Result: 1,000 random histories of up to 60 events (writes, transactions, compactions, cuts, lags, leader changes, repeats, crashes) against a model: the view equals the registry's at its revision after every step and never steps back. Three planted faults (resume off by one, a deletion missed after compaction, events applied twice) are found; the third only once the model repeats older messages than the last. Not wired to the daemon yet.

--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,15 @@
+//! The member list followed in a key-value registry that speaks etcd v3's JSON form. No I/O: a driver carries out
+//! calls and tells how they end.
+//!
+//! [`wire`] is the form of calls and answers, [`Sync`] keeps a view of all keys under a prefix that equals the
+//! registry's at some revision and never steps back, [`Endpoints`] says whom to call and when, [`schema`] makes
+//! members of keys and values.
+#![warn(missing_docs)]
+
+mod endpoints;
+pub mod schema;
+mod sync;
+pub mod wire;
+
+pub use endpoints::{Endpoints, Pace};
+pub use sync::{Action, Guard, Input, Notice, Sync, View};
