The list can come from a registry: endpoints, prefix and guards in the operator's file

Change: net/registry carries out the machine's calls on mio sockets with http1; the operator's file names endpoints, prefix and guards; the source of the list changes with a transaction (guarded by list-unknown), and the list of now holds, drains and all, until the other source has told a whole one. Slotless sources share a kind of token, of which all eight were taken. A small registry of our own stands in for tests, with switches to hang, to cut and to compact.

Result: five stories pass over loopback: drains and bad values, a compaction while away, two of three endpoints hanging, a list that comes back empty, the source changed and back.

--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -99,6 +99,19 @@
         }
     }
 
+    /// Watches no more.
+    pub fn stop(&mut self) {
+        if let Some(slot) = self.current.take() {
+            self.watches.remove(slot);
+        }
+    }
+
+    /// Opens the watch and asks for the whole list.
+    pub fn listen_afresh(&mut self, context: &mut Context) {
+        self.index = 0;
+        self.listen(context);
+    }
+
     /// Opens the watch from the list held, in place of one that may still be there.
     pub fn listen(&mut self, context: &mut Context) {
         if let Some(slot) = self.current.take() {
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -83,6 +83,7 @@
     Discovery(Slot),
     Control,
     Caller(Slot),
+    Registry(Slot),
     Disk,
 }
 
@@ -91,17 +92,19 @@
 
 impl From<Source> for Token {
     fn from(source: Source) -> Token {
-        let (kind, slot) = match source {
-            Source::Listener => (0, None),
-            Source::Signals => (1, None),
-            Source::Client(slot) => (2, Some(slot)),
-            Source::Server(slot) => (3, Some(slot)),
-            Source::Discovery(slot) => (4, Some(slot)),
-            Source::Control => (5, None),
-            Source::Caller(slot) => (6, Some(slot)),
-            Source::Disk => (7, None),
+        // Those that there is one of share a kind, told apart by the place of the index.
+        let one = |index| Slot { index, generation: 0 };
+        let (kind, Slot { index, generation }) = match source {
+            Source::Listener => (0, one(0)),
+            Source::Signals => (0, one(1)),
+            Source::Control => (0, one(2)),
+            Source::Disk => (0, one(3)),
+            Source::Client(slot) => (1, slot),
+            Source::Server(slot) => (2, slot),
+            Source::Discovery(slot) => (3, slot),
+            Source::Caller(slot) => (4, slot),
+            Source::Registry(slot) => (5, slot),
         };
-        let Slot { index, generation } = slot.unwrap_or(Slot { index: 0, generation: 0 });
         Token(kind << 61 | (generation as usize) << 32 | index as usize)
     }
 }
@@ -109,15 +112,16 @@
 impl From<Token> for Source {
     fn from(Token(token): Token) -> Source {
         let slot = Slot { index: token as u32, generation: (token >> 32) as u32 & GENERATIONS };
-        match token >> 61 {
-            0 => Source::Listener,
-            1 => Source::Signals,
-            2 => Source::Client(slot),
-            3 => Source::Server(slot),
-            4 => Source::Discovery(slot),
-            5 => Source::Control,
-            6 => Source::Caller(slot),
-            _ => Source::Disk,
+        match (token >> 61, slot.index) {
+            (0, 0) => Source::Listener,
+            (0, 1) => Source::Signals,
+            (0, 2) => Source::Control,
+            (0, _) => Source::Disk,
+            (1, _) => Source::Client(slot),
+            (2, _) => Source::Server(slot),
+            (3, _) => Source::Discovery(slot),
+            (4, _) => Source::Caller(slot),
+            _ => Source::Registry(slot),
         }
     }
 }
@@ -132,6 +136,7 @@
     Server(Slot),
     Discovery(Slot),
     Caller(Slot),
+    Registry,
     /// A change of configuration is to be looked at.
     Change,
     Drained,
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod event_loop;
 mod proxy;
+mod registry;
 mod servers;
 
 use std::collections::VecDeque;
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -28,6 +28,7 @@
 use super::control::Controls;
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
+use super::registry::Registry;
 use super::servers::Servers;
 use super::{Context, Ended, Event, Task};
 use crate::counters::{count, Counters};
@@ -58,6 +59,9 @@
     clients: Clients,
     servers: Servers,
     discovery: Discovery,
+    /// Follows the list in discovery's place, where the operator's file names a registry.
+    registry: Option<Registry>,
+    seed: u64,
     signals: Signals,
     requests: HashMap<RequestId, Request>,
     /// Which request each busy client waits for.
@@ -158,6 +162,8 @@
             clients: Clients::new(listener, clients, budget.clone(), context)?,
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
             discovery: Discovery::new(effective.discovery, config.known.index, budget.clone()),
+            registry: None,
+            seed: config.seed,
             signals,
             requests: HashMap::new(),
             asking: HashMap::new(),
@@ -179,6 +185,7 @@
         context.events.push_back(Event::Members(ListKind::Saved, config.known.listings.clone()));
         proxy.drain(context);
         proxy.intend(&effective, context);
+        proxy.source(&effective, context);
         proxy.drain(context);
         Ok(proxy)
     }
@@ -235,6 +242,8 @@
                 Action::LetGo { member } => self.servers.let_go(&member),
                 // With a list of the operator's own there may be no discovery at all.
                 Action::Listen if self.changes.as_ref().is_some_and(|changes| changes.roster.is_fixed()) => {}
+                // A registry is followed by itself, whether or not it is asked for.
+                Action::Listen if self.registry.is_some() => {}
                 Action::Listen => self.discovery.listen(context),
                 Action::Log(text) => logging::info!(event = "decided", "{text}"),
             }
@@ -398,7 +407,9 @@
                     changes.effective.discovery = address;
                 }
                 logging::info!(event = "config.reread", "configuration read again: discovery at {address}");
-                self.discovery.move_to(address, context);
+                if self.registry.is_none() {
+                    self.discovery.move_to(address, context);
+                }
             }
             Err(error) => {
                 context.counters.reloads_failed += 1;
@@ -521,7 +532,10 @@
         if let Some(control) = &mut self.control {
             control.set_idle(effective.document.control.idle_s);
         }
-        self.discovery.move_to(effective.discovery, context);
+        if self.registry.is_none() {
+            self.discovery.move_to(effective.discovery, context);
+        }
+        self.source(&effective, context);
         self.intend(&effective, context);
         if let Some(changes) = &mut self.changes {
             changes.effective = effective;
@@ -529,6 +543,34 @@
         Ok(())
     }
 
+    /// Follows the list where the operator's file says. Until another source has told a whole list, the one of
+    /// now holds, with all that it says of drains.
+    fn source(&mut self, effective: &Effective, context: &mut Context) {
+        let settings = &effective.document.registry;
+        if settings.endpoints.is_empty() {
+            if self.registry.take().is_some() {
+                logging::info!(event = "list.source", "the list is discovery's again");
+                self.discovery.move_to(effective.discovery, context);
+                self.discovery.listen_afresh(context);
+            }
+            return;
+        }
+        if self.registry.as_ref().is_some_and(|registry| registry.is_of(settings)) {
+            return;
+        }
+        let known = self.registry.take().map_or_else(Default::default, |registry| registry.known(settings));
+        self.discovery.stop();
+        let now = context.reactor.now();
+        let mut registry = Registry::new(settings, self.seed, known, self.budget.clone(), now);
+        logging::info!(
+            event = "list.source",
+            "the list is that of the registry at {:?}",
+            registry.addresses()
+        );
+        registry.start(context);
+        self.registry = Some(registry);
+    }
+
     /// Lays the operator's intents over the list.
     fn intend(&mut self, effective: &Effective, context: &mut Context) {
         let Some(changes) = &mut self.changes else { return };
@@ -682,6 +724,7 @@
             Source::Discovery(slot) => self.discovery.ready(slot, context),
             Source::Control => self.control.iter_mut().for_each(|control| control.accept(context)),
             Source::Caller(slot) => self.control.iter_mut().for_each(|control| control.ready(slot, context)),
+            Source::Registry(slot) => self.registry.iter_mut().for_each(|r| r.ready(slot, context)),
             Source::Disk => self.written(context),
         }
         self.drain(context);
@@ -696,6 +739,7 @@
             Due::Server(slot) => self.servers.due(slot, context),
             Due::Discovery(slot) => self.discovery.due(slot, context),
             Due::Caller(slot) => self.control.iter_mut().for_each(|control| control.due(slot, context)),
+            Due::Registry => self.registry.iter_mut().for_each(|r| r.due(context)),
             Due::Change => self.probation(context),
             Due::Drained => {
                 self.closing = true;
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -28,6 +28,8 @@
     pub control: Control,
     /// What is kept on disk.
     pub state: State,
+    /// The registry that holds the list; discovery does where it has no endpoints.
+    pub registry: Registry,
     /// Classes of requests by name: changes to the platform's, or new ones.
     pub class: BTreeMap<String, ClassEdit>,
     /// Tenants by name: changes to the platform's, or new ones.
@@ -166,6 +168,34 @@
     }
 }
 
+/// A key-value registry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Registry {
+    pub endpoints: Vec<SocketAddr>,
+    pub prefix: String,
+    pub serializable: bool,
+    pub call_s: f64,
+    pub silence_s: f64,
+    pub guard_share: f64,
+    pub guard_s: f64,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Registry {
+            endpoints: Vec::new(),
+            prefix: "/dewferry".into(),
+            serializable: false,
+            call_s: 5.0,
+            silence_s: 30.0,
+            guard_share: 0.5,
+            guard_s: 5.0,
+        }
+    }
+}
+
 /// How recent the data behind an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -146,6 +146,19 @@
                 "empty while signatures are required: nothing could ever be taken".into(),
             );
         }
+        let registry = &document.registry;
+        if !registry.endpoints.is_empty() && !document.member.is_empty() {
+            conflict(
+                "registry.endpoints".into(),
+                "given beside a list of members: only one can hold the list".into(),
+            );
+        }
+        if !registry.prefix.starts_with('/') || registry.prefix.ends_with('/') {
+            conflict(
+                "registry.prefix".into(),
+                format!("{:?} does not begin with a slash, or ends with one", registry.prefix),
+            );
+        }
         let members = document.member.iter().map(|(name, member)| Listing {
             name: name.as_str().into(),
             address: member.address,
@@ -275,8 +288,9 @@
             }
         }
         let mut out = BTreeMap::new();
-        let Document { listen, discovery, limits, log, change, control, state, class, tenant, .. } =
-            self.clone();
+        let Document {
+            listen, discovery, limits, log, change, control, state, registry, class, tenant, ..
+        } = self.clone();
         let rest = Document {
             listen,
             discovery,
@@ -285,6 +299,7 @@
             change,
             control,
             state,
+            registry,
             class,
             tenant,
             ..Document::default()
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -244,6 +244,12 @@
             Ok(_) => Ok(()),
             Err(_) => Err(format!("\"{text}\" is no such address; names are not resolved")),
         },
+        (Kind::Addresses(most), DeValue::Array(items)) if items.len() > most => {
+            Err(format!("{} addresses", items.len()))
+        }
+        (Kind::Addresses(_), DeValue::Array(items)) => {
+            items.iter().try_for_each(|item| fits(Kind::Address, item.get_ref()))
+        }
         (Kind::Path, DeValue::String(text)) if Path::new(&**text).is_absolute() => Ok(()),
         (Kind::Path, DeValue::String(text)) => Err(format!("\"{text}\" is not absolute")),
         (Kind::Paths(most), DeValue::Array(items)) if items.len() > most => {
--- a/crates/operator/src/schema.rs
+++ b/crates/operator/src/schema.rs
@@ -11,6 +11,8 @@
     Text(usize),
     /// An IP address with a port.
     Address,
+    /// IP addresses with ports, at most so many.
+    Addresses(usize),
     /// An absolute path.
     Path,
     /// Absolute paths, at most so many.
@@ -63,7 +65,7 @@
 }
 
 use Absent::{Is, Means, Needed};
-use Kind::{Address, Choice, Flag, Number, Path, Paths, Text, Whole};
+use Kind::{Address, Addresses, Choice, Flag, Number, Path, Paths, Text, Whole};
 use When::{Live, Start};
 
 const fn setting(
@@ -273,6 +275,62 @@
         Start,
         "size at which the history is rewritten without what is no longer needed",
     ),
+    setting(
+        "registry.endpoints",
+        Addresses(16),
+        "",
+        Is("[]"),
+        Live,
+        "endpoints of a key-value registry (etcd v3's JSON gateway) that holds the list, in place of discovery",
+    ),
+    setting(
+        "registry.prefix",
+        Text(200),
+        "",
+        Is("\"/dewferry\""),
+        Live,
+        "members stand under PREFIX/members/NAME, operators' drains under PREFIX/drains/NAME",
+    ),
+    setting(
+        "registry.serializable",
+        Flag,
+        "",
+        Is("false"),
+        Live,
+        "let an endpoint answer reads from what it has; one that lags is found out and passed over",
+    ),
+    setting(
+        "registry.call_s",
+        Number(0.1, 60.0),
+        "s",
+        Is("5.0"),
+        Live,
+        "a call that is not answered within this has failed",
+    ),
+    setting(
+        "registry.silence_s",
+        Number(1.0, 3_600.0),
+        "s",
+        Is("30.0"),
+        Live,
+        "a watch without a change or word of progress for so long is dead; more than the registry's notify interval",
+    ),
+    setting(
+        "registry.guard_share",
+        Number(0.0, 1.0),
+        "share",
+        Is("0.5"),
+        Live,
+        "a step that takes more of the keys than this is asked about again before it is believed",
+    ),
+    setting(
+        "registry.guard_s",
+        Number(0.0, 600.0),
+        "s",
+        Is("5.0"),
+        Live,
+        "for how long it must be still so, from another endpoint where there is one",
+    ),
     setting(
         "class.*.reads",
         Choice(&["any", "bounded", "session", "fresh", "write"]),
@@ -403,6 +461,7 @@
         match self {
             Text(most) => format!("a text of at most {most} bytes"),
             Address => "an IP address with a port, such as \"127.0.0.1:5432\"".into(),
+            Addresses(most) => format!("at most {most} IP addresses with ports in []"),
             Path => "an absolute path".into(),
             Paths(most) => format!("at most {most} absolute paths in []"),
             Flag => "true or false".into(),
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,6 +1,10 @@
 //! The pooler's program between scripted peers on loopback: clients, db machines and discovery, each driven
 //! by the test line by line. Every wait is for an event, and ends the test if that does not come.
 
+mod registry;
+
+pub use registry::Registry;
+
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
--- a/crates/transaction/src/check.rs
+++ b/crates/transaction/src/check.rs
@@ -147,6 +147,13 @@
         }
     }
     let known: BTreeSet<&str> = view.members.iter().map(|member| member.name.as_str()).collect();
+    let (from, to) = (&old.document.registry, &new.document.registry);
+    if (&from.endpoints, &from.prefix) != (&to.endpoints, &to.prefix) && new.members.is_empty() {
+        // The list of now holds until the other source has told a whole one, which nothing is known of yet.
+        let source = if to.endpoints.is_empty() { "discovery" } else { "a registry" };
+        let what = format!("{} members would give way to what {source} lists", view.members.len());
+        found.add("list-unknown", Severity::Guarded, what);
+    }
     if new.members.is_empty() && old.members.is_empty() {
         for group in groups.values_mut() {
             let usable = group.serving.keys().copied().filter(|name| new.wanted(name).is_none());
