A burst of changes in the registry is told in as many pieces as it takes turns

Change: only the keys that have changed are read, and all that a turn of the loop brings is told once.

--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -45,6 +45,8 @@
     poisoned: usize,
     /// When the next timer fires. Each change puts the silence off: not one timer for each of them.
     timer: f64,
+    /// Keys that have changed since the list was last told; none where all may have.
+    pending: Option<Vec<Vec<u8>>>,
 }
 
 impl Registry {
@@ -70,6 +72,7 @@
             told: false,
             poisoned: 0,
             timer: f64::INFINITY,
+            pending: Some(Vec::new()),
         }
     }
 
@@ -91,15 +94,17 @@
     /// Begins.
     pub fn start(&mut self, context: &mut Context) {
         if self.sync.view().revision > 0 {
-            self.changed(context);
+            self.pending = None;
         }
         self.input(Input::Start, context);
+        self.tell(context);
     }
 
     /// Time that was asked for has come.
     pub fn due(&mut self, context: &mut Context) {
         self.timer = f64::INFINITY;
         self.input(Input::Time, context);
+        self.tell(context);
     }
 
     fn input(&mut self, input: Input, context: &mut Context) {
@@ -120,7 +125,10 @@
                         inputs.extend((!opened).then_some(Input::Broken(call)));
                     }
                     Action::Close(call) => self.close(call),
-                    Action::Changed => self.changed(context),
+                    Action::Changed(Some(keys)) => {
+                        self.pending.iter_mut().for_each(|pending| pending.extend(keys.clone()))
+                    }
+                    Action::Changed(None) => self.pending = None,
                     Action::Notice(notice) => self.noticed(&notice, context),
                 }
             }
@@ -179,11 +187,17 @@
         for input in inputs {
             self.input(input, context);
         }
+        self.tell(context);
     }
 
-    /// The view has changed: the list is told, as a whole at first, then what is different.
-    fn changed(&mut self, context: &mut Context) {
-        let changes = self.members.take(&self.settings.prefix, self.sync.view());
+    /// Tells the list, as a whole at first, then what is different: once for all that a turn has brought, since
+    /// each telling costs the decisions a look at all groups. A burst is told in as many pieces as it takes turns.
+    fn tell(&mut self, context: &mut Context) {
+        let keys = self.pending.replace(Vec::new());
+        if keys.as_ref().is_some_and(Vec::is_empty) {
+            return;
+        }
+        let changes = self.members.take(&self.settings.prefix, self.sync.view(), keys.as_deref());
         let poisoned = self.members.poisoned().count();
         if poisoned != std::mem::replace(&mut self.poisoned, poisoned) {
             for (name, why) in self.members.poisoned().take(8) {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -112,6 +112,10 @@
         (output.status.code().unwrap(), String::from_utf8(text).unwrap())
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The platform's configuration file.
     pub fn platform(&self) -> &std::path::Path {
         &self.config
--- a/crates/registry/src/endpoints.rs
+++ b/crates/registry/src/endpoints.rs
@@ -12,11 +12,13 @@
     pub burst: f64,
     /// Calls a second, in the long run.
     pub rate: f64,
+    /// Whether a wait is drawn from its whole span, or is always all of it.
+    pub jitter: bool,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { first: 0.2, most: 10.0, burst: 20.0, rate: 2.0 }
+        Pace { first: 0.2, most: 10.0, burst: 20.0, rate: 2.0, jitter: true }
     }
 }
 
@@ -78,7 +80,7 @@
         let most = (self.pace.first * f64::from(1u32 << endpoint.failures.min(16).saturating_sub(1)))
             .min(self.pace.most);
         // Anywhere in the whole span: of many clients that fail together, no two come back together.
-        endpoint.until = now + most * self.rng.f64();
+        endpoint.until = now + most * if self.pace.jitter { self.rng.f64() } else { 1.0 };
         let count = self.list.len();
         let others = (1..count).map(|step| (self.current + step) % count);
         let best = others.min_by(|a, b| self.list[*a].until.total_cmp(&self.list[*b].until));
--- a/crates/registry/src/schema.rs
+++ b/crates/registry/src/schema.rs
@@ -5,7 +5,7 @@
 //! {"v":1,"address":"10.1.0.18:5432","zone":"a","group":3,"status":"SERVING","since_ms":0}
 //! ```
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use listing::Listing;
@@ -18,6 +18,8 @@
 pub const VERSION: u32 = 1;
 /// Longest value that is read (bytes); a member's line has some hundred.
 pub const LONGEST: usize = 4 * 1024;
+/// Most members whose values could not be understood that are told apart.
+const MOST_POISONED: usize = 1_000;
 
 #[derive(Deserialize)]
 struct Value {
@@ -63,50 +65,65 @@
 /// The members that a view holds, each as it was last understood.
 #[derive(Default)]
 pub struct Members {
+    /// With the operators' drains laid over what the members' own values say.
     understood: BTreeMap<String, Listing>,
-    /// What could not be understood, and why; with the value's revision, so that each is told once.
-    poisoned: BTreeMap<String, (u64, String)>,
+    /// What the members' own values say.
+    read: BTreeMap<String, Listing>,
+    /// What could not be understood, and why.
+    poisoned: BTreeMap<String, String>,
 }
 
 impl Members {
-    /// Takes in a view under a prefix. What has changed for the list: members that are new, changed or gone.
-    /// A value that cannot be understood costs that change alone: its member stays as it was.
-    pub fn take(&mut self, prefix: &str, view: &View) -> Vec<Listing> {
+    /// Takes in a view under a prefix, or only these keys of it. What has changed for the list: members that are
+    /// new, changed or gone. A value that cannot be understood costs that change alone: its member stays as it
+    /// was.
+    pub fn take(&mut self, prefix: &str, view: &View, keys: Option<&[Vec<u8>]>) -> Vec<Listing> {
         let (members, drains) = (format!("{prefix}/members/"), format!("{prefix}/drains/"));
-        let mut now = BTreeMap::new();
-        let mut poisoned = BTreeMap::new();
-        for (key, entry) in view.under(members.as_bytes()) {
-            let Ok(name) = std::str::from_utf8(&key[members.len()..]) else { continue };
-            if name.is_empty() || name.len() > 64 {
-                poisoned.insert(
-                    name.chars().take(64).collect(),
-                    (entry.revision, "not a member's name".to_string()),
-                );
-                continue;
+        let name = |key: &[u8]| {
+            let name =
+                key.strip_prefix(members.as_bytes()).or_else(|| key.strip_prefix(drains.as_bytes()))?;
+            std::str::from_utf8(name).ok().map(String::from)
+        };
+        let names: BTreeSet<String> = match keys {
+            Some(keys) => keys.iter().filter_map(|key| name(key)).collect(),
+            None => {
+                let now = view.under(members.as_bytes()).filter_map(|(key, _)| name(key));
+                now.chain(self.understood.keys().cloned()).collect()
             }
-            let listing = match member(name, &entry.value) {
-                Ok(listing) => Some(listing),
-                Err(fault) => {
-                    poisoned.insert(name.to_string(), (entry.revision, fault));
-                    self.understood.get(name).cloned()
+        };
+        names.iter().filter_map(|name| self.one(name, &members, &drains, view)).collect()
+    }
+
+    /// Takes in what a view says of one member; what has changed for the list, if anything.
+    fn one(&mut self, name: &str, members: &str, drains: &str, view: &View) -> Option<Listing> {
+        let known = self.understood.get(name);
+        let Some(entry) = view.get(format!("{members}{name}").as_bytes()) else {
+            self.poisoned.remove(name);
+            self.read.remove(name);
+            return self.understood.remove(name).map(|listing| Listing { phase: Phase::Left, ..listing });
+        };
+        let sound = (1..=64).contains(&name.len());
+        let read = if sound { member(name, &entry.value) } else { Err("not a member's name".into()) };
+        let mut listing = match read {
+            Ok(listing) => {
+                self.poisoned.remove(name);
+                listing
+            }
+            Err(fault) => {
+                if self.poisoned.len() < MOST_POISONED {
+                    self.poisoned.insert(name.chars().take(64).collect(), fault);
                 }
-            };
-            let Some(mut listing) = listing else { continue };
-            let drained = view.get([drains.as_bytes(), name.as_bytes()].concat().as_slice()).is_some();
-            if drained {
-                listing.phase = Phase::Leaving;
+                // As it was; a drain of the operator's is looked at all the same.
+                self.read.get(name).cloned()?
             }
-            now.insert(name.to_string(), listing);
+        };
+        self.read.insert(name.to_string(), listing.clone());
+        if view.get(format!("{drains}{name}").as_bytes()).is_some() {
+            listing.phase = Phase::Leaving;
         }
-        let mut changes: Vec<Listing> = now
-            .iter()
-            .filter(|(name, new)| self.understood.get(*name) != Some(new))
-            .map(|(_, l)| l.clone())
-            .collect();
-        let gone = self.understood.iter().filter(|(name, _)| !now.contains_key(*name));
-        changes.extend(gone.map(|(_, listing)| Listing { phase: Phase::Left, ..listing.clone() }));
-        (self.understood, self.poisoned) = (now, poisoned);
-        changes
+        let changed = known != Some(&listing);
+        self.understood.insert(name.to_string(), listing.clone());
+        changed.then_some(listing)
     }
 
     /// All members, as they were last understood.
@@ -116,6 +133,6 @@
 
     /// What could not be understood, by name, and why.
     pub fn poisoned(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.poisoned.iter().map(|(name, (_, why))| (name.as_str(), why.as_str()))
+        self.poisoned.iter().map(|(name, why)| (name.as_str(), why.as_str()))
     }
 }
--- a/crates/registry/src/sync.rs
+++ b/crates/registry/src/sync.rs
@@ -120,8 +120,8 @@
     Watch(u64, usize, Revision),
     /// End whatever this number belongs to.
     Close(u64),
-    /// The view has changed.
-    Changed,
+    /// The view has changed: these keys of it, or it as a whole.
+    Changed(Option<Vec<Vec<u8>>>),
     /// Tell the log.
     Notice(Notice),
 }
@@ -384,7 +384,7 @@
         self.view = view;
         self.endpoints.good();
         if changed {
-            out.push(Action::Changed);
+            out.push(Action::Changed(None));
         }
         self.stage = Stage::Resting(now);
         self.begin(now, out);
@@ -446,7 +446,7 @@
         }
         // What goes within one revision is one decision of somebody's: where it would empty the list, it is asked
         // about again. What goes one by one is taken at once.
-        let mut from = 0;
+        let (mut from, mut keys) = (0, Vec::new());
         while from < fresh.len() {
             let revision = fresh[from].kv.mod_revision;
             let to = from + fresh[from..].iter().take_while(|c| c.kv.mod_revision == revision).count();
@@ -462,17 +462,18 @@
                 self.endpoints.other();
                 let until = self.endpoints.next(now).max(now + self.guard.time);
                 if from > 0 {
-                    out.push(Action::Changed);
+                    out.push(Action::Changed(Some(keys)));
                 }
                 return self.rest(until, out);
             }
             for change in &fresh[from..to] {
+                keys.push(change.kv.key.clone());
                 self.view.apply(change.clone());
             }
             self.view.revision = revision;
             from = to;
         }
-        out.push(Action::Changed);
+        out.push(Action::Changed(Some(keys)));
         if self.view.len() > MOST_KEYS {
             self.afresh = true;
             self.failed(now, format!("over {MOST_KEYS} keys"), out);
--- a/crates/registry/tests/model.rs
+++ b/crates/registry/tests/model.rs
@@ -167,7 +167,7 @@
                         self.serving = None;
                     }
                 }
-                Action::Changed => self.changes += 1,
+                Action::Changed(_) => self.changes += 1,
                 Action::Notice(_) => {}
             }
         }
