--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod print;
+mod registry;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
 enum Command {
     Serve(Serve),
     Config(config::Args),
+    Registry(registry::Args),
     Version(Version),
     CheckConfig(CheckConfig),
 }
@@ -79,6 +81,7 @@
             crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
         }),
         Command::Config(args) => return config::run(args),
+        Command::Registry(args) => return registry::run(args),
         Command::Version(Version {}) => {
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -268,8 +268,10 @@
                     Piece::Head(_) => {}
                     Piece::Body(bytes) if self.watch => {
                         self.lines.push(&bytes).map_err(drop)?;
-                        while let Some(line) = self.lines.take().filter(|line| !line.is_empty()) {
-                            inputs.push(Input::Told(self.call, wire::told(&line)));
+                        while let Some(line) = self.lines.take() {
+                            if !line.trim_ascii().is_empty() {
+                                inputs.push(Input::Told(self.call, wire::told(&line)));
+                            }
                         }
                     }
                     Piece::Body(bytes) => {
--- a/crates/daemon/tests/registry.rs
+++ b/crates/daemon/tests/registry.rs
@@ -147,3 +147,37 @@
     // Until discovery has told a whole list the registry's holds, with its drain.
     assert_eq!(reads(&pooler, &machines, 20).1[1], 0);
 }
+
+#[test]
+fn a_member_is_drained_from_the_command_line() {
+    let (machines, registry, discovery) = (three(), Registry::default(), Discovery::listen());
+    (0..3).for_each(|n| put(&registry, &machines, n, "SERVING"));
+    let operator = Operator::new("registry-cli", &settings(&[&registry]));
+    let pooler = Pooler::operated(PROGRAM, &list(0, true, &[]), &discovery, &operator);
+    until(&pooler, &machines, &[false, true, true]);
+    let run = |args: &[&str]| {
+        let output = std::process::Command::new(PROGRAM)
+            .arg("registry")
+            .args(args)
+            .arg("--operator")
+            .arg(operator.file())
+            .output()
+            .unwrap();
+        (output.status.code().unwrap(), String::from_utf8([output.stdout, output.stderr].concat()).unwrap())
+    };
+    assert!(run(&["view"]).1.contains("3 members"));
+    assert!(run(&["drain", "s-9"]).1.contains("no member of that name"));
+    let (code, text) = run(&["drain", "s-1", "--dry-run"]);
+    assert!(code == 0 && text.contains("would write /dewferry/drains/s-1"), "{text}");
+    assert_eq!(reads(&pooler, &machines, 20).0, 20);
+    assert_eq!(run(&["drain", "s-1", "--note", "disk"]).0, 0);
+    until(&pooler, &machines, &[false, false, true]);
+    assert!(run(&["view", "--json"]).1.contains(r#""status":"draining""#));
+    assert!(run(&["drain", "s-1"]).1.contains("already"));
+    assert_eq!(run(&["undrain", "s-1"]).0, 0);
+    until(&pooler, &machines, &[false, true, true]);
+    assert_eq!(run(&["check"]).0, 0);
+    registry.write(&[("/dewferry/members/s-2", Some("{}"))]);
+    let (code, text) = run(&["check"]);
+    assert!(code == 1 && text.contains("s-2: missing field"), "{text}");
+}
--- a/crates/peers/src/registry.rs
+++ b/crates/peers/src/registry.rs
@@ -132,6 +132,7 @@
         let body: Value = serde_json::from_slice(&body).ok()?;
         match head.split(' ').nth(1)? {
             "/v3/kv/range" => self.range(stream, &body),
+            "/v3/kv/txn" => self.txn(stream, &body),
             "/v3/watch" => self.watch(stream, &body["create_request"]),
             _ => None,
         }
@@ -167,6 +168,24 @@
         self.send(&mut stream, &[head.as_bytes(), body.as_bytes()].concat())
     }
 
+    /// One comparison of a key's revision, and one step.
+    fn txn(&self, mut stream: TcpStream, call: &Value) -> Option<()> {
+        let (compare, step) = (&call["compare"][0], &call["success"][0]);
+        let key = text(&compare["key"]);
+        let mut state = self.shared.state.lock().unwrap();
+        let present = state.at(state.revision()).get(key.as_str()).map_or(0, |(revision, _)| *revision);
+        let succeeded = present == number(&compare["mod_revision"]);
+        if succeeded {
+            let value = step.get("request_put").map(|put| text(&put["value"]));
+            state.steps.push(vec![(key, value)]);
+            self.shared.changed.notify_all();
+        }
+        drop(state);
+        let body = json!({ "succeeded": succeeded }).to_string();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.send(&mut stream, &[head.as_bytes(), body.as_bytes()].concat())
+    }
+
     fn watch(&self, mut stream: TcpStream, call: &Value) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let (from, to) = (text(&call["key"]), text(&call["range_end"]));
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod wire;
 
 pub use endpoints::{Endpoints, Pace};
-pub use sync::{Action, Guard, Input, Notice, Sync, View};
+pub use sync::{Action, Entry, Guard, Input, Notice, Sync, View};
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -7,6 +7,8 @@
 
 /// Where a range is read.
 pub const RANGE: &str = "/v3/kv/range";
+/// Where a transaction is made.
+pub const TXN: &str = "/v3/kv/txn";
 /// Where a watch is made.
 pub const WATCH: &str = "/v3/watch";
 /// Code of an error that says that a revision has been compacted away (`OUT_OF_RANGE`).
@@ -164,6 +166,10 @@
 fn decode<T: for<'de> Deserialize<'de>>(body: &[u8], wrapped: bool) -> Result<T, Refusal> {
     let malformed = |error: serde_json::Error| Refusal::Malformed(error.to_string());
     let value: serde_json::Value = serde_json::from_slice(body).map_err(malformed)?;
+    // Decoding a struct would take an array for one whose fields are all absent.
+    if !value.is_object() {
+        return Err(Refusal::Malformed("not an object".into()));
+    }
     if value.get("error").is_some() || value.get("code").is_some() {
         return Err(serde_json::from_value::<Error>(value).map_err(malformed)?.refusal());
     }
@@ -223,6 +229,30 @@
     }
 }
 
+/// The body of a transaction that writes a key, or deletes it where there is no value, if the key is still as the
+/// revision left it; 0 for a key that is not there.
+pub fn write_if(key: &[u8], revision: Revision, value: Option<&[u8]>) -> Vec<u8> {
+    let name = STANDARD.encode(key);
+    let compare = serde_json::json!({"key": name, "target": "MOD", "result": "EQUAL",
+        "mod_revision": revision.to_string()});
+    let step = match value {
+        Some(value) => serde_json::json!({"request_put": {"key": name, "value": STANDARD.encode(value)}}),
+        None => serde_json::json!({"request_delete_range": {"key": name}}),
+    };
+    let body = serde_json::json!({"compare": [compare], "success": [step]});
+    serde_json::to_vec(&body).unwrap_or_default()
+}
+
+/// Reads the answer to a transaction: whether it was carried out.
+pub fn written(body: &[u8]) -> Result<bool, Refusal> {
+    #[derive(Default, Deserialize)]
+    #[serde(default)]
+    struct Written {
+        succeeded: bool,
+    }
+    decode::<Written>(body, false).map(|written| written.succeeded)
+}
+
 /// The body of a call that watches all keys from one up to another, from a revision on.
 pub fn watch(from: &[u8], to: &[u8], revision: Revision) -> Vec<u8> {
     let create = serde_json::json!({"create_request": {
