--- a/crates/daemon/tests/changes.rs
+++ b/crates/daemon/tests/changes.rs
@@ -482,3 +482,32 @@
     assert_eq!(pooler.config(&["apply", &back, "--allow", "list-unknown"]).0, 0);
     assert!(pooler.config(&["status"]).1.contains("members     1"));
 }
+
+#[test]
+fn a_file_that_is_replaced_while_it_is_read_is_taken_as_one_or_the_other() {
+    let first = "change.probation_s = 0.1";
+    let (pooler, operator, _machines, _discovery) = operated("replaced", first);
+    let padding: String = (0..2_000).map(|n| format!("# {n}\n")).collect();
+    let other = format!("{first}\n{padding}[limits]\nmax_attempts = 3\nmax_retry_after_s = 0.3");
+    for n in 0..40 {
+        operator.write("dewferry.toml", if n % 2 == 0 { &other } else { first });
+        pooler.signal("HUP");
+        std::thread::sleep(Duration::from_millis(n % 7));
+    }
+    // Whatever was taken on the way, it is one of the two files, by their digests.
+    let digest = |settings: &str| {
+        let path = operator.write("digest.toml", settings);
+        let (code, text) = pooler.config(&["check", &path]);
+        assert_eq!(code, 0, "{text}");
+        text.split("digest ").nth(1).unwrap().trim().to_string()
+    };
+    let known = [digest(first), digest(&other)];
+    let history = pooler.config(&["history"]).1;
+    let taken: Vec<&str> =
+        history.lines().skip(1).filter_map(|line| line.split_whitespace().nth(1)).collect();
+    assert!(
+        taken.len() > 1 && taken.iter().all(|digest| known.iter().any(|known| known == digest)),
+        "{history}"
+    );
+    assert_eq!(ask_many(&pooler, "reports", 2), 2);
+}
