One wording of a conflict; what nothing calls is gone

A conflict was put into words in five places, two of which left out its key; the read change carried what is in force only to drop it; three accessors had no caller.

Change: Conflict has a Display, change::words joins them for all; Read holds what is looked at; Roster::facts, Roster::told and Endpoints::count are removed. Behaviour is as it was, but that the two errors now name the key.

--- a/crates/daemon/src/cli/config.rs
+++ b/crates/daemon/src/cli/config.rs
@@ -329,7 +329,7 @@
                 .map(|c| control::Found {
                     code: "conflict".into(),
                     severity: "error".into(),
-                    what: format!("{}: {}", c.key, c.what),
+                    what: c.to_string(),
                 })
                 .collect();
             return ended(&response, json);
--- a/crates/daemon/src/net/change.rs
+++ b/crates/daemon/src/net/change.rs
@@ -77,8 +77,9 @@
     Ok(Opening { path: path.to_path_buf(), effective, start, history, store, taken })
 }
 
-fn words(conflicts: &[Conflict]) -> String {
-    conflicts.iter().map(|c| format!("{}: {}", c.key, c.what)).collect::<Vec<_>>().join("\n")
+/// Conflicts in words, a line each.
+pub(crate) fn words(conflicts: &[Conflict]) -> String {
+    conflicts.iter().map(Conflict::to_string).collect::<Vec<_>>().join("\n")
 }
 
 /// All that changes have to do with.
@@ -101,7 +102,6 @@
 
 /// A change that has been read and laid over the platform's word.
 pub(crate) struct Read {
-    effective: Effective,
     differences: Vec<Difference>,
     findings: Vec<Finding>,
 }
@@ -159,16 +159,13 @@
     /// Lays a document over the platform's word and looks at what it would do now.
     pub fn read(&self, document: Document, view: &View) -> Result<Read, Vec<Finding>> {
         let effective = Effective::new(&self.platform, document).map_err(|conflicts| {
-            let finding = |c: &Conflict| Finding {
-                code: "conflict",
-                severity: Severity::Error,
-                what: format!("{}: {}", c.key, c.what),
-            };
+            let finding =
+                |c: &Conflict| Finding { code: "conflict", severity: Severity::Error, what: c.to_string() };
             conflicts.iter().map(finding).collect::<Vec<_>>()
         })?;
         let differences = self.effective.differences(&effective);
         let findings = check(&self.effective, &effective, &differences, view);
-        Ok(Read { effective, differences, findings })
+        Ok(Read { differences, findings })
     }
 
     /// What a file would do.
@@ -206,11 +203,7 @@
             (None, Confirm::Auto) => Mode::Auto(policy.probation_s),
         };
         let findings = match self.read(document.clone(), view) {
-            Ok(read) => {
-                // Kept no longer than the check needs it: it is made again when the change is put in force.
-                drop(read.effective);
-                read.findings
-            }
+            Ok(read) => read.findings,
             Err(findings) => findings,
         };
         let document = Arc::new(document);
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -121,9 +121,8 @@
         let effective = match &opening {
             Some(opening) => opening.effective.clone(),
             // Nothing but the platform's word, which has been checked with it.
-            None => Effective::new(config, Default::default()).map_err(|conflicts| {
-                invalid(conflicts.into_iter().map(|c| c.what).collect::<Vec<_>>().join("; "))
-            })?,
+            None => Effective::new(config, Default::default())
+                .map_err(|conflicts| invalid(change::words(&conflicts)))?,
         };
         let log = logging::start(effective.document.log.level, effective.document.log.format);
         for line in loud {
@@ -501,7 +500,7 @@
     fn put(&mut self, document: &operator::Document, context: &mut Context) -> Result<(), String> {
         let Some(changes) = &self.changes else { return Ok(()) };
         let effective = Effective::new(&changes.platform, document.clone())
-            .map_err(|conflicts| conflicts.into_iter().map(|c| c.what).collect::<Vec<_>>().join("; "))?;
+            .map_err(|conflicts| change::words(&conflicts))?;
         let mut listener = None;
         if effective.listen != self.listen && self.listened != Some(effective.listen) {
             let bound = TcpListener::bind(effective.listen);
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -1,6 +1,7 @@
 //! What is in force: the platform's configuration with the operator's document laid over it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 
 use config::Config;
@@ -19,6 +20,12 @@
     pub what: String,
 }
 
+impl fmt::Display for Conflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.what)
+    }
+}
+
 /// One value in which two configurations differ.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Difference {
--- a/crates/registry/src/endpoints.rs
+++ b/crates/registry/src/endpoints.rs
@@ -49,11 +49,6 @@
         Endpoints { list, current, pace, tokens: pace.burst, at: now, rng }
     }
 
-    /// How many there are.
-    pub fn count(&self) -> usize {
-        self.list.len()
-    }
-
     /// The endpoint in use.
     pub fn current(&self) -> usize {
         self.current
--- a/crates/transaction/src/roster.rs
+++ b/crates/transaction/src/roster.rs
@@ -83,16 +83,6 @@
         self.fixed.as_ref().unwrap_or(&self.facts).values()
     }
 
-    /// What discovery tells, whether or not a static list is in force.
-    pub fn facts(&self) -> impl Iterator<Item = &Listing> {
-        self.facts.values()
-    }
-
-    /// What was last told of a member; none of one that is not on the list in force.
-    pub fn told(&self, member: &str) -> Option<Phase> {
-        self.told.get(member).map(|(phase, ..)| *phase)
-    }
-
     fn told_as(&self, listing: &Listing) -> bool {
         self.told.get(&listing.name) == Some(&(listing.phase, listing.address, listing.group))
     }
