--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod caller;
 mod config;
 mod print;
 mod registry;
--- /dev/null
+++ b/crates/daemon/src/dial.rs
@@ -0,0 +1,100 @@
+//! What calls to a registry are made with: the files of TLS and of the login, read when they are first needed, and
+//! a link to an endpoint with a call in it.
+
+use std::net::SocketAddr;
+
+use buffer::Budget;
+use http1::Request;
+use operator::Registry as Settings;
+use registry::wire;
+use tls::{Client, Link, Session};
+
+use crate::files;
+
+/// A day (seconds): how often a certificate that runs out is warned of.
+const DAY: f64 = 86_400.0;
+
+/// Makes links to the endpoints of one registry.
+pub(crate) struct Dial {
+    settings: Settings,
+    /// What sessions are made from; none before the files were read, or without TLS.
+    client: Option<Client>,
+    /// Whether the files may have been replaced since.
+    doubted: bool,
+    /// A warning of certificates that run out is due then (Unix seconds).
+    warn: f64,
+}
+
+impl Dial {
+    pub fn new(settings: &Settings) -> Dial {
+        Dial { settings: settings.clone(), client: None, doubted: false, warn: f64::NEG_INFINITY }
+    }
+
+    /// A link to an endpoint, with a call in it that is to go. Reads files where they have not been read.
+    pub fn call(
+        &mut self,
+        endpoint: SocketAddr,
+        path: &str,
+        body: &[u8],
+        token: Option<&str>,
+        budget: &Budget,
+        now: f64,
+    ) -> Result<Link, String> {
+        if self.client.is_none() || std::mem::take(&mut self.doubted) {
+            match files::registry_tls(&self.settings, now) {
+                Ok(client) => (self.client, self.warn) = (client, f64::NEG_INFINITY),
+                Err(fault) if self.client.is_none() => return Err(fault),
+                Err(fault) => {
+                    logging::warn!(event = "registry.tls", "the files of before stay in use: {fault}")
+                }
+            }
+        }
+        let session = self.client.as_ref().map(|client| {
+            let address = endpoint.ip().to_string();
+            Session::new(client, self.settings.tls_name.as_ref().unwrap_or(&address), budget)
+        });
+        let mut link = Link::new(session.transpose().map_err(|fault| fault.to_string())?, budget);
+        let host = endpoint.to_string();
+        let host = self.settings.tls_name.as_ref().unwrap_or(&host);
+        let request = Request { method: "POST", target: path, host, authorization: token, json: Some(body) };
+        link.outbox.push(&request.bytes()).map_err(|_| "no memory left")?;
+        Ok(link)
+    }
+
+    /// The body of a call for a token.
+    pub fn login(&self) -> Result<Vec<u8>, String> {
+        let (user, file) =
+            self.settings.user.as_ref().zip(self.settings.password_file.as_ref()).ok_or("no user")?;
+        Ok(wire::login(user, &files::password(file)?))
+    }
+
+    /// A link made here has failed at the other side's hands: the files are read anew before the next, since they
+    /// may have been replaced by then.
+    pub fn doubt(&mut self) {
+        self.doubted = true;
+    }
+
+    /// A warning of a certificate that runs out, once a day.
+    pub fn warning(&mut self, now: f64) -> Option<String> {
+        let (which, end) = self.client.as_ref().and_then(Client::ends)?;
+        if now < self.warn {
+            return None;
+        }
+        self.warn = now + DAY;
+        expiring(&self.settings, which, end, now)
+    }
+}
+
+/// What is to be said of a certificate that runs out at `end`, if anything is.
+pub(crate) fn expiring(settings: &Settings, which: &str, end: f64, now: f64) -> Option<String> {
+    let days = (end - now) / DAY;
+    let file = if which == "ca" { &settings.tls_ca } else { &settings.tls_cert };
+    let file = file.as_ref().map(|path| path.display().to_string()).unwrap_or_default();
+    match days {
+        days if days <= 0.0 => Some(format!("{file}: a certificate in it has run out")),
+        days if days <= settings.tls_warn_days => {
+            Some(format!("{file}: a certificate in it runs out in {days:.1} days"))
+        }
+        _ => None,
+    }
+}
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -14,6 +14,9 @@
 const TRIES: u32 = 3;
 const PAUSE: Duration = Duration::from_millis(5);
 
+/// Longest file with a password (bytes).
+const LONGEST_PASSWORD: usize = 1024;
+
 /// Reads a file of at most so many bytes. One that is replaced meanwhile is read as it was when it was opened;
 /// one that is written to in place is read again, and refused if that goes on.
 pub(crate) fn read(path: &Path, longest: usize) -> Result<Vec<u8>, String> {
@@ -53,18 +56,55 @@
     Ok((String::from_utf8_lossy(&bytes).into_owned(), document))
 }
 
-/// Reads a key file, which nobody but its owner may read.
-pub(crate) fn key(path: &Path) -> Result<Key, String> {
+/// Reads a file that nobody but its owner may read.
+fn private(path: &Path, longest: usize) -> Result<Vec<u8>, String> {
     let named = |fault: String| format!("{}: {fault}", path.display());
     let mode = std::fs::metadata(path).map_err(|error| named(error.to_string()))?.permissions().mode();
     if mode & 0o077 != 0 {
         return Err(named(format!("mode {:04o}; accepted: 0600 or stricter", mode & 0o7777)));
     }
-    let bytes = read(path, bundle::LONGEST_KEY)?;
+    read(path, longest)
+}
+
+/// Reads a key file for signatures.
+pub(crate) fn key(path: &Path) -> Result<Key, String> {
+    let named = |fault: String| format!("{}: {fault}", path.display());
+    let bytes = private(path, bundle::LONGEST_KEY)?;
     let text = String::from_utf8(bytes).map_err(|_| named(bundle::Fault::Key.to_string()))?;
     Key::parse(&text).map_err(|fault| named(fault.to_string()))
 }
 
+/// Reads a password: the file's only line.
+pub(crate) fn password(path: &Path) -> Result<String, String> {
+    let text = String::from_utf8(private(path, LONGEST_PASSWORD)?).unwrap_or_default();
+    let line = text.strip_suffix('\n').unwrap_or(&text);
+    if line.is_empty() || line.chars().any(char::is_control) {
+        return Err(format!("{}: not a password; accepted: one line of UTF-8 text", path.display()));
+    }
+    Ok(line.to_string())
+}
+
+/// Reads the files of TLS towards a registry and makes a client of them at the time `now` (Unix seconds); none
+/// where the registry is called without TLS.
+pub(crate) fn registry_tls(settings: &operator::Registry, now: f64) -> Result<Option<tls::Client>, String> {
+    let Some(ca) = &settings.tls_ca else { return Ok(None) };
+    let own = settings.tls_cert.as_ref().zip(settings.tls_key.as_ref());
+    let authorities = read(ca, tls::LONGEST)?;
+    let texts =
+        own.map(|(cert, key)| Ok::<_, String>((read(cert, tls::LONGEST)?, private(key, tls::LONGEST)?)));
+    let texts = texts.transpose()?;
+    let own_texts = texts.as_ref().map(|(cert, key)| (cert.as_slice(), key.as_slice()));
+    let client = tls::Client::new(tls::Files { ca: &authorities, own: own_texts }, now);
+    client.map(Some).map_err(|fault| {
+        let path = match (fault.which, own) {
+            ("certificate", Some((cert, _))) => cert,
+            ("key", Some((_, key))) => key,
+            _ => ca,
+        };
+        format!("{}: {}", path.display(), fault.what)
+    })
+}
+
 /// Whether a file's text may be taken under the change policy in force.
 pub(crate) fn signed(text: &str, policy: &operator::ChangePolicy) -> Result<(), String> {
     if !policy.require_signature {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cli;
 mod counters;
+mod dial;
 mod files;
 mod net;
 mod numbers;
--- a/crates/daemon/src/net/change.rs
+++ b/crates/daemon/src/net/change.rs
@@ -28,6 +28,8 @@
     store: Option<Store>,
     /// The digest of the file, where it can be used.
     taken: Option<Digest>,
+    /// The view of a registry that was kept, in bytes.
+    kept: Option<Vec<u8>>,
 }
 
 /// Reads the operator's file and the history, and settles on what to come up on. What must be told loudly goes
@@ -74,7 +76,8 @@
     }
     let mut history = history;
     start.records.iter().for_each(|record| history.take(record));
-    Ok(Opening { path: path.to_path_buf(), effective, start, history, store, taken })
+    let kept = store.as_ref().and_then(Store::kept);
+    Ok(Opening { kept, path: path.to_path_buf(), effective, start, history, store, taken })
 }
 
 /// Conflicts in words, a line each.
@@ -95,6 +98,8 @@
     /// What the operator's file said when it was last taken: a SIGHUP for the platform's sake must not bring
     /// back what a control call has replaced since.
     pub taken: Option<Digest>,
+    /// The view of a registry that was kept, in bytes, until it is used.
+    pub kept: Option<Vec<u8>>,
     writer: Option<Writer>,
     /// Since when the present generation is in force (Unix seconds).
     pub since: f64,
@@ -113,7 +118,7 @@
         waker: impl FnOnce() -> std::io::Result<mio::Waker>,
         now: f64,
     ) -> std::io::Result<Changes> {
-        let Opening { path, effective, start, history, store, taken } = opening;
+        let Opening { path, effective, start, history, store, taken, kept } = opening;
         let most = effective.document.state.max_kb as usize * 1024;
         let writer = store.map(|store| store.spawn(waker()?, most)).transpose()?;
         Ok(Changes {
@@ -125,6 +130,7 @@
             platform,
             path,
             taken,
+            kept,
             writer,
             since: now,
         })
@@ -143,6 +149,18 @@
         self.inputs.push_back(Input::Persisted { step, result });
     }
 
+    /// Whether a registry's view can be kept now: there is a folder, and none is being written.
+    pub fn can_keep(&self) -> bool {
+        self.writer.as_ref().is_some_and(|writer| !writer.keeps())
+    }
+
+    /// Has a registry's view kept.
+    pub fn keep(&mut self, bytes: Vec<u8>) {
+        if let Some(writer) = &self.writer {
+            writer.keep(bytes);
+        }
+    }
+
     /// Takes up what the disk has done; faults of the log as a whole.
     pub fn written(&mut self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -164,7 +182,16 @@
             conflicts.iter().map(finding).collect::<Vec<_>>()
         })?;
         let differences = self.effective.differences(&effective);
-        let findings = check(&self.effective, &effective, &differences, view);
+        let mut findings = check(&self.effective, &effective, &differences, view);
+        let registry = &effective.document.registry;
+        if *registry != self.effective.document.registry {
+            // What only the files show: a change must not leave the list without its source.
+            let unusable = |what: String| Finding { code: "registry-files", severity: Severity::Error, what };
+            let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+            findings.extend(files::registry_tls(registry, now.as_secs_f64()).err().map(unusable));
+            let password = registry.password_file.as_ref().map(|file| files::password(file));
+            findings.extend(password.and_then(Result::err).map(unusable));
+        }
         Ok(Read { differences, findings })
     }
 
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -28,7 +28,7 @@
 use super::control::Controls;
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
-use super::registry::Registry;
+use super::registry::{Known, Registry, Who};
 use super::servers::Servers;
 use super::{Context, Ended, Event, Task};
 use crate::counters::{count, Counters};
@@ -62,6 +62,7 @@
     /// Follows the list in discovery's place, where the operator's file names a registry.
     registry: Option<Registry>,
     seed: u64,
+    name: String,
     signals: Signals,
     requests: HashMap<RequestId, Request>,
     /// Which request each busy client waits for.
@@ -163,6 +164,7 @@
             discovery: Discovery::new(effective.discovery, config.known.index, budget.clone()),
             registry: None,
             seed: config.seed,
+            name: config.name.clone(),
             signals,
             requests: HashMap::new(),
             asking: HashMap::new(),
@@ -557,10 +559,21 @@
         if self.registry.as_ref().is_some_and(|registry| registry.is_of(settings)) {
             return;
         }
-        let known = self.registry.take().map_or_else(Default::default, |registry| registry.known(settings));
+        let known = match self.registry.take() {
+            Some(registry) => registry.known(settings),
+            None => {
+                let kept = self.changes.as_mut().and_then(|changes| changes.kept.take());
+                Known {
+                    view: kept
+                        .map_or_else(registry::View::default, |kept| from_disk(&settings.prefix, &kept)),
+                    ..Known::default()
+                }
+            }
+        };
         self.discovery.stop();
         let now = context.reactor.now();
-        let mut registry = Registry::new(settings, self.seed, known, self.budget.clone(), now);
+        let who = Who { name: &self.name, listen: effective.listen, seed: self.seed };
+        let mut registry = Registry::new(settings, &who, known, self.budget.clone(), now);
         logging::info!(
             event = "list.source",
             "the list is that of the registry at {:?}",
@@ -680,11 +693,19 @@
         }
     }
 
+    /// Has the registry's view kept on disk, where it is time for that.
+    fn keep(&mut self, context: &mut Context) {
+        let (Some(registry), Some(changes)) = (&mut self.registry, &mut self.changes) else { return };
+        if let Some(bytes) = registry.keep(context.reactor.now(), changes.can_keep()) {
+            changes.keep(bytes);
+        }
+    }
+
     /// The disk has done something.
     fn written(&mut self, context: &mut Context) {
         let Some(changes) = &mut self.changes else { return };
         for fault in changes.written() {
-            logging::error!(event = "history.kept_long", "the history cannot be rewritten: {fault}");
+            logging::error!(event = "state.unwritten", "{fault}");
         }
         self.change(context);
     }
@@ -707,6 +728,7 @@
                 self.reload(context);
             } else if !std::mem::replace(&mut self.draining, true) {
                 logging::info!(event = "ending", "asked to end");
+                self.registry.iter_mut().for_each(|registry| registry.leave(context));
                 context.reactor.timer(context.reactor.now() + LAST_CALL, Due::Drained);
             }
         }
@@ -723,7 +745,10 @@
             Source::Discovery(slot) => self.discovery.ready(slot, context),
             Source::Control => self.control.iter_mut().for_each(|control| control.accept(context)),
             Source::Caller(slot) => self.control.iter_mut().for_each(|control| control.ready(slot, context)),
-            Source::Registry(slot) => self.registry.iter_mut().for_each(|r| r.ready(slot, context)),
+            Source::Registry(slot) => {
+                self.registry.iter_mut().for_each(|r| r.ready(slot, context));
+                self.keep(context);
+            }
             Source::Disk => self.written(context),
         }
         self.drain(context);
@@ -738,7 +763,11 @@
             Due::Server(slot) => self.servers.due(slot, context),
             Due::Discovery(slot) => self.discovery.due(slot, context),
             Due::Caller(slot) => self.control.iter_mut().for_each(|control| control.due(slot, context)),
-            Due::Registry => self.registry.iter_mut().for_each(|r| r.due(context)),
+            Due::Registry => {
+                // Kept first: what is due next is looked at with that done.
+                self.keep(context);
+                self.registry.iter_mut().for_each(|r| r.due(context));
+            }
             Due::Change => self.probation(context),
             Due::Drained => {
                 self.closing = true;
@@ -753,6 +782,21 @@
     }
 }
 
+/// The view that was kept on disk; none where it is not one of these keys.
+fn from_disk(prefix: &str, bytes: &[u8]) -> registry::View {
+    match registry::kept::decode(prefix, bytes) {
+        Ok(view) => {
+            let (revision, keys) = (view.revision, view.len());
+            logging::info!(event = "registry.kept", revision, keys, "goes on from the view kept on disk");
+            view
+        }
+        Err(fault) => {
+            logging::warn!(event = "registry.kept", "the view kept on disk is not used: {fault}");
+            registry::View::default()
+        }
+    }
+}
+
 /// Tells the log how a change goes.
 fn noticed(notice: &Notice) {
     match notice {
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -3,37 +3,85 @@
 
 use std::net::SocketAddr;
 
-use buffer::{Budget, Fill, Lines, Ring};
-use http1::{Answer, Piece, Request};
+use buffer::{Budget, Charge, Fill, Lines};
+use http1::{Answer, Piece, Whole};
 use mio::net::TcpStream;
 use mio::Interest;
 use operator::Registry as Settings;
+use registry::lease::{self, Ask, Lease};
 use registry::schema::Members;
-use registry::{wire, Action, Endpoints, Guard, Input, Notice, Pace, Sync, View};
+use registry::wire::Refusal;
+use registry::{kept, wire, Action, Endpoints, Guard, Input, Notice, Pace, Sync, View};
 use routing::interface::ListKind;
+use tls::Link;
 
 use super::event_loop::{Due, Slot, Slots, Source};
 use super::{Context, Event};
+use crate::dial::Dial;
 
 /// Longest answer to a range, and longest line of a watch (bytes): pages and fragments are far shorter.
 const LONGEST: usize = 16 * 1024 * 1024;
+/// A view that has changed is kept on disk this often at the most, one that merely stands for a later revision this
+/// often (seconds).
+const KEEP: f64 = 10.0;
+const KEEP_PROGRESS: f64 = 300.0;
+
+/// What is expected of a connection.
+enum Taking {
+    Page(Whole),
+    Token(Whole),
+    /// Line by line, for as long as it lives.
+    Watch(Answer, Lines, Charge),
+    /// An answer about the pooler's own lease; true where it comes as a stream's line.
+    Lease(Whole, bool),
+}
+
+/// What a connection has heard, for whichever machine called.
+enum Heard {
+    Sync(Input),
+    Lease(lease::Input),
+}
 
 struct Conn {
     stream: TcpStream,
-    inbox: Ring,
-    outbox: Ring,
-    answer: Answer,
-    /// The sync machine's number of the call.
+    link: Link,
+    taking: Taking,
+    /// The number of the call, its machine's.
     call: u64,
-    /// A watch tells line by line, a range is one body.
-    watch: bool,
-    lines: Lines,
-    body: Vec<u8>,
+    /// Whether anything has come that whoever is called must have said.
+    heard: bool,
+}
+
+/// The pooler's own key in the registry.
+struct Own {
+    lease: Lease,
+    key: Vec<u8>,
+    value: Vec<u8>,
+    /// The token of the call under way.
+    token: Option<String>,
+    /// Calls of its own, beside those that follow the list.
+    current: Option<(u64, Slot)>,
+}
+
+/// What a registry is followed from.
+#[derive(Default)]
+pub(crate) struct Known {
+    pub view: View,
+    /// Members whose present values cannot be understood, as they were.
+    pub members: Members,
+}
+
+/// Who follows it.
+pub(crate) struct Who<'a> {
+    pub name: &'a str,
+    pub listen: SocketAddr,
+    pub seed: u64,
 }
 
 /// Follows the list in a registry.
 pub(crate) struct Registry {
     settings: Settings,
+    dial: Dial,
     sync: Sync,
     members: Members,
     conns: Slots<Conn>,
@@ -45,27 +93,49 @@
     poisoned: usize,
     /// When the next timer fires. Each change puts the silence off: not one timer for each of them.
     timer: f64,
+    own: Option<Own>,
+    /// The revision that was kept on disk last, when, and whether the keys have changed since.
+    kept: (u64, f64, bool),
     /// Keys that have changed since the list was last told; none where all may have.
     pending: Option<Vec<Vec<u8>>>,
 }
 
 impl Registry {
     /// Follows the registry of these settings, from what is known of the same one.
-    pub fn new(settings: &Settings, seed: u64, known: View, budget: Budget, now: f64) -> Registry {
-        let endpoints = Endpoints::new(settings.endpoints.len(), Pace::default(), seed, now);
+    pub fn new(settings: &Settings, who: &Who, known: Known, budget: Budget, now: f64) -> Registry {
+        let count = settings.endpoints.len();
+        let endpoints = Endpoints::new(count, Pace::default(), who.seed, now);
+        let own = settings.register.as_ref().map(|prefix| {
+            // Another draw than that of the list's: the two need not call the same endpoint.
+            let endpoints = Endpoints::new(count, Pace::default(), !who.seed, now);
+            let value = serde_json::json!({"v": 1, "address": who.listen, "version": env!("CARGO_PKG_VERSION"),
+                "pid": std::process::id()});
+            Own {
+                lease: Lease::new(endpoints, settings.lease_s.into(), settings.call_s),
+                key: format!("{prefix}/{}", who.name).into_bytes(),
+                value: value.to_string().into_bytes(),
+                token: None,
+                current: None,
+            }
+        });
         let guard = Guard {
             share: settings.guard_share,
             time: settings.guard_s,
             silence: settings.silence_s,
             call: settings.call_s,
             serializable: settings.serializable,
+            login: settings.user.is_some(),
             ..Guard::default()
         };
         let prefix = format!("{}/", settings.prefix).into_bytes();
         Registry {
             settings: settings.clone(),
-            sync: Sync::new(prefix, endpoints, guard, known),
-            members: Members::default(),
+            dial: Dial::new(settings),
+            // The first view that is read is kept at once.
+            kept: (known.view.revision, if known.view.revision > 0 { now } else { f64::NEG_INFINITY }, false),
+            sync: Sync::new(prefix, endpoints, guard, known.view),
+            members: known.members,
+            own,
             conns: Slots::new(),
             current: None,
             budget,
@@ -82,12 +152,12 @@
     }
 
     /// What is known of the registry, where other settings still mean the same one.
-    pub fn known(&self, settings: &Settings) -> View {
+    pub fn known(self, settings: &Settings) -> Known {
         let same = self.settings.prefix == settings.prefix && self.settings.endpoints == settings.endpoints;
         if same {
-            self.sync.view().clone()
+            Known { view: self.sync.view().clone(), members: self.members }
         } else {
-            View::default()
+            Known::default()
         }
     }
 
@@ -97,13 +167,45 @@
             self.pending = None;
         }
         self.input(Input::Start, context);
+        self.lease(lease::Input::Time, context);
         self.tell(context);
     }
 
+    /// The pooler ends: its own key is to go.
+    pub fn leave(&mut self, context: &mut Context) {
+        self.lease(lease::Input::Leave, context);
+    }
+
+    /// The view as it is to be kept on disk, where it is time for that; put off where it cannot be.
+    pub fn keep(&mut self, now: f64, can: bool) -> Option<Vec<u8>> {
+        if now < self.keep_due() {
+            return None;
+        }
+        if !can {
+            self.kept.1 = now;
+            return None;
+        }
+        let view = self.sync.view();
+        self.kept = (view.revision, now, false);
+        Some(kept::encode(&self.settings.prefix, view))
+    }
+
+    /// When the view is to be kept on disk.
+    fn keep_due(&self) -> f64 {
+        let (revision, at, changed) = self.kept;
+        match self.sync.view().revision {
+            0 => f64::INFINITY,
+            _ if changed => at + KEEP,
+            now if now != revision => at + KEEP_PROGRESS,
+            _ => f64::INFINITY,
+        }
+    }
+
     /// Time that was asked for has come.
     pub fn due(&mut self, context: &mut Context) {
         self.timer = f64::INFINITY;
         self.input(Input::Time, context);
+        self.lease(lease::Input::Time, context);
         self.tell(context);
     }
 
@@ -114,60 +216,140 @@
             self.sync.handle(now, input, &mut actions);
             for action in actions {
                 match action {
+                    Action::Login(call, endpoint) => {
+                        let opened = self.dial.login().and_then(|body| {
+                            let taking = Taking::Token(Whole::new(LONGEST, self.budget.charge()));
+                            self.open(call, endpoint, wire::AUTHENTICATE, &body, taking, context)
+                        });
+                        inputs.extend(self.opened(call, opened));
+                    }
                     Action::Read(call, endpoint, range) => {
-                        let opened = self.open(call, endpoint, wire::RANGE, &range.body(), false, context);
-                        inputs.extend((!opened).then_some(Input::Broken(call)));
+                        let taking = Taking::Page(Whole::new(LONGEST, self.budget.charge()));
+                        let opened = self.open(call, endpoint, wire::RANGE, &range.body(), taking, context);
+                        inputs.extend(self.opened(call, opened));
                     }
                     Action::Watch(call, endpoint, revision) => {
                         let prefix = format!("{}/", self.settings.prefix).into_bytes();
                         let body = wire::watch(&prefix, &wire::after(&prefix), revision);
-                        let opened = self.open(call, endpoint, wire::WATCH, &body, true, context);
-                        inputs.extend((!opened).then_some(Input::Broken(call)));
+                        let lines = Lines::new(LONGEST);
+                        let taking = Taking::Watch(Answer::default(), lines, self.budget.charge());
+                        let opened = self.open(call, endpoint, wire::WATCH, &body, taking, context);
+                        inputs.extend(self.opened(call, opened));
                     }
                     Action::Close(call) => self.close(call),
                     Action::Changed(Some(keys)) => {
+                        self.kept.2 = true;
                         self.pending.iter_mut().for_each(|pending| pending.extend(keys.clone()))
                     }
-                    Action::Changed(None) => self.pending = None,
+                    Action::Changed(None) => (self.kept.2, self.pending) = (true, None),
                     Action::Notice(notice) => self.noticed(&notice, context),
                 }
             }
         }
-        let due = self.sync.due();
+        self.wake(context);
+    }
+
+    /// Sets a timer for whatever is due first.
+    fn wake(&mut self, context: &mut Context) {
+        let lease = self.own.as_ref().map_or(f64::INFINITY, |own| own.lease.due());
+        let due = self.sync.due().min(lease).min(self.keep_due());
         if due < self.timer {
             self.timer = due;
             context.reactor.timer(due, Due::Registry);
         }
     }
 
-    /// Calls an endpoint; false where there can be no connection.
+    fn lease(&mut self, input: lease::Input, context: &mut Context) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let Some(own) = &mut self.own else { return };
+            if let (lease::Input::Answer(_, Err(Refusal::Unauthenticated)), Some(token)) =
+                (&input, &own.token)
+            {
+                let denied = Input::Denied(token.clone());
+                self.input(denied, context);
+            }
+            let Some(own) = &mut self.own else { return };
+            let mut actions = Vec::new();
+            own.lease.handle(context.reactor.now(), input, &mut actions);
+            for action in actions {
+                let Some(own) = &mut self.own else { return };
+                match action {
+                    lease::Action::Call(call, endpoint, ask) => {
+                        own.token = self.sync.token().map(String::from);
+                        let (path, body) = match ask {
+                            Ask::Grant => (wire::GRANT, wire::grant(self.settings.lease_s.into())),
+                            Ask::Put(id) => (wire::PUT, wire::put(&own.key, &own.value, id)),
+                            Ask::Keep(id) => (wire::KEEP, wire::about_lease(id)),
+                            Ask::Revoke(id) => (wire::REVOKE, wire::about_lease(id)),
+                        };
+                        let whole = Whole::new(LONGEST, self.budget.charge());
+                        let taking = Taking::Lease(whole, matches!(ask, Ask::Keep(_)));
+                        if let Err(fault) = self.open(call, endpoint, path, &body, taking, context) {
+                            logging::warn!(event = "registry.call", "{fault}");
+                            inputs.push(lease::Input::Broken(call));
+                        }
+                    }
+                    lease::Action::Close(call) => {
+                        if let Some((_, slot)) = own.current.take_if(|(asked, _)| *asked == call) {
+                            self.conns.remove(slot);
+                        }
+                    }
+                    lease::Action::Held => {
+                        logging::info!(
+                            event = "registry.registered",
+                            "the pooler's own key stands in the registry"
+                        );
+                    }
+                    lease::Action::Lost(why) => {
+                        logging::warn!(
+                            event = "registry.unregistered",
+                            "the pooler's own key may be gone: {why}"
+                        );
+                    }
+                }
+            }
+        }
+        self.wake(context);
+    }
+
+    /// What the sync machine is to be told of a call that could not even be made.
+    fn opened(&self, call: u64, opened: Result<(), String>) -> Option<Input> {
+        let fault = opened.err()?;
+        logging::warn!(event = "registry.call", "{fault}");
+        Some(Input::Broken(call))
+    }
+
+    /// Calls an endpoint.
     fn open(
         &mut self,
         call: u64,
         at: usize,
         path: &str,
         body: &[u8],
-        watch: bool,
+        taking: Taking,
         context: &mut Context,
-    ) -> bool {
-        if let Some((old, _)) = self.current {
-            self.close(old);
+    ) -> Result<(), String> {
+        let of_lease = matches!(taking, Taking::Lease(..));
+        let old =
+            if of_lease { self.own.as_mut().and_then(|own| own.current.take()) } else { self.current.take() };
+        old.map(|(_, slot)| self.conns.remove(slot));
+        let Some(&address) = self.settings.endpoints.get(at) else { return Err("no such endpoint".into()) };
+        let named = |error: std::io::Error| format!("{address}: {error}");
+        let now = context.reactor.now();
+        let link = self.dial.call(address, path, body, self.sync.token(), &self.budget, now)?;
+        if let Some(warning) = self.dial.warning(now) {
+            logging::warn!(event = "registry.expiring", "{warning}");
         }
-        let Some(&address) = self.settings.endpoints.get(at) else { return false };
-        let Ok(stream) = TcpStream::connect(address) else { return false };
-        let (inbox, mut outbox) = (Ring::new(&self.budget), Ring::new(&self.budget));
-        let host = address.to_string();
-        let request =
-            Request { method: "POST", target: path, host: &host, json: Some(body), ..Request::default() };
-        if outbox.push(&request.bytes()).is_err() {
-            return false;
+        let stream = TcpStream::connect(address).map_err(named)?;
+        let slot = self.conns.insert(Conn { stream, link, taking, call, heard: false });
+        match &mut self.own {
+            Some(own) if of_lease => own.current = Some((call, slot)),
+            _ => self.current = Some((call, slot)),
         }
-        let (answer, lines, body) = (Answer::default(), Lines::new(LONGEST), Vec::new());
-        let slot = self.conns.insert(Conn { stream, inbox, outbox, answer, call, watch, lines, body });
-        self.current = Some((call, slot));
-        let Some(conn) = self.conns.get_mut(slot) else { return false };
+        let Some(conn) = self.conns.get_mut(slot) else { return Err("no place".into()) };
         let (token, both) = (Source::Registry(slot).into(), Interest::READABLE | Interest::WRITABLE);
-        context.reactor.registry.register(&mut conn.stream, token, both).is_ok()
+        context.reactor.registry.register(&mut conn.stream, token, both).map_err(named)
     }
 
     fn close(&mut self, call: u64) {
@@ -179,13 +361,31 @@
     /// A connection may be read from or written to.
     pub fn ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let mut inputs = Vec::new();
+        let mut heard = Vec::new();
         let call = conn.call;
-        if conn.turn(&mut inputs).is_err() {
-            inputs.push(Input::Broken(call));
+        if let Err(fault) = conn.turn(&mut heard) {
+            let unheard = conn.link.is_secured() && !conn.heard;
+            if let Some(address) = conn.stream.peer_addr().ok().filter(|_| unheard) {
+                logging::warn!(event = "registry.tls", "{address}: nothing came over TLS: {fault}");
+                self.dial.doubt();
+            }
+            heard.push(match self.current {
+                Some((_, own)) if own == slot => Heard::Sync(Input::Broken(call)),
+                _ => Heard::Lease(lease::Input::Broken(call)),
+            });
         }
-        for input in inputs {
-            self.input(input, context);
+        for heard in heard {
+            match heard {
+                Heard::Sync(input) => self.input(input, context),
+                Heard::Lease(input) => {
+                    // An answer is all that such a connection is for.
+                    if let Some(own) = &mut self.own {
+                        let _ = own.current.take_if(|(_, at)| *at == slot);
+                    }
+                    self.conns.remove(slot);
+                    self.lease(input, context);
+                }
+            }
         }
         self.tell(context);
     }
@@ -251,49 +451,73 @@
 
 impl Conn {
     /// Reads and writes as far as it goes; what the sync machine is to be told.
-    fn turn(&mut self, inputs: &mut Vec<Input>) -> Result<(), ()> {
+    fn turn(&mut self, heard: &mut Vec<Heard>) -> Result<(), String> {
         if self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
-                _ => Err(()),
+                _ => Err("not reached".into()),
             };
         }
-        self.outbox.drain(&mut self.stream).map_err(drop)?;
         loop {
-            let fill = self.inbox.fill(&mut self.stream).map_err(drop)?;
-            let before = self.inbox.len();
-            while let Some(piece) = self.answer.next(&mut self.inbox).map_err(drop)? {
-                match piece {
-                    // What an error's body says is told like any other answer: some come with status 200.
-                    Piece::Head(_) => {}
-                    Piece::Body(bytes) if self.watch => {
-                        self.lines.push(&bytes).map_err(drop)?;
-                        while let Some(line) = self.lines.take() {
-                            if !line.trim_ascii().is_empty() {
-                                inputs.push(Input::Told(self.call, wire::told(&line)));
-                            }
-                        }
-                    }
-                    Piece::Body(bytes) => {
-                        if self.body.len() + bytes.len() > LONGEST {
-                            return Err(());
-                        }
-                        self.body.extend(bytes);
-                    }
-                    Piece::End if self.watch => return Err(()),
-                    Piece::End => {
-                        let page = wire::page(&std::mem::take(&mut self.body));
-                        inputs.push(Input::Page(self.call, page));
-                        return Ok(());
-                    }
-                }
+            let fill = self.link.turn(&mut self.stream).map_err(|fault| fault.to_string())?;
+            let before = self.link.inbox.len();
+            self.heard |= before > 0;
+            if self.take(heard)? {
+                return Ok(());
             }
             match fill {
-                Fill::Ended => return Err(()),
+                Fill::Ended => return Err("ended".into()),
                 Fill::Drained => return Ok(()),
-                Fill::Full if self.inbox.len() == before => return Err(()),
+                Fill::Full if self.link.inbox.len() == before => return Err("no memory left".into()),
                 Fill::Full => {}
             }
         }
     }
+
+    /// Takes what is whole; true where nothing more is to come. What an error's body says is told like any other
+    /// answer: some come with status 200.
+    fn take(&mut self, heard: &mut Vec<Heard>) -> Result<bool, String> {
+        let (inbox, call) = (&mut self.link.inbox, self.call);
+        let told = |fault: http1::Fault| fault.words().to_string();
+        match &mut self.taking {
+            Taking::Page(whole) => {
+                let whole = whole.next(inbox).map_err(told)?;
+                heard
+                    .extend(whole.as_ref().map(|(_, body)| Heard::Sync(Input::Page(call, wire::page(body)))));
+                Ok(whole.is_some())
+            }
+            Taking::Token(whole) => {
+                let whole = whole.next(inbox).map_err(told)?;
+                heard.extend(
+                    whole.as_ref().map(|(_, body)| Heard::Sync(Input::Token(call, wire::token(body)))),
+                );
+                Ok(whole.is_some())
+            }
+            Taking::Lease(whole, stream) => {
+                let whole = whole.next(inbox).map_err(told)?;
+                let answer = whole.as_ref().map(|(_, body)| wire::granted(body.trim_ascii(), *stream));
+                heard.extend(answer.map(|answer| Heard::Lease(lease::Input::Answer(call, answer))));
+                Ok(whole.is_some())
+            }
+            Taking::Watch(answer, lines, charge) => {
+                while let Some(piece) = answer.next(inbox).map_err(told)? {
+                    match piece {
+                        Piece::Head(_) => {}
+                        Piece::Body(bytes) => {
+                            lines.push(&bytes).map_err(|_| "a line too long")?;
+                            charge.set(lines.held()).map_err(|_| "no memory left")?;
+                            while let Some(line) = lines.take() {
+                                if !line.trim_ascii().is_empty() {
+                                    heard.push(Heard::Sync(Input::Told(call, wire::told(&line))));
+                                }
+                            }
+                            let _ = charge.set(lines.held());
+                        }
+                        Piece::End => return Err("the watch ended".into()),
+                    }
+                }
+                Ok(false)
+            }
+        }
+    }
 }
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -5,15 +5,22 @@
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
 
 use mio::Waker;
 use steplog::{frame, scan, Scan};
 use transaction::{History, Record};
 
+use crate::files;
+
 const LOG: &str = "steps.log";
 const LOCK: &str = "lock";
 const NEW: &str = "steps.new";
+/// The view of a registry, and the file that takes its place.
+const VIEW: &str = "registry.view";
+const VIEW_NEW: &str = "registry.new";
 /// Most steps that wait for the disk; a change takes three.
 const WAITING: usize = 64;
 /// Most bytes of a log that are read at a start: past this it is not one that was written here.
@@ -32,9 +39,10 @@
 enum Job {
     Append(u64, Vec<u8>),
     Rewrite(Vec<u8>),
+    View(Vec<u8>),
 }
 
-/// What became of a step, by its number; 0 is the log as a whole.
+/// What became of a step, by its number; 0 is anything else, with the file in the words of its fault.
 pub(crate) type Written = (u64, Result<(), String>);
 
 /// The thread that writes.
@@ -44,6 +52,7 @@
     /// Bytes in the log after all jobs so far, and past which it is rewritten.
     size: usize,
     most: usize,
+    viewing: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -103,15 +112,25 @@
 
     /// Puts another log in the place of this one.
     fn rewrite(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        let (new, path) = (self.folder.join(NEW), self.folder.join(LOG));
+        (self.file, self.sound) = (self.replace(NEW, LOG, bytes)?, bytes.len() as u64);
+        Ok(())
+    }
+
+    /// Puts a file in the place of another, so that a crash leaves either the one or the other.
+    fn replace(&self, new: &str, name: &str, bytes: &[u8]) -> std::io::Result<File> {
+        let new = self.folder.join(new);
         let mut file =
             OpenOptions::new().create(true).truncate(true).read(true).write(true).mode(0o600).open(&new)?;
         file.write_all(bytes)?;
         file.sync_all()?;
-        std::fs::rename(&new, &path)?;
+        std::fs::rename(&new, self.folder.join(name))?;
         File::open(&self.folder)?.sync_all()?;
-        (self.file, self.sound) = (file, bytes.len() as u64);
-        Ok(())
+        Ok(file)
+    }
+
+    /// The view of a registry that was kept, in bytes; none where there is none that can be read.
+    pub fn kept(&self) -> Option<Vec<u8>> {
+        files::read(&self.folder.join(VIEW), registry::kept::LONGEST).ok()
     }
 
     /// Puts steps on record at once, before anything is served.
@@ -125,19 +144,34 @@
         let (jobs, inbox) = sync_channel(WAITING);
         let (outbox, done) = sync_channel(WAITING + 1);
         let size = self.sound as usize;
+        let viewing = Arc::new(AtomicBool::new(false));
+        let busy = viewing.clone();
+        let named = |store: &Store, name: &str, result: std::io::Result<()>| {
+            result.map_err(|error| format!("{}: {error}", store.folder.join(name).display()))
+        };
         std::thread::Builder::new().name("steps".into()).spawn(move || {
             for job in inbox {
                 let written = match job {
-                    Job::Append(step, bytes) => (step, self.append(&bytes)),
-                    Job::Rewrite(bytes) => (0, self.rewrite(&bytes)),
+                    Job::Append(step, bytes) => {
+                        (step, self.append(&bytes).map_err(|error| error.to_string()))
+                    }
+                    Job::Rewrite(bytes) => {
+                        let rewritten = self.rewrite(&bytes);
+                        (0, named(&self, LOG, rewritten))
+                    }
+                    Job::View(bytes) => {
+                        let replaced = self.replace(VIEW_NEW, VIEW, &bytes).map(drop);
+                        busy.store(false, Ordering::SeqCst);
+                        (0, named(&self, VIEW, replaced))
+                    }
                 };
-                let told = outbox.send((written.0, written.1.map_err(|error| error.to_string())));
+                let told = outbox.send(written);
                 if told.is_err() || waker.wake().is_err() {
                     return;
                 }
             }
         })?;
-        Ok(Writer { jobs, done, size, most })
+        Ok(Writer { jobs, done, size, most, viewing })
     }
 }
 
@@ -157,6 +191,19 @@
         Ok(())
     }
 
+    /// Whether a view is being written: one at a time, since each may take all the memory there is for it.
+    pub fn keeps(&self) -> bool {
+        self.viewing.load(Ordering::SeqCst)
+    }
+
+    /// Has a registry's view written; dropped where the disk does not keep up, since a later one says it all.
+    pub fn keep(&self, bytes: Vec<u8>) {
+        self.viewing.store(true, Ordering::SeqCst);
+        if self.jobs.try_send(Job::View(bytes)).is_err() {
+            self.viewing.store(false, Ordering::SeqCst);
+        }
+    }
+
     /// The next step that is done, or has failed.
     pub fn done(&mut self) -> Option<Written> {
         self.done.try_recv().ok()
--- a/crates/daemon/tests/registry.rs
+++ b/crates/daemon/tests/registry.rs
@@ -181,3 +181,149 @@
     let (code, text) = run(&["check"]);
     assert!(code == 1 && text.contains("s-2: missing field"), "{text}");
 }
+
+#[test]
+fn an_endpoint_that_lags_and_answers_in_single_bytes_or_twice_takes_nothing_back() {
+    let (machines, registry, discovery) = (three(), Registry::default(), Discovery::listen());
+    (0..3).for_each(|n| put(&registry, &machines, n, "SERVING"));
+    let lagging = registry.another();
+    for endpoint in [&registry, &lagging] {
+        endpoint.fault(|faults| (faults.split, faults.twice) = (true, true));
+    }
+    lagging.cut(true);
+    let both = settings(&[&registry, &lagging]);
+    let operator = Operator::new("registry-lag", &format!("{both}serializable = true\n"));
+    let pooler = Pooler::operated(PROGRAM, &list(0, true, &[]), &discovery, &operator);
+    until(&pooler, &machines, &[false, true, true]);
+    put(&registry, &machines, 1, "DRAINING");
+    until(&pooler, &machines, &[false, false, true]);
+    // The drain is not known at the endpoint that is left.
+    lagging.fault(|faults| (faults.behind, faults.cut) = (1, false));
+    registry.cut(true);
+    pooler.logged("registry.stale");
+    assert_eq!(reads(&pooler, &machines, 20), (20, vec![0, 0, 20]));
+    lagging.fault(|faults| faults.behind = 0);
+    put(&registry, &machines, 1, "SERVING");
+    until(&pooler, &machines, &[false, true, true]);
+}
+
+#[test]
+fn errors_that_are_no_json_slow_answers_and_silent_watches_are_got_over() {
+    let (machines, registry, discovery) = (three(), Registry::default(), Discovery::listen());
+    (0..3).for_each(|n| put(&registry, &machines, n, "SERVING"));
+    registry.fault(|faults| faults.status = 503);
+    let text = settings(&[&registry]).replace("call_s", "silence_s = 1\ncall_s");
+    let operator = Operator::new("registry-errors", &text);
+    let pooler = Pooler::operated(PROGRAM, &list(0, true, &[]), &discovery, &operator);
+    assert!(pooler.logged("registry.lost").contains("not of the agreed form"));
+    registry.fault(|faults| (faults.status, faults.slow) = (0, Duration::from_millis(200)));
+    until(&pooler, &machines, &[false, true, true]);
+    // A watch that tells nothing is given up for another, which tells what the first did not.
+    registry.fault(|faults| faults.stall = true);
+    put(&registry, &machines, 1, "DRAINING");
+    assert!(pooler.logged("registry.lost").contains("no answer in time"));
+    registry.fault(|faults| faults.stall = false);
+    until(&pooler, &machines, &[false, false, true]);
+}
+
+#[test]
+fn a_source_changed_under_load_fails_nothing_and_keeps_drains() {
+    let (machines, registry, discovery) = (three(), Registry::default(), Discovery::listen());
+    let mut lines: Vec<String> = (0..3).map(|n| machines[n].line(&format!("s-{n}"), "here")).collect();
+    lines[1] = line(machines[1].address, "s-1", "here", "DRAINING");
+    let operator = Operator::new("registry-load", "change.probation_s = 0.5");
+    let pooler = Pooler::operated(PROGRAM, &list(41, true, &lines), &discovery, &operator);
+    until(&pooler, &machines, &[false, false, true]);
+    (0..3).for_each(|n| put(&registry, &machines, n, "SERVING"));
+    registry.write(&[("/dewferry/drains/s-1", Some("still"))]);
+    let next = operator.write("next.toml", &settings(&[&registry]));
+    let over = std::sync::atomic::AtomicBool::new(false);
+    let drained = machines[1].count();
+    std::thread::scope(|scope| {
+        let load = (0..4).map(|n| {
+            let (pooler, over) = (&pooler, &over);
+            scope.spawn(move || {
+                let (mut wire, mut asked) = (client(pooler), 0);
+                while !over.load(std::sync::atomic::Ordering::SeqCst) {
+                    wire.send(&query(&ask(&format!("load{n}-{asked}"), "reports")));
+                    assert_eq!(wire.answer().first().map(|(kind, _)| *kind), Some(b'T'), "{n}, {asked}");
+                    asked += 1;
+                }
+                asked
+            })
+        });
+        let load: Vec<_> = load.collect();
+        assert_eq!(pooler.config(&["apply", &next, "--allow", "list-unknown"]).0, 0);
+        pooler.logged("registry.following");
+        over.store(true, std::sync::atomic::Ordering::SeqCst);
+        let asked: usize = load.into_iter().map(|one| one.join().unwrap()).sum();
+        assert!(asked > 0);
+    });
+    assert_eq!(machines[1].count(), drained, "drained before, meanwhile and after");
+    registry.write(&[("/dewferry/drains/s-1", None)]);
+    until(&pooler, &machines, &[false, true, true]);
+}
+
+#[test]
+fn a_whole_list_goes_out_and_in_again_from_the_command_line() {
+    let (machines, registry) = (three(), Registry::default());
+    (0..3).for_each(|n| put(&registry, &machines, n, "SERVING"));
+    registry.write(&[("/dewferry/drains/s-1", Some("disk"))]);
+    let operator = Operator::new("registry-whole", &settings(&[&registry]));
+    let run = |args: &[&str]| {
+        let mut command = std::process::Command::new(PROGRAM);
+        command.arg("registry").args(args).arg("--operator").arg(operator.file());
+        let output = command.output().unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+    };
+    let (code, whole, _) = run(&["export"]);
+    assert_eq!(code, 0);
+    let path = operator.0.join("list.json");
+    let file = path.to_str().unwrap();
+    std::fs::write(&path, &whole).unwrap();
+    assert_eq!(run(&["import", file]).1, "0 of 0 keys written\n", "what is the same is not written");
+    // 150 more members take two transactions.
+    let more: String =
+        (0..150).map(|n| format!(r#""n-{n}":{{"v":1,"address":"10.0.0.1:{}"}},"#, 1000 + n)).collect();
+    std::fs::write(&path, whole.replacen("\"members\": {", &format!("\"members\": {{{more}"), 1)).unwrap();
+    let (code, said, _) = run(&["import", file, "--dry-run"]);
+    assert!(
+        code == 0 && said.contains("would write /dewferry/members/n-149") && said.contains("0 of 150"),
+        "{said}"
+    );
+    assert_eq!(
+        run(&["import", file, "--json"]).1.trim(),
+        r#"{"changes":150,"conflict":false,"written":150}"#
+    );
+    assert!(run(&["view"]).1.contains("153 members"));
+    // A file with next to nothing in it is held up; without --prune nothing goes.
+    std::fs::write(&path, r#"{"members":{}}"#).unwrap();
+    assert_eq!(run(&["import", file]).1, "0 of 0 keys written\n");
+    let (code, _, said) = run(&["import", file, "--prune"]);
+    assert!(code == 2 && said.contains("153 of 153 members would be deleted"), "{said}");
+    std::fs::write(&path, &whole).unwrap();
+    assert_eq!(run(&["import", file, "--prune", "--allow-many"]).0, 0);
+    assert_eq!(run(&["export"]).1.replace(char::is_numeric, ""), whole.replace(char::is_numeric, ""));
+    for (bad, words) in [
+        (r#"{"members":{"s-1":{"v":2}}}"#, "members.s-1"),
+        (r#"{"members":{},"drains":{"s-9":""}}"#, "drains.s-9"),
+        (r#"{"memberz":{}}"#, "memberz"),
+    ] {
+        std::fs::write(&path, bad).unwrap();
+        let (code, _, said) = run(&["import", file]);
+        assert!(code == 2 && said.contains(words), "{said}");
+    }
+    let seen = std::thread::scope(|scope| {
+        let watch = scope.spawn(|| run(&["watch", "--json", "--for", "3"]).1);
+        let begun = Instant::now();
+        let mut status = ["DRAINING", "SERVING"].iter().cycle();
+        while !watch.is_finished() && begun.elapsed() < Duration::from_secs(20) {
+            put(&registry, &machines, 2, status.next().unwrap());
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        watch.join().unwrap()
+    });
+    let of = |words: &str| seen.lines().filter(|line| line.contains("s-2") && line.contains(words)).count();
+    assert!(of("draining") > 0 && of("serving") > 0, "{seen}");
+}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,7 +3,7 @@
 //! one need not be held.
 #![warn(missing_docs)]
 
-use buffer::Ring;
+use buffer::{Charge, Ring};
 
 /// Most header fields of an answer that are looked at.
 const FIELDS: usize = 64;
@@ -81,6 +81,8 @@
     Chunk,
     /// The connection ended within it.
     Cut,
+    /// A body that is longer than is read, or than there is memory for.
+    Long,
 }
 
 impl Fault {
@@ -91,6 +93,7 @@
             Fault::Length => "an answer without a sound length",
             Fault::Chunk => "not a chunk",
             Fault::Cut => "an answer cut off",
+            Fault::Long => "an answer too long",
         }
     }
 }
@@ -246,6 +249,52 @@
     }
 }
 
+/// Takes one answer whole, whatever its status: some servers put an error into the body of a 200.
+#[derive(Debug)]
+pub struct Whole {
+    answer: Answer,
+    head: Option<Head>,
+    body: Vec<u8>,
+    most: usize,
+    charge: Charge,
+}
+
+impl Whole {
+    /// An answer whose body has so many bytes at the most; they are charged to a budget while they are held.
+    pub fn new(most: usize, charge: Charge) -> Whole {
+        Whole { answer: Answer::default(), head: None, body: Vec::new(), most, charge }
+    }
+
+    /// Takes what is there; the head and the body once both are whole.
+    pub fn next(&mut self, inbox: &mut Ring) -> Result<Option<(Head, Vec<u8>)>, Fault> {
+        while let Some(piece) = self.answer.next(inbox)? {
+            match piece {
+                Piece::Head(head) => self.head = Some(head),
+                Piece::Body(bytes) => {
+                    let length = self.body.len() + bytes.len();
+                    if length > self.most || self.charge.set(length).is_err() {
+                        return Err(Fault::Long);
+                    }
+                    self.body.extend(bytes);
+                }
+                Piece::End => return self.finish().map(Some),
+            }
+        }
+        Ok(None)
+    }
+
+    /// The connection has ended: what is there, where that was the end of the answer.
+    pub fn ended(&mut self) -> Result<(Head, Vec<u8>), Fault> {
+        self.answer.ended()?;
+        self.finish()
+    }
+
+    fn finish(&mut self) -> Result<(Head, Vec<u8>), Fault> {
+        let _ = self.charge.set(0);
+        Ok((self.head.take().ok_or(Fault::Cut)?, std::mem::take(&mut self.body)))
+    }
+}
+
 /// Some bytes of a body of which so many are left, and how many are left then; none while there are none.
 fn body(inbox: &mut Ring, left: u64) -> Option<(Vec<u8>, u64)> {
     let most = usize::try_from(left).unwrap_or(usize::MAX).min(PIECE);
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -180,6 +180,22 @@
     pub silence_s: f64,
     pub guard_share: f64,
     pub guard_s: f64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_ca: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_cert: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_key: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_name: Option<String>,
+    pub tls_warn_days: f64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub user: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub password_file: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub register: Option<String>,
+    pub lease_s: u32,
 }
 
 impl Default for Registry {
@@ -192,6 +208,15 @@
             silence_s: 30.0,
             guard_share: 0.5,
             guard_s: 5.0,
+            tls_ca: None,
+            tls_cert: None,
+            tls_key: None,
+            tls_name: None,
+            tls_warn_days: 21.0,
+            user: None,
+            password_file: None,
+            register: None,
+            lease_s: 15,
         }
     }
 }
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -160,12 +160,31 @@
                 "given beside a list of members: only one can hold the list".into(),
             );
         }
+        // Each of these means nothing without the other.
+        let pairs = [
+            ("tls_cert", registry.tls_cert.is_some(), "tls_key", registry.tls_key.is_some()),
+            ("tls_key", registry.tls_key.is_some(), "tls_cert", registry.tls_cert.is_some()),
+            ("tls_cert", registry.tls_cert.is_some(), "tls_ca", registry.tls_ca.is_some()),
+            ("tls_name", registry.tls_name.is_some(), "tls_ca", registry.tls_ca.is_some()),
+            ("user", registry.user.is_some(), "password_file", registry.password_file.is_some()),
+            ("password_file", registry.password_file.is_some(), "user", registry.user.is_some()),
+        ];
+        for (given, here, needed, there) in pairs {
+            if here && !there {
+                conflict(format!("registry.{given}"), format!("given without registry.{needed}"));
+            }
+        }
         if !registry.prefix.starts_with('/') || registry.prefix.ends_with('/') {
             conflict(
                 "registry.prefix".into(),
                 format!("{:?} does not begin with a slash, or ends with one", registry.prefix),
             );
         }
+        let inside = |own: &String| format!("{own}/").starts_with(&format!("{}/", registry.prefix));
+        if let Some(own) = registry.register.as_ref().filter(|own| !own.starts_with('/') || inside(own)) {
+            let what = format!("{own:?} does not begin with a slash, or is among the keys that are followed");
+            conflict("registry.register".into(), what);
+        }
         let members = document.member.iter().map(|(name, member)| Listing {
             name: name.as_str().into(),
             address: member.address,
--- /dev/null
+++ b/crates/peers/src/authority.rs
@@ -0,0 +1,59 @@
+//! Certificates for the tests, made as they are needed.
+
+use std::path::Path;
+
+use openssl::pkey::PKey;
+use openssl::ssl::{SslAcceptor, SslMethod, SslVerifyMode};
+use openssl::x509::X509;
+use rcgen::{date_time_ymd, BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
+
+/// An authority that vouches for others.
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    /// Its certificate.
+    pub pem: String,
+}
+
+impl Default for Authority {
+    fn default() -> Self {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        // Another name than those of what it issues: else each would seem to vouch for itself.
+        params.distinguished_name.push(DnType::CommonName, "an authority");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = params.self_signed(&key).unwrap().pem();
+        Authority { issuer: Issuer::new(params, key), pem }
+    }
+}
+
+impl Authority {
+    /// A certificate of a name or address that holds until the end of a year, and its key.
+    pub fn issue(&self, name: &str, until: i32) -> (String, String) {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(vec![name.to_string()]).unwrap();
+        (params.not_before, params.not_after) = (date_time_ymd(2020, 1, 1), date_time_ymd(until, 12, 31));
+        (params.signed_by(&key, &self.issuer).unwrap().pem(), key.serialize_pem())
+    }
+
+    /// A server with a certificate of this name; it asks for a client's that this authority vouches for.
+    pub fn acceptor(&self, name: &str, until: i32, of_clients: bool) -> SslAcceptor {
+        let (certificate, key) = self.issue(name, until);
+        let mut builder = SslAcceptor::mozilla_intermediate_v5(SslMethod::tls_server()).unwrap();
+        builder.set_certificate(&X509::from_pem(certificate.as_bytes()).unwrap()).unwrap();
+        builder.set_private_key(&PKey::private_key_from_pem(key.as_bytes()).unwrap()).unwrap();
+        if of_clients {
+            builder.cert_store_mut().add_cert(X509::from_pem(self.pem.as_bytes()).unwrap()).unwrap();
+            builder.set_verify(SslVerifyMode::PEER | SslVerifyMode::FAIL_IF_NO_PEER_CERT);
+        }
+        builder.build()
+    }
+}
+
+/// Writes a file that only its owner may read; its path, as TOML writes it.
+pub fn private(folder: &Path, name: &str, text: &str) -> String {
+    use std::os::unix::fs::PermissionsExt;
+    let path = folder.join(name);
+    std::fs::write(&path, text).unwrap();
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).unwrap();
+    format!("{:?}", path.to_str().unwrap())
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,9 +1,11 @@
 //! The pooler's program between scripted peers on loopback: clients, db machines and discovery, each driven
 //! by the test line by line. Every wait is for an event, and ends the test if that does not come.
 
+mod authority;
 mod registry;
 
-pub use registry::Registry;
+pub use authority::{private, Authority};
+pub use registry::{Faults, Registry};
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/peers/src/registry.rs
+++ b/crates/peers/src/registry.rs
@@ -4,12 +4,13 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use openssl::ssl::{Ssl, SslAcceptor, SslStream};
 use serde_json::{json, Value};
 
 /// Changes of one revision: a key and its value, or none where it was deleted.
@@ -19,6 +20,11 @@
 struct State {
     steps: Vec<Step>,
     compacted: u64,
+    /// Until when each lease holds, its length, and its keys.
+    leases: BTreeMap<u64, (Instant, Duration, Vec<String>)>,
+    /// Tokens are asked for where there is a user; those given before are valid no longer.
+    user: Option<(String, String)>,
+    token: u64,
 }
 
 impl State {
@@ -39,50 +45,124 @@
         }
         keys
     }
+
+    /// Deletes the keys of a lease.
+    fn end(&mut self, lease: u64) {
+        let keys = self.leases.remove(&lease).map(|(.., keys)| keys).unwrap_or_default();
+        if !keys.is_empty() {
+            self.steps.push(keys.into_iter().map(|key| (key, None)).collect());
+        }
+    }
+
+    fn valid(&self, token: &str) -> bool {
+        self.user.is_none() || token == format!("token-{}", self.token)
+    }
 }
 
+/// What goes wrong at an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Calls are taken in and never answered.
+    pub hang: bool,
+    /// Calls end at once, and so do open watches.
+    pub cut: bool,
+    /// Watches tell nothing more.
+    pub stall: bool,
+    /// Each byte goes by itself.
+    pub split: bool,
+    /// The status that calls are answered with, and a page that is not JSON; none where 0.
+    pub status: u16,
+    /// How long an answer is thought about.
+    pub slow: Duration,
+    /// The endpoint does not know of so many of the latest revisions.
+    pub behind: u64,
+    /// Watches tell each change twice.
+    pub twice: bool,
+}
+
+/// The registry that endpoints belong to.
 #[derive(Default)]
-struct Shared {
+struct Cluster {
     state: Mutex<State>,
     changed: Condvar,
-    /// Calls are taken in and never answered.
-    hangs: AtomicBool,
-    /// Open watches end, and so do calls.
-    cuts: AtomicBool,
+}
+
+#[derive(Default)]
+struct Shared {
+    faults: Mutex<Faults>,
     calls: AtomicUsize,
     bytes: AtomicUsize,
 }
 
-/// A registry on a loopback address.
+/// An endpoint of a registry, on a loopback address.
 #[derive(Clone)]
 pub struct Registry {
     pub address: SocketAddr,
+    cluster: Arc<Cluster>,
     shared: Arc<Shared>,
 }
 
+trait Both: Read + Write + Send {}
+impl Both for TcpStream {}
+impl Both for SslStream<TcpStream> {}
+
+struct Stream {
+    inner: Box<dyn Both>,
+    split: bool,
+}
+
 impl Default for Registry {
     fn default() -> Self {
+        Registry::over(Arc::default(), None)
+    }
+}
+
+impl Registry {
+    /// A registry that is called over TLS.
+    pub fn secured(acceptor: SslAcceptor) -> Registry {
+        Registry::over(Arc::default(), Some(acceptor))
+    }
+
+    /// Another endpoint of the same registry.
+    pub fn another(&self) -> Registry {
+        Registry::over(self.cluster.clone(), None)
+    }
+
+    fn over(cluster: Arc<Cluster>, acceptor: Option<SslAcceptor>) -> Registry {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let shared = Arc::new(Shared::default());
-        let registry = Registry { address, shared };
+        let registry = Registry { address, cluster, shared: Arc::default() };
         let own = registry.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let own = own.clone();
-                std::thread::spawn(move || own.serve(stream));
+                let (own, acceptor) = (own.clone(), acceptor.clone());
+                std::thread::spawn(move || {
+                    stream.set_nodelay(true).ok()?;
+                    let inner: Box<dyn Both> = match acceptor {
+                        None => Box::new(stream),
+                        Some(acceptor) => {
+                            let mut stream =
+                                SslStream::new(Ssl::new(acceptor.context()).ok()?, stream).ok()?;
+                            stream.accept().ok()?;
+                            Box::new(stream)
+                        }
+                    };
+                    own.serve(Stream { inner, split: false })
+                });
             }
         });
         registry
     }
-}
 
-impl Registry {
     /// Writes keys, or deletes those without a value, in one transaction.
     pub fn write(&self, step: &[(&str, Option<&str>)]) {
         let step = step.iter().map(|(key, value)| (key.to_string(), value.map(String::from)));
-        self.shared.state.lock().unwrap().steps.push(step.collect());
-        self.shared.changed.notify_all();
+        self.change(|state| state.steps.push(step.collect()));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.cluster.state.lock().unwrap());
+        self.cluster.changed.notify_all();
     }
 
     /// The value of a member.
@@ -90,21 +170,51 @@
         format!(r#"{{"v":1,"address":"{address}","zone":"here","group":{group},"status":"{status}"}}"#)
     }
 
+    /// The present value of a key.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.cluster.state.lock().unwrap();
+        state.at(state.revision()).get(key).map(|(_, value)| value.to_string())
+    }
+
     /// Forgets all revisions before the present one.
     pub fn compact(&self) {
-        let mut state = self.shared.state.lock().unwrap();
-        state.compacted = state.revision();
+        self.change(|state| state.compacted = state.revision());
+    }
+
+    /// Has this user log in from now on; tokens given before are no longer valid.
+    pub fn user(&self, user: &str, password: &str) {
+        self.change(|state| {
+            state.token += 1;
+            state.user = Some((user.into(), password.into()));
+        });
+    }
+
+    /// Ends all leases, as if their keepers had been silent for too long.
+    pub fn expire(&self) {
+        self.change(|state| {
+            let all: Vec<u64> = state.leases.keys().copied().collect();
+            all.into_iter().for_each(|lease| state.end(lease));
+        });
+    }
+
+    /// Changes what goes wrong here.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.faults.lock().unwrap());
+        self.cluster.changed.notify_all();
     }
 
     /// Whether calls are taken in and never answered.
     pub fn hang(&self, hangs: bool) {
-        self.shared.hangs.store(hangs, Ordering::SeqCst);
+        self.fault(|faults| faults.hang = hangs);
     }
 
     /// Whether calls and watches end at once.
     pub fn cut(&self, cuts: bool) {
-        self.shared.cuts.store(cuts, Ordering::SeqCst);
-        self.shared.changed.notify_all();
+        self.fault(|faults| faults.cut = cuts);
+    }
+
+    fn faults(&self) -> Faults {
+        *self.shared.faults.lock().unwrap()
     }
 
     /// Calls so far, and bytes answered.
@@ -112,41 +222,82 @@
         (self.shared.calls.load(Ordering::SeqCst), self.shared.bytes.load(Ordering::SeqCst))
     }
 
-    fn serve(&self, stream: TcpStream) -> Option<()> {
-        let mut reader = BufReader::new(stream.try_clone().ok()?);
+    fn serve(&self, mut stream: Stream) -> Option<()> {
+        let mut reader = BufReader::new(&mut stream.inner);
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
             reader.read_until(b'\n', &mut head).ok().filter(|count| *count > 0)?;
         }
         let head = String::from_utf8(head).ok()?;
-        let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "))?.parse().ok()?;
-        let mut body = vec![0; length];
+        let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let mut body = vec![0; field("Content-Length: ")?.parse().ok()?];
         reader.read_exact(&mut body).ok()?;
         self.shared.calls.fetch_add(1, Ordering::SeqCst);
-        while self.shared.hangs.load(Ordering::SeqCst) {
+        std::thread::sleep(self.faults().slow);
+        while self.faults().hang {
             std::thread::sleep(Duration::from_millis(10));
         }
-        if self.shared.cuts.load(Ordering::SeqCst) {
+        let Faults { cut, split, status, .. } = self.faults();
+        stream.split = split;
+        if cut {
             return None;
         }
-        let body: Value = serde_json::from_slice(&body).ok()?;
-        match head.split(' ').nth(1)? {
-            "/v3/kv/range" => self.range(stream, &body),
-            "/v3/kv/txn" => self.txn(stream, &body),
-            "/v3/watch" => self.watch(stream, &body["create_request"]),
-            _ => None,
+        if status > 0 {
+            let page = "<html>try later</html>";
+            let head = format!("HTTP/1.1 {status} No\r\nContent-Length: {}\r\n\r\n{page}", page.len());
+            return self.send(&mut stream, head.as_bytes());
+        }
+        let (token, body) =
+            (field("Authorization: ").unwrap_or_default(), serde_json::from_slice::<Value>(&body).ok()?);
+        let path = head.split(' ').nth(1)?;
+        if path != "/v3/auth/authenticate" && !self.cluster.state.lock().unwrap().valid(token) {
+            return self
+                .answer(&mut stream, &json!({"code": 16, "message": "etcdserver: invalid auth token"}));
+        }
+        match path {
+            "/v3/auth/authenticate" => self.login(&mut stream, &body),
+            "/v3/kv/range" => self.range(&mut stream, &body),
+            "/v3/kv/txn" => self.txn(&mut stream, &body),
+            "/v3/kv/put" => self.put(&mut stream, &body),
+            "/v3/watch" => self.watch(&mut stream, &body["create_request"], token),
+            _ => self.lease(&mut stream, path, &body),
         }
     }
 
-    fn send(&self, stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
+    fn send(&self, stream: &mut Stream, bytes: &[u8]) -> Option<()> {
         self.shared.bytes.fetch_add(bytes.len(), Ordering::SeqCst);
-        stream.write_all(bytes).ok()
+        if stream.split {
+            return bytes.chunks(1).try_for_each(|byte| stream.inner.write_all(byte)).ok();
+        }
+        stream.inner.write_all(bytes).ok()
+    }
+
+    fn answer(&self, stream: &mut Stream, body: &Value) -> Option<()> {
+        let body = body.to_string();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.send(stream, &[head.as_bytes(), body.as_bytes()].concat())
+    }
+
+    fn login(&self, stream: &mut Stream, call: &Value) -> Option<()> {
+        let state = self.cluster.state.lock().unwrap();
+        let right = state.user.as_ref().is_some_and(|(user, password)| {
+            call["name"] == user.as_str() && call["password"] == password.as_str()
+        });
+        let answer = match right {
+            true => json!({"token": format!("token-{}", state.token)}),
+            false => {
+                json!({"code": 3, "message": "etcdserver: authentication failed, invalid user ID or password"})
+            }
+        };
+        drop(state);
+        self.answer(stream, &answer)
     }
 
-    fn range(&self, mut stream: TcpStream, call: &Value) -> Option<()> {
-        let state = self.shared.state.lock().unwrap();
+    fn range(&self, stream: &mut Stream, call: &Value) -> Option<()> {
+        let state = self.cluster.state.lock().unwrap();
         let (from, to, asked) = (text(&call["key"]), text(&call["range_end"]), number(&call["revision"]));
-        let revision = if asked == 0 { state.revision() } else { asked };
+        let known = state.revision() - self.faults().behind;
+        let revision = if asked == 0 { known } else { asked };
         let answer = if revision < state.compacted {
             json!({"code": 11, "message": "etcdserver: mvcc: required revision has been compacted"})
         } else {
@@ -160,47 +311,101 @@
                     json!({"key": STANDARD.encode(key), "value": STANDARD.encode(value), "mod_revision": revision.to_string()})
                 })
                 .collect();
-            json!({"header": {"cluster_id": "7", "revision": state.revision().to_string()}, "kvs": kvs, "more": found.len() > limit})
+            json!({"header": {"cluster_id": "7", "revision": known.to_string()}, "kvs": kvs, "more": found.len() > limit})
         };
         drop(state);
-        let body = answer.to_string();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        self.send(&mut stream, &[head.as_bytes(), body.as_bytes()].concat())
-    }
-
-    /// One comparison of a key's revision, and one step.
-    fn txn(&self, mut stream: TcpStream, call: &Value) -> Option<()> {
-        let (compare, step) = (&call["compare"][0], &call["success"][0]);
-        let key = text(&compare["key"]);
-        let mut state = self.shared.state.lock().unwrap();
-        let present = state.at(state.revision()).get(key.as_str()).map_or(0, |(revision, _)| *revision);
-        let succeeded = present == number(&compare["mod_revision"]);
-        if succeeded {
-            let value = step.get("request_put").map(|put| text(&put["value"]));
-            state.steps.push(vec![(key, value)]);
-            self.shared.changed.notify_all();
-        }
-        drop(state);
-        let body = json!({ "succeeded": succeeded }).to_string();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        self.send(&mut stream, &[head.as_bytes(), body.as_bytes()].concat())
+        self.answer(stream, &answer)
+    }
+
+    /// Comparisons of keys' revisions, and as many steps.
+    fn txn(&self, stream: &mut Stream, call: &Value) -> Option<()> {
+        let mut succeeded = false;
+        let (compares, steps) = (call["compare"].as_array()?, call["success"].as_array()?);
+        self.change(|state| {
+            let present = state.at(state.revision());
+            succeeded = compares.iter().all(|compare| {
+                let revision =
+                    present.get(text(&compare["key"]).as_str()).map_or(0, |(revision, _)| *revision);
+                revision == number(&compare["mod_revision"])
+            });
+            if succeeded {
+                let step = steps.iter().map(|step| match step.get("request_put") {
+                    Some(put) => (text(&put["key"]), Some(text(&put["value"]))),
+                    None => (text(&step["request_delete_range"]["key"]), None),
+                });
+                state.steps.push(step.collect());
+            }
+        });
+        self.answer(stream, &json!({ "succeeded": succeeded }))
+    }
+
+    /// A key that lives as long as its lease.
+    fn put(&self, stream: &mut Stream, call: &Value) -> Option<()> {
+        let (key, lease, mut known) = (text(&call["key"]), number(&call["lease"]), true);
+        self.change(|state| {
+            // A key hangs on the lease that it was put under last.
+            state.leases.values_mut().for_each(|(.., keys)| keys.retain(|known| *known != key));
+            match state.leases.get_mut(&lease) {
+                Some((.., keys)) => keys.push(key.clone()),
+                None => known = lease == 0,
+            }
+            if known {
+                state.steps.push(vec![(key, Some(text(&call["value"])))]);
+            }
+        });
+        let lost = json!({"code": 5, "message": "etcdserver: requested lease not found"});
+        self.answer(stream, &if known { json!({}) } else { lost })
+    }
+
+    fn lease(&self, stream: &mut Stream, path: &str, call: &Value) -> Option<()> {
+        let mut answer = json!({});
+        self.change(|state| {
+            let now = Instant::now();
+            let over: Vec<u64> = state.leases.iter().filter(|(_, l)| l.0 < now).map(|(id, _)| *id).collect();
+            over.into_iter().for_each(|lease| state.end(lease));
+            let id = number(&call["ID"]);
+            match path {
+                "/v3/lease/grant" => {
+                    let (id, length) =
+                        (state.leases.len() as u64 + state.revision() * 100, number(&call["TTL"]));
+                    let length = Duration::from_secs(length);
+                    state.leases.insert(id, (now + length, length, Vec::new()));
+                    answer = json!({"ID": id.to_string(), "TTL": length.as_secs().to_string()});
+                }
+                "/v3/lease/revoke" => state.end(id),
+                _ => {
+                    let kept = state.leases.get_mut(&id).map(|lease| {
+                        lease.0 = now + lease.1;
+                        lease.1.as_secs()
+                    });
+                    // A lease that is gone is told by leaving its time out.
+                    answer = match kept {
+                        Some(left) => json!({"result": {"ID": id.to_string(), "TTL": left.to_string()}}),
+                        None => json!({"result": {"ID": id.to_string()}}),
+                    };
+                }
+            }
+        });
+        self.answer(stream, &answer)
     }
 
-    fn watch(&self, mut stream: TcpStream, call: &Value) -> Option<()> {
-        stream.set_nodelay(true).ok()?;
+    fn watch(&self, stream: &mut Stream, call: &Value, token: &str) -> Option<()> {
         let (from, to) = (text(&call["key"]), text(&call["range_end"]));
         let mut next = number(&call["start_revision"]);
-        self.send(&mut stream, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        self.send(stream, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let mut created = false;
         loop {
-            let state = self.shared.state.lock().unwrap();
-            if self.shared.cuts.load(Ordering::SeqCst) {
+            let state = self.cluster.state.lock().unwrap();
+            let faults = self.faults();
+            if faults.cut {
                 return None;
             }
-            let (revision, compacted) = (state.revision(), state.compacted);
+            let (revision, compacted) = (state.revision() - faults.behind, state.compacted);
             let gone = next <= compacted && next < revision;
+            let valid = state.valid(token);
             let mut events = Vec::new();
-            for (n, step) in state.steps.iter().enumerate().skip((next as usize).saturating_sub(2)) {
+            let known = state.steps.iter().enumerate().take(revision as usize - 1);
+            for (n, step) in known.skip((next as usize).saturating_sub(2)) {
                 let inside =
                     step.iter().filter(|(key, _)| (from.as_str()..to.as_str()).contains(&key.as_str()));
                 events.extend(inside.map(|(key, value)| {
@@ -211,24 +416,28 @@
             }
             let mut result =
                 json!({"header": {"cluster_id": "7", "revision": revision.to_string()}, "events": []});
-            if gone {
+            if !valid {
+                (result["canceled"], result["cancel_reason"]) =
+                    (json!(true), json!("etcdserver: invalid auth token"));
+            } else if gone {
                 (result["canceled"], result["compact_revision"]) =
                     (json!(true), json!(compacted.to_string()));
             } else if !created {
                 result["created"] = json!(true);
-            } else if next <= revision {
+            } else if next <= revision && !faults.stall {
                 (result["events"], next) = (json!(events), revision + 1);
             } else {
                 // Waits for the next change; some changes may come together.
-                drop(self.shared.changed.wait_timeout(state, Duration::from_millis(500)).unwrap());
+                drop(self.cluster.changed.wait_timeout(state, Duration::from_millis(500)).unwrap());
                 continue;
             }
             drop(state);
             created = true;
             let line = format!("{}\n", json!({ "result": result }));
+            let line = if faults.twice { line.repeat(2) } else { line };
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-            self.send(&mut stream, chunk.as_bytes())?;
-            if gone {
+            self.send(stream, chunk.as_bytes())?;
+            if gone || !valid {
                 return None;
             }
         }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! [`wire`] is the form of calls and answers, [`Sync`] keeps a view of all keys under a prefix that equals the
 //! registry's at some revision and never steps back, [`Endpoints`] says whom to call and when, [`schema`] makes
-//! members of keys and values.
+//! members of keys and values, [`kept`] bytes of a view, and [`lease::Lease`] keeps a key of the pooler's own there.
 #![warn(missing_docs)]
 
 mod endpoints;
+pub mod kept;
+pub mod lease;
 pub mod schema;
 mod sync;
 pub mod wire;
--- a/crates/registry/src/sync.rs
+++ b/crates/registry/src/sync.rs
@@ -5,13 +5,13 @@
 use std::ops::Bound;
 
 use crate::endpoints::Endpoints;
-use crate::wire::{after, Change, Kind, Page, Range, Refusal, Revision, Told};
+use crate::wire::{after, is_about_token, Change, Kind, Page, Range, Refusal, Revision, Told};
 
 /// Keys asked for in one page.
 const PAGE: u64 = 1_000;
 /// Most keys, and most bytes of keys and values, that a view may hold. Guards the memory of the process.
-const MOST_KEYS: usize = 100_000;
-const MOST_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const MOST_KEYS: usize = 100_000;
+pub(crate) const MOST_BYTES: usize = 64 * 1024 * 1024;
 /// Most changes of a message in fragments that are held until it is whole.
 const MOST_HELD: usize = 200_000;
 
@@ -87,11 +87,13 @@
     pub call: f64,
     /// Reads that an endpoint answers from what it has.
     pub serializable: bool,
+    /// Whether a token is needed for all else.
+    pub login: bool,
 }
 
 impl Default for Guard {
     fn default() -> Self {
-        Guard { share: 0.5, least: 4, time: 5.0, silence: 30.0, call: 5.0, serializable: false }
+        Guard { share: 0.5, least: 4, time: 5.0, silence: 30.0, call: 5.0, serializable: false, login: false }
     }
 }
 
@@ -103,6 +105,10 @@
     Start,
     /// The answer to a range.
     Page(u64, Result<Page, Refusal>),
+    /// The answer to a login.
+    Token(u64, Result<String, Refusal>),
+    /// This token was turned down, for a call that is not of this machine.
+    Denied(String),
     /// A message of a watch.
     Told(u64, Result<Told, Refusal>),
     /// The connection of a call or a watch has ended, or was never made.
@@ -116,6 +122,8 @@
 pub enum Action {
     /// Call an endpoint for a range; tell its end under this number.
     Read(u64, usize, Range),
+    /// Ask an endpoint for a token; tell its end under this number.
+    Login(u64, usize),
     /// Watch at an endpoint, from a revision on; tell its messages under this number.
     Watch(u64, usize, Revision),
     /// End whatever this number belongs to.
@@ -146,6 +154,8 @@
 enum Stage {
     /// Nothing, until then.
     Resting(f64),
+    /// A token, since then.
+    Entering { call: u64, since: f64 },
     /// A whole view, page by page.
     Reading { call: u64, since: f64, view: View, bytes: usize },
     /// Changes; heard of last at that time, with those of a message that is not whole.
@@ -174,6 +184,9 @@
     /// Whether the next try reads a whole view, since the one held cannot be gone on from.
     afresh: bool,
     following: bool,
+    token: Option<String>,
+    /// Whether the token has been taken for a call: one that never was is not worth asking for again at once.
+    proven: bool,
 }
 
 impl Sync {
@@ -181,7 +194,19 @@
     pub fn new(prefix: Vec<u8>, endpoints: Endpoints, guard: Guard, view: View) -> Sync {
         let afresh = view.revision == 0;
         let stage = Stage::Resting(f64::NEG_INFINITY);
-        Sync { prefix, endpoints, guard, view, stage, calls: 0, doubt: None, afresh, following: false }
+        Sync {
+            prefix,
+            endpoints,
+            guard,
+            view,
+            stage,
+            calls: 0,
+            doubt: None,
+            afresh,
+            following: false,
+            token: None,
+            proven: false,
+        }
     }
 
     /// The view. Holds whatever the registry does.
@@ -194,11 +219,16 @@
         self.following
     }
 
+    /// The token that calls go with; none before one was given, or where none is needed.
+    pub fn token(&self) -> Option<&str> {
+        self.token.as_deref()
+    }
+
     /// When time must be told next.
     pub fn due(&self) -> f64 {
         match &self.stage {
             Stage::Resting(until) => *until,
-            Stage::Reading { since, .. } => since + self.guard.call,
+            Stage::Entering { since, .. } | Stage::Reading { since, .. } => since + self.guard.call,
             Stage::Watching { heard, created: false, .. } => heard + self.guard.call,
             Stage::Watching { heard, .. } => heard + self.guard.silence,
         }
@@ -212,6 +242,14 @@
                 Ok(page) => self.page(now, page, out),
                 Err(refusal) => self.refused(now, refusal, out),
             },
+            Input::Token(number, token) if self.is(number) => match token {
+                Ok(token) => {
+                    (self.token, self.proven) = (Some(token), false);
+                    self.begin(now, out);
+                }
+                Err(refusal) => self.refused(now, refusal, out),
+            },
+            Input::Denied(token) if self.token.as_ref() == Some(&token) => self.denied(now, out),
             Input::Told(number, told) if self.is(number) => match told {
                 Ok(told) => self.told(now, told, out),
                 Err(refusal) => self.refused(now, refusal, out),
@@ -229,7 +267,9 @@
     fn is(&self, number: u64) -> bool {
         match &self.stage {
             Stage::Resting(_) => false,
-            Stage::Reading { call, .. } | Stage::Watching { call, .. } => *call == number,
+            Stage::Entering { call, .. } | Stage::Reading { call, .. } | Stage::Watching { call, .. } => {
+                *call == number
+            }
         }
     }
 
@@ -242,7 +282,10 @@
         }
         self.close(out);
         self.calls += 1;
-        if self.afresh || self.doubt.is_some() {
+        if self.guard.login && self.token.is_none() {
+            self.stage = Stage::Entering { call: self.calls, since: now };
+            out.push(Action::Login(self.calls, self.endpoints.current()));
+        } else if self.afresh || self.doubt.is_some() {
             self.stage = Stage::Reading { call: self.calls, since: now, view: View::default(), bytes: 0 };
             let range = self.range(self.prefix.clone(), 0);
             out.push(Action::Read(self.calls, self.endpoints.current(), range));
@@ -259,7 +302,9 @@
     }
 
     fn close(&mut self, out: &mut Vec<Action>) {
-        if let Stage::Reading { call, .. } | Stage::Watching { call, .. } = &self.stage {
+        if let Stage::Entering { call, .. } | Stage::Reading { call, .. } | Stage::Watching { call, .. } =
+            &self.stage
+        {
             out.push(Action::Close(*call));
         }
     }
@@ -281,12 +326,23 @@
     fn refused(&mut self, now: f64, refusal: Refusal, out: &mut Vec<Action>) {
         match refusal {
             Refusal::Compacted => self.compacted(now, self.view.revision + 1, out),
-            Refusal::Unauthenticated => self.failed(now, "the token is not valid".into(), out),
+            Refusal::Unauthenticated => self.denied(now, out),
             Refusal::Other(what) => self.failed(now, format!("turned down: {what}"), out),
             Refusal::Malformed(what) => self.failed(now, format!("not of the agreed form: {what}"), out),
         }
     }
 
+    /// The token has run out: another is asked for, and what was under way goes on from where it was.
+    fn denied(&mut self, now: f64, out: &mut Vec<Action>) {
+        self.token = None;
+        if !self.guard.login || !std::mem::take(&mut self.proven) {
+            return self.failed(now, "no valid token".into(), out);
+        }
+        let until = self.endpoints.next(now);
+        self.rest(until, out);
+        self.begin(now, out);
+    }
+
     /// What was asked for is gone: only a whole view shows what has been deleted meanwhile.
     fn compacted(&mut self, now: f64, revision: Revision, out: &mut Vec<Action>) {
         out.push(Action::Notice(Notice::Compacted(revision)));
@@ -298,6 +354,7 @@
 
     fn page(&mut self, now: f64, page: Page, out: &mut Vec<Action>) {
         let Stage::Reading { view, bytes, since, call } = &mut self.stage else { return };
+        self.proven = true;
         let first = view.revision == 0;
         if first {
             (view.cluster, view.revision) = (page.header.cluster_id, page.header.revision);
@@ -403,9 +460,13 @@
         if told.compact_revision > self.view.revision {
             return self.compacted(now, told.compact_revision, out);
         }
+        if told.canceled && is_about_token(&told.cancel_reason) {
+            return self.denied(now, out);
+        }
         if told.canceled {
             return self.failed(now, format!("the watch was ended: {}", told.cancel_reason), out);
         }
+        self.proven = true;
         if told.created && !std::mem::replace(created, true) && told.header.revision < self.view.revision {
             // It stands further back than what has been seen, and would tell again what is known: it lags, or
             // was restored from a copy. A whole view tells which.
--- a/crates/registry/src/wire.rs
+++ b/crates/registry/src/wire.rs
@@ -11,11 +11,28 @@
 pub const TXN: &str = "/v3/kv/txn";
 /// Where a watch is made.
 pub const WATCH: &str = "/v3/watch";
+/// Where a key is put under a lease.
+pub const PUT: &str = "/v3/kv/put";
+/// Where a lease is asked for, kept alive and ended.
+pub const GRANT: &str = "/v3/lease/grant";
+/// See [`GRANT`].
+pub const KEEP: &str = "/v3/lease/keepalive";
+/// See [`GRANT`].
+pub const REVOKE: &str = "/v3/lease/revoke";
+/// Where a token is asked for.
+pub const AUTHENTICATE: &str = "/v3/auth/authenticate";
 /// Code of an error that says that a revision has been compacted away (`OUT_OF_RANGE`).
 const OUT_OF_RANGE: i64 = 11;
 /// Code of an error that says that a token is not valid (`UNAUTHENTICATED`).
 const UNAUTHENTICATED: i64 = 16;
 
+/// Words of errors that a new token sets right, whatever their code: the registry gives some of them with a code
+/// that says only that the call was wrong, and a watch is ended with words alone.
+const TOKEN_WORDS: [&str; 3] = ["invalid auth token", "revision of auth store is old", "user name is empty"];
+
+/// Longest token that is sent with each call (bytes); it goes into a request's head.
+const LONGEST_TOKEN: usize = 8 * 1024;
+
 /// A revision of the registry; 0 is none.
 pub type Revision = u64;
 
@@ -157,11 +174,17 @@
         match self.code {
             OUT_OF_RANGE if text.contains("compacted") => Refusal::Compacted,
             UNAUTHENTICATED => Refusal::Unauthenticated,
+            _ if is_about_token(text) => Refusal::Unauthenticated,
             _ => Refusal::Other(text.chars().take(200).collect()),
         }
     }
 }
 
+/// Whether words of the registry's say that a new token is needed.
+pub fn is_about_token(text: &str) -> bool {
+    TOKEN_WORDS.iter().any(|words| text.contains(words))
+}
+
 /// Whether an answer is an error, whatever its status says; else the thing itself.
 fn decode<T: for<'de> Deserialize<'de>>(body: &[u8], wrapped: bool) -> Result<T, Refusal> {
     let malformed = |error: serde_json::Error| Refusal::Malformed(error.to_string());
@@ -229,18 +252,34 @@
     }
 }
 
-/// The body of a transaction that writes a key, or deletes it where there is no value, if the key is still as the
-/// revision left it; 0 for a key that is not there.
-pub fn write_if(key: &[u8], revision: Revision, value: Option<&[u8]>) -> Vec<u8> {
-    let name = STANDARD.encode(key);
-    let compare = serde_json::json!({"key": name, "target": "MOD", "result": "EQUAL",
-        "mod_revision": revision.to_string()});
-    let step = match value {
-        Some(value) => serde_json::json!({"request_put": {"key": name, "value": STANDARD.encode(value)}}),
-        None => serde_json::json!({"request_delete_range": {"key": name}}),
+/// One key to be written, if nobody else has done so meanwhile.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: Vec<u8>,
+    /// The revision that wrote it last, as far as is known; 0 where it was not there.
+    pub revision: Revision,
+    /// Its new value; deleted where there is none.
+    pub value: Option<Vec<u8>>,
+}
+
+/// The body of a transaction that makes all of these writes, or none where one of the keys is not as its revision
+/// left it.
+pub fn write_if(writes: &[Write]) -> Vec<u8> {
+    let compare = |write: &Write| {
+        serde_json::json!({"key": STANDARD.encode(&write.key), "target": "MOD", "result": "EQUAL",
+            "mod_revision": write.revision.to_string()})
     };
-    let body = serde_json::json!({"compare": [compare], "success": [step]});
-    serde_json::to_vec(&body).unwrap_or_default()
+    let step = |write: &Write| {
+        let key = STANDARD.encode(&write.key);
+        match &write.value {
+            Some(value) => serde_json::json!({"request_put": {"key": key, "value": STANDARD.encode(value)}}),
+            None => serde_json::json!({"request_delete_range": {"key": key}}),
+        }
+    };
+    let compares: Vec<_> = writes.iter().map(compare).collect();
+    let steps: Vec<_> = writes.iter().map(step).collect();
+    serde_json::to_vec(&serde_json::json!({"compare": compares, "success": steps})).unwrap_or_default()
 }
 
 /// Reads the answer to a transaction: whether it was carried out.
@@ -253,6 +292,60 @@
     decode::<Written>(body, false).map(|written| written.succeeded)
 }
 
+/// The body of a call for a token.
+pub fn login(user: &str, password: &str) -> Vec<u8> {
+    serde_json::to_vec(&serde_json::json!({"name": user, "password": password})).unwrap_or_default()
+}
+
+/// Reads the answer to a call for a token.
+pub fn token(body: &[u8]) -> Result<String, Refusal> {
+    #[derive(Default, Deserialize)]
+    #[serde(default)]
+    struct Given {
+        token: String,
+    }
+    match decode::<Given>(body, false)?.token {
+        token if token.is_empty() => Err(Refusal::Malformed("no token".into())),
+        token if token.len() > LONGEST_TOKEN => Err(Refusal::Malformed("a token far too long".into())),
+        token => Ok(token),
+    }
+}
+
+/// A lease as the registry tells of it; all zero in the answer to a call that only says that it was done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Granted {
+    /// Its number.
+    #[serde(rename = "ID", deserialize_with = "number")]
+    pub id: u64,
+    /// Its length, or what is left of it (seconds); 0 for one that is over.
+    #[serde(rename = "TTL", deserialize_with = "number")]
+    pub length: u64,
+}
+
+/// The body of a call for a lease of so many seconds.
+pub fn grant(length: u64) -> Vec<u8> {
+    serde_json::to_vec(&serde_json::json!({"TTL": length.to_string()})).unwrap_or_default()
+}
+
+/// The body of a call about a lease.
+pub fn about_lease(id: u64) -> Vec<u8> {
+    serde_json::to_vec(&serde_json::json!({"ID": id.to_string()})).unwrap_or_default()
+}
+
+/// The body of a call that puts a key under a lease.
+pub fn put(key: &[u8], value: &[u8], lease: u64) -> Vec<u8> {
+    let body = serde_json::json!({"key": STANDARD.encode(key), "value": STANDARD.encode(value),
+        "lease": lease.to_string()});
+    serde_json::to_vec(&body).unwrap_or_default()
+}
+
+/// Reads the answer to a call about a lease, or to one that only says that it was done. That to a call which keeps
+/// one alive is a line of a stream, like a watch's.
+pub fn granted(body: &[u8], stream: bool) -> Result<Granted, Refusal> {
+    decode(body, stream)
+}
+
 /// The body of a call that watches all keys from one up to another, from a revision on.
 pub fn watch(from: &[u8], to: &[u8], revision: Revision) -> Vec<u8> {
     let create = serde_json::json!({"create_request": {
--- a/crates/registry/tests/model.rs
+++ b/crates/registry/tests/model.rs
@@ -8,7 +8,7 @@
 use base64::Engine;
 use proptest::prelude::*;
 use registry::wire::{self, Range};
-use registry::{Action, Endpoints, Guard, Input, Notice, Pace, Sync, View};
+use registry::{kept, Action, Endpoints, Guard, Input, Notice, Pace, Sync, View};
 use serde_json::json;
 
 const PREFIX: &[u8] = b"/f/";
@@ -74,6 +74,8 @@
     Heal(u8),
     Lag(u8, u8),
     Leader,
+    /// Tokens given so far are no longer valid.
+    Expire,
     /// So many messages reach the client.
     Deliver(u8),
     /// A message of before comes once more.
@@ -91,6 +93,7 @@
         2 => (0u8..3).prop_map(Move::Heal),
         1 => (0u8..3, 0u8..6).prop_map(|(n, by)| Move::Lag(n, by)),
         1 => Just(Move::Leader),
+        1 => Just(Move::Expire),
         8 => (1u8..6).prop_map(Move::Deliver),
         1 => Just(Move::Again),
         3 => (0u16..8_000).prop_map(Move::Pass),
@@ -100,6 +103,7 @@
 
 /// What an endpoint does for the client at present.
 enum Serving {
+    Login,
     Read(Range),
     /// Told up to this revision; whether the beginning was told.
     Watch {
@@ -111,6 +115,8 @@
 
 struct World {
     registry: Registry,
+    /// The token that is valid.
+    token: u64,
     cut: [bool; ENDPOINTS],
     lag: [u64; ENDPOINTS],
     sync: Sync,
@@ -125,7 +131,7 @@
 }
 
 fn guard() -> Guard {
-    Guard { time: 1.0, least: 4, serializable: true, ..Guard::default() }
+    Guard { time: 1.0, least: 4, serializable: true, login: true, ..Guard::default() }
 }
 
 fn endpoints(seed: u64, now: f64) -> Endpoints {
@@ -136,6 +142,7 @@
     fn new() -> World {
         let mut world = World {
             registry: Registry { cluster: 7, ..Registry::default() },
+            token: 0,
             cut: [false; ENDPOINTS],
             lag: [0; ENDPOINTS],
             sync: Sync::new(PREFIX.to_vec(), endpoints(1, 0.0), guard(), View::default()),
@@ -155,6 +162,7 @@
         self.sync.handle(self.now, input, &mut out);
         for action in out {
             match action {
+                Action::Login(call, endpoint) => self.serving = Some((call, endpoint, Serving::Login)),
                 Action::Read(call, endpoint, range) => {
                     self.serving = Some((call, endpoint, Serving::Read(range)))
                 }
@@ -187,7 +195,21 @@
             return;
         }
         let seen = self.revision(endpoint);
+        let valid = self.sync.token() == Some(&self.token.to_string());
         match serving {
+            Serving::Login => {
+                let body = json!({"token": self.token.to_string()}).to_string();
+                self.input(Input::Token(call, wire::token(body.as_bytes())));
+            }
+            Serving::Read(_) if !valid => {
+                let body = br#"{"code":16,"message":"etcdserver: invalid auth token"}"#;
+                self.input(Input::Page(call, wire::page(body)));
+            }
+            Serving::Watch { .. } if !valid => {
+                let words = r#","canceled":true,"cancel_reason":"etcdserver: invalid auth token""#;
+                let line = self.line(seen, &[], false, words);
+                self.input(Input::Told(call, wire::told(&line)));
+            }
             Serving::Read(range) => {
                 // Only what an endpoint may answer by itself can be behind.
                 let present = if range.serializable { seen } else { self.registry.revision() };
@@ -301,6 +323,7 @@
                     self.input(Input::Told(call, wire::told(&line)));
                 }
             }
+            Move::Expire => self.token += 1,
             Move::Deliver(count) => (0..*count).for_each(|_| self.deliver()),
             Move::Again => {
                 let open = match &self.serving {
@@ -317,12 +340,10 @@
             }
             Move::Pass(ms) => self.pass(f64::from(*ms) / 1000.0),
             Move::Crash => {
-                let view = self.sync.view().clone();
-                let view = View::kept(
-                    view.cluster,
-                    view.revision,
-                    view.under(PREFIX).map(|(k, e)| (k.clone(), e.clone())),
-                );
+                // As it comes back from the disk.
+                let prefix = std::str::from_utf8(PREFIX).unwrap();
+                let view = kept::decode(prefix, &kept::encode(prefix, self.sync.view())).unwrap();
+                assert_eq!(&view, self.sync.view());
                 self.serving = None;
                 self.sync = Sync::new(PREFIX.to_vec(), endpoints(self.changes, self.now), guard(), view);
                 self.input(Input::Start);
--- /dev/null
+++ b/crates/tls/src/link.rs
@@ -0,0 +1,58 @@
+//! A connection as whoever speaks over it sees it: plain bytes in, plain bytes out, with or without TLS beneath.
+
+use std::io::{ErrorKind, Read, Write};
+
+use buffer::{Budget, Fill, Ring};
+
+use crate::session::{Fault, Session};
+
+/// Plain bytes both ways, over a stream that is handed in.
+pub struct Link {
+    /// What has come.
+    pub inbox: Ring,
+    /// What is to go.
+    pub outbox: Ring,
+    /// The session, with what has come and what is to go in records.
+    tls: Option<(Session, Ring, Ring)>,
+}
+
+impl Link {
+    /// Without TLS, or with a session.
+    pub fn new(session: Option<Session>, budget: &Budget) -> Link {
+        let ring = || Ring::new(budget);
+        Link { inbox: ring(), outbox: ring(), tls: session.map(|session| (session, ring(), ring())) }
+    }
+
+    /// Writes what is to go and reads what has come, as far as the stream goes: drained where there is nothing more
+    /// for now, full where the inbox must be taken from first, ended where the other side has ended.
+    pub fn turn(&mut self, stream: &mut (impl Read + Write)) -> Result<Fill, Fault> {
+        let Some((session, came, wire)) = &mut self.tls else {
+            self.outbox.drain(stream)?;
+            return Ok(self.inbox.fill(stream)?);
+        };
+        loop {
+            session.seal(&mut self.outbox, wire)?;
+            wire.drain(stream)?;
+            let read = came.fill(stream)?;
+            let any = !came.is_empty();
+            let opened = session.open(came, &mut self.inbox, wire);
+            // What the session answers goes out at once, an alert too, before its fault is told.
+            let written = wire.drain(stream);
+            let opened = opened?;
+            let written = written?;
+            match (opened, read) {
+                (Fill::Ended | Fill::Full, _) => return Ok(opened),
+                // An end without the other side's last word: it may have been cut off by anybody.
+                (Fill::Drained, Fill::Ended) => return Err(Fault::Broken(ErrorKind::UnexpectedEof)),
+                (Fill::Drained, Fill::Full) if any && came.is_empty() => {}
+                (Fill::Drained, _) if written && session.is_up() && !self.outbox.is_empty() => {}
+                (Fill::Drained, _) => return Ok(Fill::Drained),
+            }
+        }
+    }
+
+    /// Whether there is TLS beneath.
+    pub fn is_secured(&self) -> bool {
+        self.tls.is_some()
+    }
+}
--- /dev/null
+++ b/crates/tls/src/material.rs
@@ -0,0 +1,117 @@
+//! Certificates and keys: read from the text of files, checked as far as they can be before anybody is called.
+
+use std::fmt;
+use std::sync::Arc;
+
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::{ClientConfig, RootCertStore};
+use x509_parser::parse_x509_certificate;
+
+/// Longest file that is read (bytes): some hundred certificates.
+pub const LONGEST: usize = 256 * 1024;
+/// Most certificates in one file. Guards against a whole system's bundle given by mistake, which would trust the
+/// whole world to be the registry.
+const MOST: usize = 32;
+
+/// The texts of the files that a client is made of, in PEM.
+#[derive(Clone, Copy, Debug)]
+pub struct Files<'a> {
+    /// The certificates of whoever may vouch for the other side.
+    pub ca: &'a [u8],
+    /// The client's own chain, its own certificate first, and the key; none where it has none to show.
+    pub own: Option<(&'a [u8], &'a [u8])>,
+}
+
+/// Why files cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unusable {
+    /// Which: `ca`, `certificate` or `key`.
+    pub which: &'static str,
+    /// What is wrong, and what would be accepted.
+    pub what: String,
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.which, self.what)
+    }
+}
+
+impl std::error::Error for Unusable {}
+
+/// What sessions are made from.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pub(crate) config: Arc<ClientConfig>,
+    ends: Vec<(&'static str, f64)>,
+}
+
+impl Client {
+    /// Checks the files and makes a client of them, at the time `now` (Unix seconds): each is read as PEM, the key
+    /// is the certificate's, no certificate of the client's own has run out or does not hold yet.
+    pub fn new(files: Files, now: f64) -> Result<Client, Unusable> {
+        let authorities = certificates("ca", files.ca)?;
+        let mut roots = RootCertStore::empty();
+        let mut ends = Vec::new();
+        // An authority's certificate that has run out is left to the handshake: another may vouch in its place.
+        let spans = authorities.iter().map(|der| span("ca", der)).collect::<Result<Vec<_>, _>>()?;
+        ends.extend(spans.iter().map(|(_, end)| ("ca", *end)));
+        for der in authorities {
+            let unusable = |error: rustls::Error| Unusable { which: "ca", what: error.to_string() };
+            roots.add(der).map_err(unusable)?;
+        }
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let builder = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .map_err(|error| Unusable { which: "ca", what: error.to_string() })?
+            .with_root_certificates(roots);
+        let config = match files.own {
+            None => builder.with_no_client_auth(),
+            Some((chain, key)) => {
+                let chain = certificates("certificate", chain)?;
+                for der in &chain {
+                    let (begin, end) = span("certificate", der)?;
+                    if now < begin || now >= end {
+                        let what = if now < begin { "does not hold yet" } else { "has run out" };
+                        return Err(Unusable { which: "certificate", what: what.into() });
+                    }
+                    ends.push(("certificate", end));
+                }
+                let key = PrivateKeyDer::from_pem_slice(key).map_err(|error| Unusable {
+                    which: "key",
+                    what: format!("{error}; accepted: one private key in PEM, not encrypted"),
+                })?;
+                builder.with_client_auth_cert(chain, key).map_err(|error| Unusable {
+                    which: "key",
+                    what: format!("{error}; accepted: the key of the first certificate"),
+                })?
+            }
+        };
+        Ok(Client { config: Arc::new(config), ends })
+    }
+
+    /// Which of the files holds the certificate that runs out first, and when (Unix seconds).
+    pub fn ends(&self) -> Option<(&'static str, f64)> {
+        self.ends.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+}
+
+fn certificates(which: &'static str, text: &[u8]) -> Result<Vec<CertificateDer<'static>>, Unusable> {
+    let unusable = |what: String| Unusable { which, what };
+    let list: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(text).take(MOST + 1).collect();
+    let list = list.map_err(|error| unusable(format!("{error}; accepted: certificates in PEM")))?;
+    match list.len() {
+        0 => Err(unusable("no certificate in it; accepted: certificates in PEM".into())),
+        1..=MOST => Ok(list),
+        _ => Err(unusable(format!("over {MOST} certificates"))),
+    }
+}
+
+/// From when until when a certificate holds (Unix seconds).
+fn span(which: &'static str, der: &CertificateDer) -> Result<(f64, f64), Unusable> {
+    let (_, certificate) = parse_x509_certificate(der)
+        .map_err(|error| Unusable { which, what: format!("not a certificate: {error}") })?;
+    let validity = certificate.validity();
+    Ok((validity.not_before.timestamp() as f64, validity.not_after.timestamp() as f64))
+}
--- a/crates/transaction/src/check.rs
+++ b/crates/transaction/src/check.rs
@@ -154,6 +154,10 @@
         let what = format!("{} members would give way to what {source} lists", view.members.len());
         found.add("list-unknown", Severity::Guarded, what);
     }
+    if to.user.is_some() && to.tls_ca.is_none() && (from.user.is_none() || from.tls_ca.is_some()) {
+        let what = "the registry's password would cross the network in the clear, without registry.tls_ca";
+        found.add("registry-clear", Severity::Guarded, what.into());
+    }
     if new.members.is_empty() && old.members.is_empty() {
         for group in groups.values_mut() {
             let usable = group.serving.keys().copied().filter(|name| new.wanted(name).is_none());
