Registry: a first list that lacks most of what stands is held back for guard_s

After a change of source the new one's first list was believed at once, an empty one too: the guard against lists that all but vanish had nothing to compare it with. It is now compared with the members that stand by then. A story has four members give way to one: the list of before holds for guard_s, then the new one is taken.

--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -562,12 +562,12 @@
         let known = match self.registry.take() {
             Some(registry) => registry.known(settings),
             None => {
+                let standing = self.changes.iter().flat_map(|changes| changes.roster.listed());
+                let standing = standing.map(|listing| listing.name.clone()).collect();
                 let kept = self.changes.as_mut().and_then(|changes| changes.kept.take());
-                Known {
-                    view: kept
-                        .map_or_else(registry::View::default, |kept| from_disk(&settings.prefix, &kept)),
-                    ..Known::default()
-                }
+                let view =
+                    kept.map_or_else(registry::View::default, |kept| from_disk(&settings.prefix, &kept));
+                Known { view, standing, ..Known::default() }
             }
         };
         self.discovery.stop();
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -1,6 +1,7 @@
 //! The registry's side: one connection at a time to one of its endpoints, for a range or for the watch. What is
 //! asked of whom, and what of the answers is believed, is decided by [`registry::Sync`].
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use buffer::{Budget, Charge, Fill, Lines};
@@ -12,7 +13,7 @@
 use registry::schema::Members;
 use registry::wire::Refusal;
 use registry::{kept, wire, Action, Endpoints, Guard, Input, Notice, Pace, Sync, View};
-use routing::interface::ListKind;
+use routing::interface::{ListKind, MemberId};
 use tls::Link;
 
 use super::event_loop::{Due, Slot, Slots, Source};
@@ -69,6 +70,8 @@
     pub view: View,
     /// Members whose present values cannot be understood, as they were.
     pub members: Members,
+    /// The members that stand by another source's word, until this one has told a whole list.
+    pub standing: BTreeSet<MemberId>,
 }
 
 /// Who follows it.
@@ -89,6 +92,10 @@
     budget: Budget,
     /// Whether the whole list has been told.
     told: bool,
+    /// The members that a first list would take the place of, and until when one that lacks most of them is held
+    /// back.
+    standing: BTreeSet<MemberId>,
+    held: Option<f64>,
     /// What could not be understood when last logged.
     poisoned: usize,
     /// When the next timer fires. Each change puts the silence off: not one timer for each of them.
@@ -140,6 +147,8 @@
             current: None,
             budget,
             told: false,
+            standing: known.standing,
+            held: None,
             poisoned: 0,
             timer: f64::INFINITY,
             pending: Some(Vec::new()),
@@ -155,7 +164,8 @@
     pub fn known(self, settings: &Settings) -> Known {
         let same = self.settings.prefix == settings.prefix && self.settings.endpoints == settings.endpoints;
         if same {
-            Known { view: self.sync.view().clone(), members: self.members }
+            let (view, standing) = (self.sync.view().clone(), BTreeSet::new());
+            Known { view, members: self.members, standing }
         } else {
             Known::default()
         }
@@ -252,7 +262,8 @@
     /// Sets a timer for whatever is due first.
     fn wake(&mut self, context: &mut Context) {
         let lease = self.own.as_ref().map_or(f64::INFINITY, |own| own.lease.due());
-        let due = self.sync.due().min(lease).min(self.keep_due());
+        let held = self.held.unwrap_or(f64::INFINITY);
+        let due = self.sync.due().min(lease).min(self.keep_due()).min(held);
         if due < self.timer {
             self.timer = due;
             context.reactor.timer(due, Due::Registry);
@@ -404,7 +415,13 @@
                 logging::warn!(event = "registry.poisoned", member = name, "kept as it was: {why}");
             }
         }
+        if !self.told && self.holds_back(context.reactor.now()) {
+            // All of it is looked at again, with what has come by then.
+            self.pending = None;
+            return self.wake(context);
+        }
         if !std::mem::replace(&mut self.told, true) {
+            (self.held, self.standing) = (None, BTreeSet::new());
             let all = self.members.all().cloned().collect();
             context.events.push_back(Event::Members(ListKind::Full, all));
         } else if !changes.is_empty() {
@@ -412,6 +429,26 @@
         }
     }
 
+    /// Whether a first list is held back for now: it lacks most of the members that stand.
+    fn holds_back(&mut self, now: f64) -> bool {
+        let listed: BTreeSet<&MemberId> = self.members.all().map(|listing| &listing.name).collect();
+        let gone = self.standing.iter().filter(|name| !listed.contains(name)).count();
+        let of = self.standing.len();
+        if of < Guard::default().least || gone as f64 <= self.settings.guard_share * of as f64 {
+            return false;
+        }
+        let until = *self.held.get_or_insert_with(|| {
+            logging::error!(
+                event = "registry.doubted",
+                gone,
+                of,
+                "the first list lacks {gone} of the {of} members that stand: held back"
+            );
+            now + self.settings.guard_s
+        });
+        now < until
+    }
+
     fn noticed(&mut self, notice: &Notice, context: &mut Context) {
         match notice {
             Notice::Lost(why) => {
--- a/crates/daemon/tests/registry.rs
+++ b/crates/daemon/tests/registry.rs
@@ -327,3 +327,19 @@
     let of = |words: &str| seen.lines().filter(|line| line.contains("s-2") && line.contains(words)).count();
     assert!(of("draining") > 0 && of("serving") > 0, "{seen}");
 }
+
+#[test]
+fn a_first_list_that_lacks_most_of_what_stands_is_held_back_for_a_while() {
+    let (machines, registry, discovery) = (three(), Registry::default(), Discovery::listen());
+    let mut lines: Vec<String> = (0..3).map(|n| machines[n].line(&format!("s-{n}"), "here")).collect();
+    lines.push(line("127.0.0.1:1".parse().unwrap(), "s-3", "here", "DRAINING"));
+    let operator = Operator::new("registry-first", "change.probation_s = 0.3");
+    let pooler = Pooler::operated(PROGRAM, &list(41, true, &lines), &discovery, &operator);
+    until(&pooler, &machines, &[false, true, true]);
+    put(&registry, &machines, 0, "SERVING");
+    let next = operator.write("next.toml", &settings(&[&registry]));
+    assert_eq!(pooler.config(&["apply", &next, "--allow", "list-unknown"]).0, 0);
+    pooler.logged("lacks 3 of the 4 members");
+    assert_eq!(reads(&pooler, &machines, 10).1[0], 0, "the list of before holds");
+    until(&pooler, &machines, &[true, false, false]);
+}
