sql: what a statement is, as far as its text shows

Pooling for ordinary clients has to tell reads from writes, transactions from session state, and what binds a session to its connection.

--- /dev/null
+++ b/crates/sql/tests/kinds.rs
@@ -0,0 +1,146 @@
+//! Statements and what they are taken for.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sql::{scan, Change, Control, Kind, Lexer, Pin};
+
+fn kind(text: &str) -> Kind {
+    let scan = scan(text);
+    assert_eq!(scan.statements.len(), 1, "{text}");
+    scan.statements[0].kind.clone()
+}
+
+#[rstest]
+#[case("SELECT * FROM items WHERE id = $1 AND name IN ('a', 'b')")]
+#[case("(select count(*), coalesce(max(price), 0) from items) union (values (1, 2))")]
+#[case("with recent as (select * from orders where at > now() - interval '1 day') select * from recent")]
+#[case("TABLE items")]
+#[case("show timezone")]
+#[case("explain select 1")]
+#[case("select 'insert into x', \"delete\", $$update$$, e'it\\'s; -- not the end' -- update\n, 2 /* insert /* in */ x */")]
+#[case("copy (select * from items) to stdout")]
+fn a_read(#[case] text: &str) {
+    assert_eq!(kind(text), Kind::Read);
+}
+
+#[rstest]
+#[case("insert into items values (1)")]
+#[case("WITH x AS (INSERT INTO items VALUES (1) RETURNING *) SELECT * FROM x")]
+#[case("select * into copy_of_items from items")]
+#[case("select * from items for update")]
+#[case("select * from items for no key update skip locked")]
+#[case("select nextval('ids')")]
+#[case("select take_order(7)")]
+#[case("select \"Take\"(7)")]
+#[case("select shop.take_order (7)")]
+#[case("explain analyze delete from items")]
+#[case("copy items from stdin")]
+#[case("copy (delete from items returning *) to stdout")]
+#[case("do $$ begin delete from items; end $$")]
+#[case("call take()")]
+#[case("commit prepared 'x'")]
+#[case("§")]
+#[case("select 'never ends")]
+#[case("/* never ends")]
+#[case("frobnicate items")]
+fn no_read(#[case] text: &str) {
+    assert!(matches!(kind(text), Kind::Write | Kind::Unknown(_)), "{:?}", kind(text));
+}
+
+#[rstest]
+#[case("begin", Control::Begin { read_only: None })]
+#[case("START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY", Control::Begin { read_only: Some(true) })]
+#[case("begin work read write", Control::Begin { read_only: Some(false) })]
+#[case("COMMIT AND CHAIN", Control::Commit)]
+#[case("end", Control::Commit)]
+#[case("abort", Control::Rollback)]
+#[case("rollback work", Control::Rollback)]
+#[case("savepoint \"A b\"", Control::Savepoint("A b".into()))]
+#[case("rollback transaction to savepoint a", Control::RollbackTo("a".into()))]
+#[case("release a", Control::Release("a".into()))]
+#[case("prepare transaction 'x'", Control::Prepare)]
+fn control(#[case] text: &str, #[case] expected: Control) {
+    assert_eq!(kind(text), Kind::Control(expected));
+}
+
+fn set(name: &str, value: &str, local: bool) -> Kind {
+    Kind::Session(Change::Set { name: name.into(), value: value.into(), local })
+}
+
+#[rstest]
+#[case("SET TimeZone = 'Asia/Kolkata'", set("timezone", "'Asia/Kolkata'", false))]
+#[case("set time zone -5.5", set("timezone", "-5.5", false))]
+#[case(
+    "set session search_path to shop, \"$user\", public",
+    set("search_path", "shop, \"$user\", public", false)
+)]
+#[case("SET LOCAL statement_timeout TO 500", set("statement_timeout", "500", true))]
+#[case("set dewferry.class = 'reports'", set("dewferry.class", "'reports'", false))]
+#[case("set names 'utf8'", set("client_encoding", "'utf8'", false))]
+#[case("set work_mem to default", Kind::Session(Change::Reset("work_mem".into())))]
+#[case("reset time zone", Kind::Session(Change::Reset("timezone".into())))]
+#[case("reset all", Kind::Session(Change::ResetAll))]
+#[case("discard all", Kind::Session(Change::DiscardAll))]
+#[case("deallocate all", Kind::Session(Change::DeallocateAll))]
+#[case("set transaction read only", Kind::Write)]
+fn session(#[case] text: &str, #[case] expected: Kind) {
+    assert_eq!(kind(text), expected);
+}
+
+#[rstest]
+#[case("create temp table x (a int)", Pin::Temporary)]
+#[case("select 1 as a into temporary x", Pin::Temporary)]
+#[case("LISTEN news", Pin::Listen)]
+#[case("select pg_advisory_lock(1)", Pin::Advisory)]
+#[case("select pg_try_advisory_lock_shared(1)", Pin::Advisory)]
+#[case("declare c cursor with hold for select 1", Pin::HoldCursor)]
+#[case("prepare a as select 1", Pin::Prepared)]
+#[case("select currval('ids')", Pin::Sequence)]
+#[case("set role clerk", Pin::Role)]
+#[case("set session authorization clerk", Pin::Role)]
+#[case("select set_config('work_mem', '1MB', false)", Pin::Role)]
+#[case("load 'x'", Pin::Load)]
+fn what_binds_a_session(#[case] text: &str, #[case] pin: Pin) {
+    assert_eq!(scan(text).statements[0].pins, [pin]);
+    assert!(!scan(text).reads_only());
+}
+
+#[test]
+fn a_text_is_cut_where_its_statements_end() {
+    let text = "/* c=1 */ begin; insert into a values (';'); select 1;; commit -- the end;";
+    let scan = scan(text);
+    assert_eq!(scan.comment.as_deref(), Some("c=1"));
+    let kinds: Vec<Kind> = scan.statements.into_iter().map(|statement| statement.kind).collect();
+    let begin = Kind::Control(Control::Begin { read_only: None });
+    assert_eq!(kinds, [begin, Kind::Write, Kind::Read, Kind::Control(Control::Commit)]);
+    assert!(sql::scan(" ; -- nothing").statements.is_empty());
+    let advisory = sql::scan("select pg_advisory_xact_lock(1)");
+    assert!(advisory.statements[0].pins.is_empty(), "ends with its transaction");
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_taken_to_its_end(text in "\\PC{0,60}|[-'\"$ae;/*()\\\\ \\n]{0,60}") {
+        scan(&text);
+        let mut lexer = Lexer::new(&text);
+        let mut at = 0;
+        while lexer.next().is_some() {
+            prop_assert!(lexer.at() > at);
+            at = lexer.at();
+        }
+        prop_assert!(text[lexer.at()..].is_empty());
+    }
+
+    /// What stands in a quote is never taken for a statement's word.
+    #[test]
+    fn nothing_in_a_quote_makes_a_write(inside in "[a-z ;]{0,20}") {
+        for text in [
+            format!("select '{inside}'"),
+            format!("select $q${inside}$q$"),
+            format!("select 1 -- {inside}"),
+            format!("select /* {inside} */ 1"),
+        ] {
+            prop_assert_eq!(kind(&text), Kind::Read);
+        }
+    }
+}
