--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -4,6 +4,8 @@
 mod config;
 mod print;
 mod registry;
+mod route;
+mod users;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -34,6 +36,8 @@
     Serve(Serve),
     Config(config::Args),
     Registry(registry::Args),
+    Route(route::Args),
+    Users(users::Args),
     Version(Version),
     CheckConfig(CheckConfig),
 }
@@ -83,6 +87,8 @@
         }),
         Command::Config(args) => return config::run(args),
         Command::Registry(args) => return registry::run(args),
+        Command::Route(args) => return route::run(args),
+        Command::Users(args) => return users::run(args),
         Command::Version(Version {}) => {
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/crates/daemon/src/cli/route.rs
@@ -0,0 +1,116 @@
+//! `dewferry route`: where a statement of an ordinary client belongs, and why.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use operator::Effective;
+use route::Ask;
+use serde_json::json;
+use sql::{Kind, Scan};
+
+use super::{fail, load};
+use crate::files;
+
+/// Say where what ordinary clients ask belongs.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "route",
+    example = "dewferry route explain 'SELECT * FROM items' --user shop --operator dewferry.toml --config platform.json",
+    error_code(0, "done"),
+    error_code(2, "wrong usage, or a file that cannot be read")
+)]
+pub(super) struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Explain(Explain),
+}
+
+/// Say which class, tenant and group a statement gets, and why.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// the statement, or several
+    #[argh(positional)]
+    sql: String,
+    /// who asks
+    #[argh(option, default = "String::new()")]
+    user: String,
+    /// of which database
+    #[argh(option, default = "String::new()")]
+    database: String,
+    /// under which application_name
+    #[argh(option, default = "String::new()")]
+    application: String,
+    /// the class that the session has asked for by SET dewferry.class
+    #[argh(option)]
+    class: Option<String>,
+    /// the operator's file
+    #[argh(option)]
+    operator: PathBuf,
+    /// the platform's configuration; the variable LB_CONFIG where this is not given
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs one of the commands.
+pub(super) fn run(Args { command: Command::Explain(args) }: Args) -> ExitCode {
+    explain(&args).map_or_else(|fault| fail(&fault), |()| ExitCode::SUCCESS)
+}
+
+fn explain(args: &Explain) -> Result<(), String> {
+    let (_, platform) = load(args.config.clone())?;
+    let document = files::document(&args.operator)?.1;
+    let effective = Effective::new(&platform, document).map_err(|conflicts| crate::net::words(&conflicts))?;
+    let scan = sql::scan(&args.sql);
+    let reads = pooling::only_reads(&scan);
+    let route = effective.routes().route(&Ask {
+        user: &args.user,
+        database: &args.database,
+        application: &args.application,
+        comment: scan.comment.as_deref(),
+        class: args.class.as_deref(),
+        reads,
+    });
+    let statements = kinds(&scan);
+    if args.json {
+        let object = json!({"statements": statements, "reads": reads, "class": route.class, "tenant": route.tenant,
+            "group": route.group, "primary": route.primary, "because": route.because});
+        println!("{object}");
+        return Ok(());
+    }
+    statements.iter().for_each(|words| println!("statement: {words}"));
+    route.because.iter().for_each(|words| println!("because:   {words}"));
+    let tenant = if route.tenant.is_empty() { "no tenant" } else { &route.tenant };
+    let where_to = if route.primary { "the primary" } else { "a replica, or the primary" };
+    println!("class {}, {tenant}, group {}: {where_to}", route.class, route.group);
+    Ok(())
+}
+
+/// Each statement in words.
+fn kinds(scan: &Scan) -> Vec<String> {
+    let one = |statement: &sql::Statement| {
+        let kind = match &statement.kind {
+            Kind::Read => "a read".to_string(),
+            Kind::Write => "a write".to_string(),
+            Kind::Control(control) => format!("transaction control ({control:?})"),
+            Kind::Session(change) => format!("session state ({change:?})"),
+            Kind::Unknown(why) => format!("unknown ({why}), taken for a write"),
+        };
+        let pins: Vec<&str> = statement.pins.iter().map(|pin| pin.words()).collect();
+        match pins.as_slice() {
+            [] => kind,
+            pins => format!("{kind}; binds the session to its connection: {}", pins.join(", ")),
+        }
+    };
+    scan.statements.iter().map(one).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/cli/users.rs
@@ -0,0 +1,140 @@
+//! `dewferry users`: the file of those whom the front for ordinary clients knows.
+
+use std::io::{Read, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use scram::{Users, Verifier, ITERATIONS};
+use serde_json::json;
+
+use super::fail;
+use crate::files;
+
+/// Longest password that is read (bytes).
+const LONGEST: u64 = 1_024;
+
+/// Write the file of users that pool.users names. Passwords are not kept, only what checks them.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "users",
+    example = "dewferry users add shop --file /etc/dewferry/users < password",
+    example = "dewferry users list --file /etc/dewferry/users --json",
+    error_code(0, "done"),
+    error_code(1, "there is no such user"),
+    error_code(2, "wrong usage, or a file that cannot be read or written")
+)]
+pub(super) struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Add(Add),
+    Remove(Remove),
+    List(List),
+}
+
+/// Add a user, or give one another password, which is read from the standard input, one line.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "add")]
+struct Add {
+    /// the user's name
+    #[argh(positional)]
+    name: String,
+    /// the file; made where there is none
+    #[argh(option)]
+    file: PathBuf,
+}
+
+/// Take a user away.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+struct Remove {
+    /// the user's name
+    #[argh(positional)]
+    name: String,
+    /// the file
+    #[argh(option)]
+    file: PathBuf,
+}
+
+/// List the users' names.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {
+    /// the file
+    #[argh(option)]
+    file: PathBuf,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs one of the commands.
+pub(super) fn run(args: Args) -> ExitCode {
+    let result = match args.command {
+        Command::Add(Add { name, file }) => add(&name, &file),
+        Command::Remove(Remove { name, file }) => remove(&name, &file),
+        Command::List(List { file, json }) => list(&file, json),
+    };
+    result.unwrap_or_else(|fault| fail(&fault))
+}
+
+fn add(name: &str, file: &Path) -> Result<ExitCode, String> {
+    let mut users = if file.exists() { files::users(file)? } else { Users::default() };
+    let mut password = String::new();
+    let read = std::io::stdin().take(LONGEST + 1).read_to_string(&mut password);
+    read.map_err(|error| format!("the password: {error}"))?;
+    let password = password.strip_suffix('\n').unwrap_or(&password);
+    // What SASLprep would change is not undone here: such a password would fit nobody's.
+    if password.is_empty()
+        || password.len() as u64 > LONGEST
+        || !password.chars().all(|c| (' '..='~').contains(&c))
+    {
+        return Err(format!("the password: accepted: one line of 1 to {LONGEST} printable ASCII characters"));
+    }
+    let mut salt = [0; 16];
+    files::random(&mut salt)?;
+    if !users.put(name, Verifier::new(password, &salt, ITERATIONS)) {
+        return Err(format!("{name:?}: accepted: a name of at most 63 bytes that does not begin with #"));
+    }
+    write(file, &users)?;
+    println!("{name}: written");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn remove(name: &str, file: &Path) -> Result<ExitCode, String> {
+    let mut users = files::users(file)?;
+    if !users.remove(name) {
+        eprintln!("dewferry: {name}: no such user");
+        return Ok(ExitCode::from(1));
+    }
+    write(file, &users)?;
+    println!("{name}: removed");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn list(file: &Path, json: bool) -> Result<ExitCode, String> {
+    let users = files::users(file)?;
+    if json {
+        println!("{}", json!({"users": users.names().collect::<Vec<_>>()}));
+    } else {
+        users.names().for_each(|name| println!("{name}"));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Puts a new file in the place of the old one, which a pooler may be reading.
+fn write(file: &Path, users: &Users) -> Result<(), String> {
+    let named = |error: std::io::Error| format!("{}: {error}", file.display());
+    let new = file.with_extension("new");
+    let mut options = std::fs::OpenOptions::new();
+    let mut out = options.create(true).truncate(true).write(true).mode(0o600).open(&new).map_err(named)?;
+    out.write_all(users.text().as_bytes()).and_then(|()| out.sync_all()).map_err(named)?;
+    std::fs::rename(&new, file).map_err(named)
+}
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -84,6 +84,36 @@
     Ok(line.to_string())
 }
 
+/// Reads the files of TLS for ordinary clients and makes a server of them at the time `now` (Unix seconds); none where
+/// they are served without.
+pub(crate) fn pool_tls(pool: &operator::Pool, now: f64) -> Result<Option<tls::Server>, String> {
+    let Some((cert, key)) = pool.tls_cert.as_ref().zip(pool.tls_key.as_ref()) else { return Ok(None) };
+    let (chain, secret) = (read(cert, tls::LONGEST)?, private(key, tls::LONGEST)?);
+    let clients = pool.tls_client_ca.as_ref().map(|path| read(path, tls::LONGEST)).transpose()?;
+    let server = tls::Server::new(&chain, &secret, clients.as_deref(), now);
+    server.map(Some).map_err(|fault| {
+        let path = match (fault.which, &pool.tls_client_ca) {
+            ("key", _) => key,
+            ("ca", Some(path)) => path,
+            _ => cert,
+        };
+        format!("{}: {}", path.display(), fault.what)
+    })
+}
+
+/// Reads a file of users.
+pub(crate) fn users(path: &Path) -> Result<scram::Users, String> {
+    let text = String::from_utf8(private(path, scram::LONGEST)?);
+    let text = text.map_err(|_| format!("{}: not UTF-8", path.display()))?;
+    scram::Users::read(&text).map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
+/// Fills bytes with what nobody can foretell.
+pub(crate) fn random(bytes: &mut [u8]) -> Result<(), String> {
+    let read = File::open("/dev/urandom").and_then(|mut file| file.read_exact(bytes));
+    read.map_err(|error| format!("/dev/urandom: {error}"))
+}
+
 /// Reads the files of TLS towards a registry and makes a client of them at the time `now` (Unix seconds); none
 /// where the registry is called without TLS.
 pub(crate) fn registry_tls(settings: &operator::Registry, now: f64) -> Result<Option<tls::Client>, String> {
--- a/crates/daemon/src/net/change.rs
+++ b/crates/daemon/src/net/change.rs
@@ -192,6 +192,14 @@
             let password = registry.password_file.as_ref().map(|file| files::password(file));
             findings.extend(password.and_then(Result::err).map(unusable));
         }
+        let pool = &effective.document.pool;
+        if *pool != self.effective.document.pool {
+            let unusable = |what: String| Finding { code: "pool-files", severity: Severity::Error, what };
+            let users = pool.users.as_ref().map(|file| files::users(file));
+            findings.extend(users.and_then(Result::err).map(unusable));
+            let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+            findings.extend(files::pool_tls(pool, now.as_secs_f64()).err().map(unusable));
+        }
         Ok(Read { differences, findings })
     }
 
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -58,6 +58,11 @@
         (*generation == slot.generation).then_some(item)
     }
 
+    pub fn get(&self, slot: Slot) -> Option<&T> {
+        let (generation, item) = self.slab.get(slot.index as usize)?;
+        (*generation == slot.generation).then_some(item)
+    }
+
     pub fn remove(&mut self, slot: Slot) -> Option<T> {
         self.get_mut(slot)?;
         self.slab.try_remove(slot.index as usize).map(|(_, item)| item)
@@ -85,6 +90,10 @@
     Caller(Slot),
     Registry(Slot),
     Disk,
+    /// The listener for ordinary clients, their connections, and those to the servers behind them.
+    Pooled,
+    Pool(Slot),
+    Backend(Slot),
 }
 
 // A token holds the kind, the generation and the index side by side.
@@ -99,11 +108,14 @@
             Source::Signals => (0, one(1)),
             Source::Control => (0, one(2)),
             Source::Disk => (0, one(3)),
+            Source::Pooled => (0, one(4)),
             Source::Client(slot) => (1, slot),
             Source::Server(slot) => (2, slot),
             Source::Discovery(slot) => (3, slot),
             Source::Caller(slot) => (4, slot),
             Source::Registry(slot) => (5, slot),
+            Source::Pool(slot) => (6, slot),
+            Source::Backend(slot) => (7, slot),
         };
         Token(kind << 61 | (generation as usize) << 32 | index as usize)
     }
@@ -116,12 +128,15 @@
             (0, 0) => Source::Listener,
             (0, 1) => Source::Signals,
             (0, 2) => Source::Control,
-            (0, _) => Source::Disk,
+            (0, 3) => Source::Disk,
+            (0, _) => Source::Pooled,
             (1, _) => Source::Client(slot),
             (2, _) => Source::Server(slot),
             (3, _) => Source::Discovery(slot),
             (4, _) => Source::Caller(slot),
-            _ => Source::Registry(slot),
+            (5, _) => Source::Registry(slot),
+            (6, _) => Source::Pool(slot),
+            _ => Source::Backend(slot),
         }
     }
 }
@@ -140,6 +155,9 @@
     /// A change of configuration is to be looked at.
     Change,
     Drained,
+    /// A session of an ordinary client has its turn.
+    Session(Slot),
+    Pools,
 }
 
 struct Timer {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod registry;
 mod servers;
+mod sessions;
 
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 use crate::counters::Counters;
 use event_loop::{Reactor, Slot};
 
+pub(crate) use change::words;
 pub(crate) use proxy::{serve, Operator};
 
 /// Something to send to a db machine.
@@ -53,6 +55,16 @@
     Gone(Slot),
     Ended(Box<Ended>),
     Members(ListKind, Vec<Listing>),
+    /// An ordinary client's session wants a server, ...
+    Wanted(Slot, Box<sessions::Wanted>),
+    /// ... is on one, ...
+    Begun(RequestId),
+    /// ... no longer wants one, ...
+    Left(RequestId),
+    /// ... or is no longer on one.
+    Parted(Box<sessions::Parted>),
+    /// A server has told an ordinary client's connection whether it is the primary.
+    Role(MemberId, bool),
     /// A control connection asks.
     Called(Slot, Box<Call>),
 }
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -30,6 +30,7 @@
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
 use super::registry::{Known, Registry, Who};
 use super::servers::Servers;
+use super::sessions::{Parted, Sessions, Wanted};
 use super::{Context, Ended, Event, Task};
 use crate::counters::{count, Counters};
 use crate::files;
@@ -38,10 +39,18 @@
 /// After SIGTERM new queries are owed an answer for 0.7 s; this much longer for what is on its way (seconds).
 const LAST_CALL: f64 = 0.75;
 
+/// Whom a final answer is owed to.
+#[derive(Clone, Copy, Debug)]
+enum Owed {
+    Client(Slot),
+    /// An ordinary client, whose session answers by itself once it is on a server.
+    Session(Slot),
+}
+
 /// A request that its client, or an attempt, has not done with yet.
 struct Request {
     /// Whom its final answer is owed to; none once that is given or the client has left.
-    client: Option<Slot>,
+    client: Option<Owed>,
     statement: Rc<Statement>,
     attempts: usize,
     /// The attempt that is out, until its end is handled: its number and its connection, if it has one.
@@ -59,6 +68,8 @@
     clients: Clients,
     servers: Servers,
     discovery: Discovery,
+    /// Ordinary clients, where the operator's file has an address for them.
+    sessions: Option<Sessions>,
     /// Follows the list in discovery's place, where the operator's file names a registry.
     registry: Option<Registry>,
     seed: u64,
@@ -138,7 +149,7 @@
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
         // Half the memory is for buffers, statements and values, whoever needs them at the time.
-        let sockets = effective.sockets.saturating_sub(SPARES);
+        let sockets = effective.sockets.saturating_sub(SPARES + pooled(&effective));
         let clients = sockets / 2;
         if clients == 0 {
             return Err(io::Error::new(io::ErrorKind::InvalidInput, "too few sockets"));
@@ -157,8 +168,21 @@
         let registry = &context.reactor.registry;
         let waker = || Waker::new(registry, Source::Disk.into());
         let changes = opening.map(|opening| Changes::new(opening, config.clone(), waker, now)).transpose()?;
+        let pool = &effective.document.pool;
+        let sessions = pool.listen.map(|address| {
+            let listener = TcpListener::bind(address)?;
+            let (address, mode) = (listener.local_addr()?, format!("{:?}", pool.mode).to_lowercase());
+            logging::info!(
+                event = "pool.listening",
+                "ordinary clients connect to {address}, pooled by {mode}"
+            );
+            let terms = (budget.clone(), connect_timeout, config.seed);
+            Sessions::new(listener, pool, effective.routes(), terms, context)
+        });
+        let sessions = sessions.transpose()?;
         let mut proxy = Proxy {
             policy,
+            sessions,
             clients: Clients::new(listener, clients, budget.clone(), context)?,
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
             discovery: Discovery::new(effective.discovery, config.known.index, budget.clone()),
@@ -199,6 +223,26 @@
                 Event::Gone(client) => self.gone(client, context),
                 Event::Ended(ended) => self.ended(*ended, context),
                 Event::Members(kind, listings) => self.listed(kind, listings, context),
+                Event::Wanted(slot, wanted) => self.wanted(slot, *wanted, context),
+                Event::Begun(id) => {
+                    if let Some(request) = self.requests.get_mut(&id) {
+                        request.client = None;
+                    }
+                    self.tell(interface::Event::Started { id }, context);
+                }
+                Event::Left(id) => {
+                    if let Some(request) = self.requests.get_mut(&id) {
+                        context.counters.gone += 1;
+                        request.client = None;
+                    }
+                    self.tell(interface::Event::Gone { id: id.clone() }, context);
+                    self.forget(&id);
+                }
+                Event::Role(member, primary) => {
+                    let report = interface::Report { position: None, primary: Some(primary) };
+                    self.tell(interface::Event::Probed { member, outcome: Outcome::Ok, report }, context);
+                }
+                Event::Parted(parted) => self.parted(*parted, context),
                 Event::Called(caller, call) => self.called(caller, *call, context),
             }
         }
@@ -224,12 +268,23 @@
                     let number = request.attempts;
                     request.attempts += 1;
                     context.counters.sent += 1;
+                    if let (Some(Owed::Session(slot)), Some(sessions)) = (request.client, &mut self.sessions)
+                    {
+                        request.out = Some((number, None));
+                        sessions.give(slot, &id, number, &member, timeout, context);
+                        continue;
+                    }
                     let task = Task::Attempt(id, number, request.statement.clone());
                     request.out = Some((number, self.servers.send(task, &member, timeout, context)));
                 }
                 Action::Cancel { id, attempt } => {
-                    let out = self.requests.get(&id).and_then(|request| request.out);
-                    if let Some((_, Some(slot))) = out.filter(|(number, _)| *number == attempt) {
+                    let request = self.requests.get(&id);
+                    let out = request.and_then(|request| request.out);
+                    if let (Some(Owed::Session(slot)), Some(sessions)) =
+                        (request.and_then(|request| request.client), &mut self.sessions)
+                    {
+                        sessions.withdraw(slot, attempt, context);
+                    } else if let Some((_, Some(slot))) = out.filter(|(number, _)| *number == attempt) {
                         self.servers.cancel(slot, context);
                     }
                 }
@@ -281,7 +336,7 @@
             repeat: query.repeat,
         };
         let request = Request {
-            client: Some(client),
+            client: Some(Owed::Client(client)),
             statement: Rc::new(query.statement),
             attempts: 0,
             out: None,
@@ -296,6 +351,78 @@
         self.tell(interface::Event::Arrival(arrival), context);
     }
 
+    /// A session of an ordinary client wants a server: one request, whatever it does with it.
+    fn wanted(&mut self, slot: Slot, wanted: Wanted, context: &mut Context) {
+        let Wanted { id, class, tenant, group } = wanted;
+        let Some(&Named { number, id: counted, consistency, .. }) =
+            self.classes.iter().find(|c| c.name == class)
+        else {
+            let answer = Answer::Invalid("unknown class");
+            return self.sessions.iter_mut().for_each(|sessions| sessions.refused(slot, &answer, context));
+        };
+        context.counters.taken += 1;
+        let sessions = matches!(consistency, Consistency::Write | Consistency::Session);
+        let known = self.tenants.iter().find(|(name, _)| *name == tenant).map(|(_, number)| *number);
+        let tenant = known.unwrap_or(usize::MAX);
+        let arrival = Arrival {
+            id: id.clone(),
+            class: number,
+            group,
+            // Its class says how long it waits at most.
+            left: f64::MAX,
+            token_age: None,
+            session: sessions.then(|| format!("session-{}", slot.number()).into()),
+            tenant,
+            predicted: None,
+            repeat: false,
+        };
+        let request = Request {
+            client: Some(Owed::Session(slot)),
+            statement: Rc::new(Statement::new("".into(), 0..0)),
+            attempts: 0,
+            out: None,
+            class: counted,
+            group,
+            repeat: false,
+            tenant,
+            taken: context.reactor.now(),
+        };
+        self.requests.insert(id, request);
+        self.tell(interface::Event::Arrival(arrival), context);
+    }
+
+    /// A session is no longer on the server that it was given, or never came to be.
+    fn parted(&mut self, parted: Parted, context: &mut Context) {
+        let Parted { id, attempt, member, outcome, elapsed, primary } = parted;
+        count(&mut context.counters.attempts, outcome);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        // One that was withdrawn may be told of after the next was begun.
+        request.out.take_if(|(number, _)| *number == attempt);
+        let finished = request.client.is_none();
+        if finished {
+            if let Some(changes) = &mut self.changes {
+                let bad = (outcome != Outcome::Ok).then_some(Bad::Failed);
+                let now = context.reactor.now();
+                changes.note(now, (request.class, request.group), false, bad, elapsed);
+            }
+        }
+        let report = interface::Report::default();
+        let done = Done {
+            id: id.clone(),
+            member,
+            attempt,
+            outcome,
+            finished,
+            elapsed,
+            position: None,
+            primary,
+            report,
+        };
+        let actions = self.decide(interface::Event::Done(done), context);
+        self.forget(&id);
+        self.carry_out(actions, context);
+    }
+
     /// A client has left: nobody waits for its answer any more, and its attempt is given up.
     fn gone(&mut self, client: Slot, context: &mut Context) {
         let Some(id) = self.asking.remove(&client) else { return };
@@ -323,8 +450,15 @@
                 let now = context.reactor.now();
                 changes.note(now, (request.class, request.group), request.repeat, bad, now - request.taken);
             }
-            self.asking.remove(&client);
-            self.clients.answer(client, answer, context);
+            match client {
+                Owed::Client(client) => {
+                    self.asking.remove(&client);
+                    self.clients.answer(client, answer, context);
+                }
+                Owed::Session(slot) => {
+                    self.sessions.iter_mut().for_each(|sessions| sessions.refused(slot, &answer, context));
+                }
+            }
         }
         self.forget(id);
     }
@@ -377,6 +511,7 @@
         context.counters.lists_failed += u64::from(kind == ListKind::Failed);
         if kind != ListKind::Failed {
             self.servers.list(kind, &listings, context.reactor.now());
+            self.sessions.iter_mut().for_each(|sessions| sessions.list(kind, &listings, context));
         }
         let any = listings.iter().any(|listing| listing.phase == Phase::Active);
         let entries = listings.into_iter().map(|listing| self.entry(listing)).collect();
@@ -417,6 +552,7 @@
                 logging::error!(event = "config.kept", "configuration kept as it was: {error}");
             }
         }
+        self.sessions.iter_mut().for_each(Sessions::reread);
         let Some(changes) = &self.changes else { return };
         let read = files::document(&changes.path).and_then(|(text, document)| {
             files::signed(&text, &changes.effective.document.change).map(|()| document)
@@ -524,7 +660,7 @@
             self.clients.listen_again();
             self.listened = Some(std::mem::replace(&mut self.listen, effective.listen));
         }
-        let sockets = effective.sockets.saturating_sub(SPARES);
+        let sockets = effective.sockets.saturating_sub(SPARES + pooled(&effective));
         self.clients.set_limit(sockets / 2, context);
         self.servers.set_limits(sockets - sockets / 2, effective.keepalive, connect_timeout);
         self.budget.resize(effective.memory / 2);
@@ -536,6 +672,8 @@
         if self.registry.is_none() {
             self.discovery.move_to(effective.discovery, context);
         }
+        let (pool, now) = (&effective.document.pool, context.reactor.now());
+        self.sessions.iter_mut().for_each(|sessions| sessions.set(pool, effective.routes(), now));
         self.source(&effective, context);
         self.intend(&effective, context);
         if let Some(changes) = &mut self.changes {
@@ -729,6 +867,7 @@
             } else if !std::mem::replace(&mut self.draining, true) {
                 logging::info!(event = "ending", "asked to end");
                 self.registry.iter_mut().for_each(|registry| registry.leave(context));
+                self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
                 context.reactor.timer(context.reactor.now() + LAST_CALL, Due::Drained);
             }
         }
@@ -750,6 +889,9 @@
                 self.keep(context);
             }
             Source::Disk => self.written(context),
+            Source::Pooled => self.sessions.iter_mut().for_each(|sessions| sessions.accept(context)),
+            Source::Pool(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
+            Source::Backend(slot) => self.sessions.iter_mut().for_each(|s| s.ready_server(slot, context)),
         }
         self.drain(context);
     }
@@ -769,7 +911,10 @@
                 self.registry.iter_mut().for_each(|r| r.due(context));
             }
             Due::Change => self.probation(context),
+            Due::Session(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
+            Due::Pools => self.sessions.iter_mut().for_each(|sessions| sessions.sweep(context)),
             Due::Drained => {
+                self.sessions.iter_mut().for_each(|sessions| sessions.end(true, context));
                 self.closing = true;
                 self.clients.close(context);
             }
@@ -778,10 +923,16 @@
     }
 
     fn finished(&self) -> bool {
-        self.closing && self.clients.is_empty()
+        self.closing && self.clients.is_empty() && self.sessions.as_ref().is_none_or(Sessions::is_empty)
     }
 }
 
+/// Descriptors that ordinary clients and their servers may take.
+fn pooled(effective: &Effective) -> usize {
+    let pool = &effective.document.pool;
+    pool.listen.map_or(0, |_| (pool.clients + pool.servers) as usize + super::sessions::MOST_CANCELS + 1)
+}
+
 /// The view that was kept on disk; none where it is not one of these keys.
 fn from_disk(prefix: &str, bytes: &[u8]) -> registry::View {
     match registry::kept::decode(prefix, bytes) {
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -30,6 +30,10 @@
     pub state: State,
     /// The registry that holds the list; discovery does where it has no endpoints.
     pub registry: Registry,
+    /// The front for ordinary clients.
+    pub pool: Pool,
+    /// Where what ordinary clients ask belongs, by name.
+    pub route: BTreeMap<String, RouteEntry>,
     /// Classes of requests by name: changes to the platform's, or new ones.
     pub class: BTreeMap<String, ClassEdit>,
     /// Tenants by name: changes to the platform's, or new ones.
@@ -221,6 +225,127 @@
     }
 }
 
+/// The front for ordinary PostgreSQL clients; none where it has no address.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Pool {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    pub mode: PoolMode,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub write_class: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub read_class: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<String>,
+    pub group: u32,
+    pub clients: u32,
+    pub servers: u32,
+    pub servers_each: u32,
+    pub servers_least: u32,
+    pub server_idle_s: f64,
+    pub server_lifetime_s: f64,
+    pub idle_in_transaction_s: f64,
+    pub statement_s: f64,
+    pub drain_s: f64,
+    pub statements: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub users: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_cert: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_key: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tls_client_ca: Option<PathBuf>,
+    pub tls_required: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_user: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_password_file: Option<PathBuf>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Pool {
+            listen: None,
+            mode: PoolMode::Transaction,
+            write_class: None,
+            read_class: None,
+            tenant: None,
+            group: 0,
+            clients: 100,
+            servers: 20,
+            servers_each: 10,
+            servers_least: 0,
+            server_idle_s: 30.0,
+            server_lifetime_s: 3_600.0,
+            idle_in_transaction_s: 60.0,
+            statement_s: 300.0,
+            drain_s: 5.0,
+            statements: 200,
+            users: None,
+            tls_cert: None,
+            tls_key: None,
+            tls_client_ca: None,
+            tls_required: false,
+            server_user: None,
+            server_password_file: None,
+        }
+    }
+}
+
+/// For how long an ordinary client keeps a server connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs)]
+pub enum PoolMode {
+    Statement,
+    #[default]
+    Transaction,
+    Session,
+}
+
+/// Where what ordinary clients ask belongs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct RouteEntry {
+    pub rank: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub user: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub database: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub application: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub comment: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reads: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub class: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub group: Option<u32>,
+}
+
+impl Default for RouteEntry {
+    fn default() -> Self {
+        RouteEntry {
+            rank: 100,
+            user: None,
+            database: None,
+            application: None,
+            comment: None,
+            reads: None,
+            class: None,
+            tenant: None,
+            group: None,
+        }
+    }
+}
+
 /// How recent the data behind an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -185,6 +185,7 @@
             let what = format!("{own:?} does not begin with a slash, or is among the keys that are followed");
             conflict("registry.register".into(), what);
         }
+        pool(&document, &classes, &settings, sockets, &mut conflict);
         let members = document.member.iter().map(|(name, member)| Listing {
             name: name.as_str().into(),
             address: member.address,
@@ -211,6 +212,28 @@
         })
     }
 
+    /// Where what ordinary clients ask belongs.
+    pub fn routes(&self) -> route::Table {
+        let pool = &self.document.pool;
+        let rules = self.document.route.iter().map(|(name, entry)| route::Rule {
+            name: name.clone(),
+            rank: entry.rank,
+            user: entry.user.clone(),
+            database: entry.database.clone(),
+            application: entry.application.clone(),
+            comment: entry.comment.clone(),
+            reads: entry.reads,
+            class: entry.class.clone(),
+            tenant: entry.tenant.clone(),
+            group: entry.group,
+        });
+        let classes = self.classes.iter().cloned().zip(self.settings.classes.iter().map(primary_alone));
+        let write = pool.write_class.clone().unwrap_or_default();
+        let read = pool.read_class.clone().unwrap_or_else(|| write.clone());
+        let tenant = pool.tenant.clone().unwrap_or_default();
+        route::Table::new(rules.collect(), classes, (read, write), (tenant, pool.group))
+    }
+
     /// The settings of a class.
     pub fn class(&self, name: &str) -> Option<&Class> {
         self.classes.iter().position(|known| known == name).map(|place| &self.settings.classes[place])
@@ -315,7 +338,19 @@
         }
         let mut out = BTreeMap::new();
         let Document {
-            listen, discovery, limits, log, change, control, state, registry, class, tenant, ..
+            listen,
+            discovery,
+            limits,
+            log,
+            change,
+            control,
+            state,
+            registry,
+            pool,
+            route,
+            class,
+            tenant,
+            ..
         } = self.clone();
         let rest = Document {
             listen,
@@ -326,6 +361,8 @@
             control,
             state,
             registry,
+            pool,
+            route,
             class,
             tenant,
             ..Document::default()
@@ -337,6 +374,71 @@
     }
 }
 
+/// Whether only the primary serves a class.
+fn primary_alone(class: &Class) -> bool {
+    matches!(class.consistency, Consistency::Write | Consistency::Fresh)
+}
+
+/// What is wrong with the front for ordinary clients.
+fn pool(
+    document: &Document,
+    classes: &[String],
+    settings: &Settings,
+    sockets: usize,
+    conflict: &mut impl FnMut(String, String),
+) {
+    let class =
+        |name: &String| classes.iter().position(|known| known == name).map(|at| &settings.classes[at]);
+    let pool = &document.pool;
+    let named = document
+        .route
+        .iter()
+        .filter_map(|(name, entry)| Some((format!("route.{name}.class"), entry.class.as_ref()?)));
+    let named = named.chain(pool.read_class.iter().map(|name| ("pool.read_class".to_string(), name)));
+    for (key, name) in named.chain(pool.write_class.iter().map(|name| ("pool.write_class".to_string(), name)))
+    {
+        if class(name).is_none() {
+            conflict(key, format!("{name:?} is no class"));
+        }
+    }
+    if pool.listen.is_none() {
+        return;
+    }
+    match pool.write_class.as_ref().map(|name| (name, class(name))) {
+        None => conflict("pool.write_class".into(), "missing beside pool.listen".into()),
+        Some((name, Some(class))) if !primary_alone(class) => {
+            conflict("pool.write_class".into(), format!("{name:?} may be served by a replica"));
+        }
+        _ => {}
+    }
+    let pairs = [
+        ("tls_cert", pool.tls_cert.is_some(), "tls_key", pool.tls_key.is_some()),
+        ("tls_key", pool.tls_key.is_some(), "tls_cert", pool.tls_cert.is_some()),
+        ("tls_client_ca", pool.tls_client_ca.is_some(), "tls_cert", pool.tls_cert.is_some()),
+        ("tls_required", pool.tls_required, "tls_cert", pool.tls_cert.is_some()),
+        (
+            "server_password_file",
+            pool.server_password_file.is_some(),
+            "server_user",
+            pool.server_user.is_some(),
+        ),
+    ];
+    for (given, here, needed, there) in pairs {
+        if here && !there {
+            conflict(format!("pool.{given}"), format!("given without pool.{needed}"));
+        }
+    }
+    let asked = (pool.clients + pool.servers) as usize;
+    if asked + LEAST_SOCKETS > sockets {
+        let what =
+            format!("{asked} descriptors with pool.servers, of {sockets} less {LEAST_SOCKETS} for all else");
+        conflict("pool.clients".into(), what);
+    }
+}
+
+/// Descriptors that are left for all but ordinary clients and their servers.
+const LEAST_SOCKETS: usize = 48;
+
 /// A class that the platform does not name, before the operator's word: repeated never, worth 1.
 fn new_class() -> Class {
     Class { effect: Effect::Unsafe, ..Class::default() }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use document::{
     Access, ChangePolicy, ClassEdit, Confirm, Control, Digest, Document, Limits, Log, LogFormat, LogLevel,
-    MemberEntry, Override, Reads, Registry, Repeats, Scope, State, TenantEdit,
+    MemberEntry, Override, Pool, PoolMode, Reads, Registry, Repeats, RouteEntry, Scope, State, TenantEdit,
 };
 pub use effective::{Conflict, Difference, Effective};
 pub use read::{read, Fault, Faults, LONGEST};
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -2,9 +2,11 @@
 //! by the test line by line. Every wait is for an event, and ends the test if that does not come.
 
 mod authority;
+mod postgres;
 mod registry;
 
 pub use authority::{private, Authority};
+pub use postgres::Postgres;
 pub use registry::{Faults, Registry};
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -1,6 +1,8 @@
 //! The form of PostgreSQL's protocol, version 3: bytes to messages and back. Nothing is decided here, and
 //! nothing is read or written: that is the connections' part.
 
+pub mod session;
+
 use std::ops::Range;
 
 use buffer::{Ring, BOUND};
@@ -34,6 +36,17 @@
     pub const VIOLATION: &str = "08P01";
     pub const TOO_LARGE: &str = "54000";
     pub const NO_MEMORY: &str = "53200";
+    pub const LOST: &str = "08006";
+    pub const UNKNOWN_END: &str = "08007";
+    pub const NO_STATEMENT: &str = "26000";
+    pub const STATEMENT_THERE: &str = "42P05";
+    pub const ABORTED: &str = "25P02";
+    pub const IDLE_IN_TRANSACTION: &str = "25P03";
+    pub const CANCELLED: &str = "57014";
+    pub const SHUTDOWN: &str = "57P01";
+    pub const LIMIT: &str = "53400";
+    pub const WRONG_PASSWORD: &str = "28P01";
+    pub const NO_TLS: &str = "28000";
 }
 
 /// One message, its type and what follows the length.
--- /dev/null
+++ b/crates/pooling/src/pool.rs
@@ -0,0 +1,225 @@
+//! When a server connection is opened, used again, waited for or closed.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Connections that can stand for one another: of one member, user and database.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key {
+    /// The member.
+    pub member: Rc<str>,
+    /// The user.
+    pub user: Rc<str>,
+    /// The database.
+    pub database: Rc<str>,
+}
+
+/// Bounds of the pools; times in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Most connections in all.
+    pub most: usize,
+    /// Most connections of one key.
+    pub each: usize,
+    /// A connection that nobody has used for so long is closed ...
+    pub idle: f64,
+    /// ... unless there are no more of its key than this.
+    pub least: usize,
+    /// A connection is not used again once it is so old, less up to a tenth that is drawn for each: those that were
+    /// opened together are not closed together.
+    pub lifetime: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { most: 20, each: 10, idle: 30.0, least: 0, lifetime: 3_600.0 }
+    }
+}
+
+/// What a session that wants a connection gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// This one.
+    Reuse(u64),
+    /// A new one.
+    Open,
+    /// A new one, once this idle one of another key is closed.
+    Instead(u64),
+    /// None yet: its ticket is called when one is free.
+    Wait,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    /// Closed from then on, once it is idle.
+    old: f64,
+    /// Since when it has been idle; none while it is used.
+    idle: Option<f64>,
+    /// The state that it was left in.
+    state: u64,
+}
+
+/// Those that wait for a connection of one key, by tenant: each tenant has its turn.
+#[derive(Default)]
+struct Queue {
+    tenants: BTreeMap<String, VecDeque<u64>>,
+    /// The tenant that was served last.
+    last: String,
+}
+
+impl Queue {
+    fn next(&mut self) -> Option<u64> {
+        let after = self
+            .tenants
+            .range::<str, _>((std::ops::Bound::Excluded(self.last.as_str()), std::ops::Bound::Unbounded));
+        let tenant = after.map(|(tenant, _)| tenant).next().or_else(|| self.tenants.keys().next())?.clone();
+        let waiting = self.tenants.get_mut(&tenant)?;
+        let ticket = waiting.pop_front();
+        if waiting.is_empty() {
+            self.tenants.remove(&tenant);
+        }
+        self.last = tenant;
+        ticket
+    }
+
+    fn remove(&mut self, ticket: u64) {
+        self.tenants.values_mut().for_each(|waiting| waiting.retain(|known| *known != ticket));
+        self.tenants.retain(|_, waiting| !waiting.is_empty());
+    }
+}
+
+/// All connections to servers, by number, and who waits for one.
+pub struct Pools {
+    pace: Pace,
+    known: HashMap<Key, BTreeMap<u64, Known>>,
+    count: usize,
+    queues: BTreeMap<Key, Queue>,
+    rng: fastrand::Rng,
+}
+
+impl Pools {
+    /// No connections yet.
+    pub fn new(pace: Pace, seed: u64) -> Pools {
+        let rng = fastrand::Rng::with_seed(seed);
+        Pools { pace, known: HashMap::new(), count: 0, queues: BTreeMap::new(), rng }
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// How many wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().flat_map(|queue| queue.tenants.values()).map(VecDeque::len).sum()
+    }
+
+    /// A session wants a connection; one that was left in its state is the best.
+    pub fn take(&mut self, now: f64, key: &Key, state: u64, tenant: &str, ticket: u64) -> Choice {
+        let each = self.known.entry(key.clone()).or_default();
+        // Of one state, the one that was used last: the others may grow old and be closed.
+        let idle = each
+            .iter()
+            .filter_map(|(n, known)| known.idle.filter(|_| now < known.old).map(|at| (n, known, at)));
+        let best = idle.max_by(|a, b| {
+            (a.1.state == state, a.2)
+                .partial_cmp(&(b.1.state == state, b.2))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+        if let Some(number) = best.map(|(number, ..)| *number) {
+            if let Some(known) = each.get_mut(&number) {
+                known.idle = None;
+            }
+            return Choice::Reuse(number);
+        }
+        if each.len() < self.pace.each {
+            if self.count < self.pace.most {
+                return Choice::Open;
+            }
+            if let Some(other) = self.idlest() {
+                return Choice::Instead(other);
+            }
+        }
+        let queue = self.queues.entry(key.clone()).or_default();
+        queue.tenants.entry(tenant.to_string()).or_default().push_back(ticket);
+        Choice::Wait
+    }
+
+    /// The connection that has been idle for longest.
+    fn idlest(&self) -> Option<u64> {
+        let all = self.known.values().flatten();
+        let idle = all.filter_map(|(number, known)| known.idle.map(|since| (*number, since)));
+        idle.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(number, _)| number)
+    }
+
+    /// Whether one more connection of a key may be opened.
+    pub fn has_room(&self, key: &Key) -> bool {
+        self.count < self.pace.most && self.known.get(key).map_or(0, BTreeMap::len) < self.pace.each
+    }
+
+    /// A connection is being made, and used by whoever asked for it.
+    pub fn opened(&mut self, now: f64, key: &Key, number: u64) {
+        let old = now + self.pace.lifetime * (1.0 - 0.1 * self.rng.f64());
+        self.known.entry(key.clone()).or_default().insert(number, Known { old, idle: None, state: 0 });
+        self.count += 1;
+    }
+
+    /// A connection is no longer used, in this state. Whether it is kept.
+    pub fn put(&mut self, now: f64, key: &Key, number: u64, state: u64) -> bool {
+        let Some(known) = self.known.get_mut(key).and_then(|each| each.get_mut(&number)) else {
+            return false;
+        };
+        (known.idle, known.state) = (Some(now), state);
+        now < known.old
+    }
+
+    /// A connection has been closed.
+    pub fn closed(&mut self, key: &Key, number: u64) {
+        let Some(each) = self.known.get_mut(key) else { return };
+        self.count -= usize::from(each.remove(&number).is_some());
+        if each.is_empty() {
+            self.known.remove(key);
+        }
+    }
+
+    /// Whose turn it is, where a connection of a key can be had now; it has to ask again.
+    pub fn turn(&mut self, now: f64) -> Option<u64> {
+        let free = |pools: &Pools, key: &Key| {
+            let each = pools.known.get(key);
+            let idle = each.is_some_and(|each| each.values().any(|k| k.idle.is_some() && now < k.old));
+            let room = each.map_or(0, BTreeMap::len) < pools.pace.each;
+            idle || room && (pools.count < pools.pace.most || pools.idlest().is_some())
+        };
+        let key = self.queues.keys().find(|key| free(self, key)).cloned()?;
+        let queue = self.queues.get_mut(&key)?;
+        let ticket = queue.next();
+        if queue.tenants.is_empty() {
+            self.queues.remove(&key);
+        }
+        ticket
+    }
+
+    /// Who has waited with this ticket waits no longer.
+    pub fn give_up(&mut self, ticket: u64) {
+        self.queues.values_mut().for_each(|queue| queue.remove(ticket));
+        self.queues.retain(|_, queue| !queue.tenants.is_empty());
+    }
+
+    /// The idle connections that are to be closed: too old, or unused for too long.
+    pub fn due(&mut self, now: f64) -> Vec<u64> {
+        let mut due = Vec::new();
+        for each in self.known.values() {
+            let mut left = each.len();
+            let mut idle: Vec<_> =
+                each.iter().filter_map(|(n, k)| k.idle.map(|since| (since, *n, k.old))).collect();
+            idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+            for (since, number, old) in idle {
+                if now >= old || (now >= since + self.pace.idle && left > self.pace.least) {
+                    due.push(number);
+                    left -= 1;
+                }
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/pooling/tests/machine.rs
@@ -0,0 +1,361 @@
+//! Single cases of a session, fed by hand, and what no session may be upset by.
+
+use std::collections::BTreeMap;
+
+use pgwire::session::{self as wire, Piece};
+use pgwire::Message;
+use pooling::{Action, Choice, Cut, Ended, Key, Mode, Pace, Pools, Remote, Session};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn session(mode: Mode) -> Session {
+    Session::new(mode, BTreeMap::new(), BTreeMap::new())
+}
+
+fn message(kind: u8, body: &[u8]) -> Message {
+    Message { kind, body: body.to_vec() }
+}
+
+fn text(kind: u8, text: &str) -> Message {
+    message(kind, &[text.as_bytes(), b"\0"].concat())
+}
+
+fn give(session: &mut Session, messages: Vec<Message>) -> Vec<Action> {
+    let mut out = Vec::new();
+    messages.into_iter().for_each(|message| session.client(message, &mut out));
+    out
+}
+
+fn tell(session: &mut Session, messages: Vec<Message>) -> Vec<Action> {
+    let mut out = Vec::new();
+    messages.into_iter().for_each(|message| session.server(Piece::Message(message), &mut out));
+    out
+}
+
+fn attach(session: &mut Session) -> Vec<Action> {
+    let mut out = Vec::new();
+    session.attach(Remote::new(10), &mut out);
+    out
+}
+
+/// The kinds of the messages that the client is told, and of those that the server is.
+fn kinds(actions: &[Action]) -> (String, String) {
+    let (mut client, mut server) = (String::new(), String::new());
+    for action in actions {
+        let (bytes, into) = match action {
+            Action::Client(bytes) => (bytes, &mut client),
+            Action::Server(bytes) => (bytes, &mut server),
+            _ => continue,
+        };
+        let mut rest = &bytes[..];
+        while let Some((kind, after)) = rest.split_first() {
+            into.push(*kind as char);
+            rest = &after[u32::from_be_bytes(after[..4].try_into().unwrap()) as usize..];
+        }
+    }
+    (client, server)
+}
+
+fn code(actions: &[Action]) -> Vec<String> {
+    let bytes = actions.iter().filter_map(|action| match action {
+        Action::Client(bytes) if bytes[0] == b'E' => Some(pgwire::error_code(&bytes[5..]).0),
+        _ => None,
+    });
+    bytes.collect()
+}
+
+fn parse(name: &str, sql: &str) -> Message {
+    message(b'P', &[name.as_bytes(), b"\0", sql.as_bytes(), b"\0\0\0"].concat())
+}
+
+fn bind(name: &str) -> Message {
+    message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat())
+}
+
+fn execute() -> Message {
+    message(b'E', b"\0\0\0\0\0")
+}
+
+fn sync() -> Message {
+    message(b'S', b"")
+}
+
+fn ready(status: u8) -> Message {
+    message(b'Z', &[status])
+}
+
+#[test]
+fn a_pipeline_of_500_with_an_error_in_the_third_is_passed_over_to_its_sync() {
+    let mut session = session(Mode::Transaction);
+    let mut batch = Vec::new();
+    (0..500).for_each(|n| batch.extend([parse("", &format!("SELECT {n}")), bind(""), execute()]));
+    batch.push(sync());
+    let actions = give(&mut session, batch);
+    assert!(matches!(&actions[..], [Action::Want(want)] if want.reads));
+    assert_eq!(kinds(&attach(&mut session)).1.len(), 1_501);
+    let whole = || [message(b'1', b""), message(b'2', b""), text(b'C', "SELECT 1")];
+    let mut answers: Vec<Message> = [whole(), whole()].into_iter().flatten().collect();
+    answers.push(text(b'E', "SERROR\0C42601\0Mno\0"));
+    assert_eq!(kinds(&tell(&mut session, answers)).0, "12C12CE");
+    let actions = tell(&mut session, vec![ready(b'I')]);
+    assert_eq!(actions.last(), Some(&Action::Release(Ended::Kept)));
+}
+
+#[test]
+fn a_batch_without_its_sync_keeps_the_connection() {
+    let mut session = session(Mode::Transaction);
+    give(&mut session, vec![parse("", "SELECT 1"), bind(""), message(b'H', b"")]);
+    attach(&mut session);
+    tell(&mut session, vec![message(b'1', b""), message(b'2', b"")]);
+    assert_eq!(session.gone(), Some(Ended::Closed), "between Parse and Sync");
+}
+
+#[test]
+fn the_same_name_for_two_texts_of_two_clients_is_two_statements() {
+    let (mut one, mut two) = (session(Mode::Transaction), session(Mode::Transaction));
+    let prepare = |session: &mut Session, sql: &str, remote| {
+        give(session, vec![parse("p", sql), sync()]);
+        let mut out = Vec::new();
+        session.attach(remote, &mut out);
+        let sent = out.iter().find_map(|action| match action {
+            Action::Server(bytes) if bytes[0] == b'P' => {
+                Some(wire::parse(&bytes[5..]).unwrap().0.to_string())
+            }
+            _ => None,
+        });
+        let mut answers = vec![ready(b'I')];
+        if sent.is_some() {
+            answers.insert(0, message(b'1', b""));
+        }
+        let told = kinds(&[out, tell(session, answers)].concat()).0;
+        (sent, told, session.take_remote())
+    };
+    let (first, told, remote) = prepare(&mut one, "SELECT 1", Remote::new(10));
+    assert_eq!(told, "1Z");
+    let (second, told, remote) = prepare(&mut two, "SELECT 2", remote);
+    assert_eq!(told, "1Z");
+    assert_ne!(first.unwrap(), second.unwrap());
+    let mut three = session(Mode::Transaction);
+    let (sent, told, _) = prepare(&mut three, "SELECT 1", remote);
+    assert_eq!((sent, &*told), (None, "1Z"), "prepared there already: told without asking");
+    let again = give(&mut three, vec![parse("p", "SELECT 3"), sync()]);
+    assert!(matches!(again[..], [Action::Want(_)]));
+    assert_eq!(code(&attach(&mut three)), ["42P05"]);
+}
+
+#[test]
+fn the_statement_used_longest_ago_makes_room_at_the_server() {
+    let mut session = session(Mode::Transaction);
+    let mut remote = Remote::new(2);
+    for n in 0..4 {
+        give(&mut session, vec![parse(&format!("p{n}"), &format!("SELECT {n}")), sync()]);
+        let mut out = Vec::new();
+        session.attach(remote, &mut out);
+        let (_, sent) = kinds(&out);
+        assert_eq!(sent, if n < 2 { "PS" } else { "CPS" });
+        let closed = message(b'3', b"");
+        let answers = [closed, message(b'1', b""), ready(b'I')].into_iter().skip(usize::from(n < 2));
+        assert_eq!(kinds(&tell(&mut session, answers.collect())).0, "1Z");
+        remote = session.take_remote();
+        assert!(remote.prepared() <= 2);
+    }
+    // The first is gone there, and is prepared anew unseen.
+    give(&mut session, vec![bind("p0"), execute(), sync()]);
+    let mut out = Vec::new();
+    session.attach(remote, &mut out);
+    assert_eq!(kinds(&out).1, "CPBES");
+}
+
+#[rstest]
+#[case("SELECT 1", true)]
+#[case("BEGIN READ ONLY", true)]
+#[case("SET work_mem TO 1", true)]
+#[case("BEGIN", false)]
+#[case("SELECT take()", false)]
+#[case("SELECT 1; DELETE FROM items", false)]
+#[case("BEGIN READ ONLY; SELECT 1", false)]
+fn what_may_go_to_a_replica(#[case] sql: &str, #[case] reads: bool) {
+    let actions = give(&mut session(Mode::Transaction), vec![text(b'Q', sql)]);
+    assert!(matches!(&actions[..], [Action::Want(want)] if want.reads == reads), "{actions:?}");
+    let actions = give(&mut session(Mode::Session), vec![text(b'Q', sql)]);
+    assert!(matches!(&actions[..], [Action::Want(want)] if !want.reads));
+}
+
+#[test]
+fn without_transactions_begin_is_turned_down_and_costs_no_server() {
+    let actions = give(&mut session(Mode::Statement), vec![text(b'Q', "BEGIN")]);
+    assert_eq!((code(&actions), kinds(&actions).0), (vec!["0A000".into()], "EZ".into()));
+}
+
+#[test]
+fn who_is_refused_is_told_once_and_in_step() {
+    let mut session = session(Mode::Transaction);
+    let mut refused = |messages| {
+        give(&mut session, messages);
+        let mut out = Vec::new();
+        session.refused("53300", "later", Some("200"), &mut out);
+        kinds(&out).0
+    };
+    assert_eq!(refused(vec![text(b'Q', "SELECT 1")]), "EZ");
+    assert_eq!(refused(vec![parse("", "SELECT 1"), sync()]), "EZ");
+    assert_eq!(refused(vec![parse("", "SELECT 1"), message(b'H', b"")]), "E");
+    // The rest of that batch is passed over.
+    assert_eq!(kinds(&give(&mut session, vec![bind(""), execute(), sync()])).0, "Z");
+}
+
+#[rstest]
+#[case::reading(vec![text(b'Q', "SELECT 1")], vec![], "08007", "EZ", b'I')]
+#[case::in_a_transaction(vec![text(b'Q', "BEGIN"), text(b'Q', "SELECT 1")], vec![text(b'C', "BEGIN"), ready(b'T')], "08006", "EZ", b'E')]
+#[case::committing(vec![text(b'Q', "BEGIN"), text(b'Q', "COMMIT")], vec![text(b'C', "BEGIN"), ready(b'T')], "08007", "EZ", b'I')]
+fn a_lost_server_is_told_with_what_may_have_run(
+    #[case] asked: Vec<Message>,
+    #[case] answers: Vec<Message>,
+    #[case] number: &str,
+    #[case] told: &str,
+    #[case] status: u8,
+) {
+    let mut session = session(Mode::Transaction);
+    let mut asked = asked.into_iter();
+    give(&mut session, asked.by_ref().take(1).collect());
+    attach(&mut session);
+    tell(&mut session, answers);
+    give(&mut session, asked.collect());
+    let mut out = Vec::new();
+    session.lost(Cut::Lost, &mut out);
+    assert_eq!((code(&out), kinds(&out).0), (vec![number.to_string()], told.to_string()));
+    assert_eq!(session.in_transaction(), status == b'E');
+    if status == b'E' {
+        let actions = give(&mut session, vec![parse("", "ROLLBACK"), bind(""), execute(), sync()]);
+        assert_eq!(kinds(&actions).0, "12CZ");
+        assert!(!session.in_transaction());
+    }
+}
+
+#[test]
+fn a_connection_that_tells_what_nobody_asked_is_given_up() {
+    let mut session = session(Mode::Transaction);
+    give(&mut session, vec![text(b'Q', "SELECT 1")]);
+    attach(&mut session);
+    let actions = tell(&mut session, vec![message(b'2', b"")]);
+    assert!(actions.contains(&Action::Release(Ended::Closed)));
+    assert_eq!(code(&actions), ["08007"]);
+}
+
+/// One sound message of each type that a client may send.
+fn sound() -> Vec<Message> {
+    let target = |kind, of| message(kind, &[of, b'p', 0]);
+    vec![
+        text(b'Q', "SELECT 1"),
+        parse("p", "SELECT $1"),
+        bind("p"),
+        target(b'D', b'S'),
+        target(b'D', b'P'),
+        target(b'C', b'S'),
+        target(b'C', b'P'),
+        execute(),
+        message(b'F', b"\0\0\0\x01\0\0\0\0\0\0"),
+        message(b'd', b"data"),
+        message(b'c', b""),
+        text(b'f', "no"),
+        message(b'H', b""),
+        sync(),
+        message(b'p', b"word\0"),
+        message(b'X', b""),
+    ]
+}
+
+#[test]
+fn a_message_of_every_type_cut_and_lengthened_at_each_byte_upsets_nothing() {
+    for whole in sound() {
+        for length in 0..whole.body.len() + 3 {
+            for attached in [false, true] {
+                let mut body = whole.body.clone();
+                body.resize(length, 0xff);
+                let mut session = session(Mode::Transaction);
+                if attached {
+                    give(&mut session, vec![text(b'Q', "BEGIN")]);
+                    attach(&mut session);
+                    tell(&mut session, vec![text(b'C', "BEGIN"), ready(b'T')]);
+                }
+                give(&mut session, vec![message(whole.kind, &body), sync()]);
+            }
+        }
+    }
+}
+
+proptest! {
+    /// Whatever client and server say in whatever order, it comes to an end of some sort, and what a session lets go
+    /// of for others has nothing open.
+    #[test]
+    fn no_order_of_messages_upsets_it(steps in prop::collection::vec((0..5u8, 0..16usize, any::<u8>()), 0..60)) {
+        let mut session = session(Mode::Transaction);
+        for (who, which, byte) in steps {
+            let mut out = Vec::new();
+            match who {
+                0 | 1 => {
+                    let all = sound();
+                    session.client(message(all[which % all.len()].kind, &all[which % all.len()].body), &mut out);
+                }
+                2 => {
+                    let kinds = b"123CEZTtnsISNGHcA";
+                    let kind = kinds[usize::from(byte) % kinds.len()];
+                    let body: &[u8] = match kind {
+                        b'Z' => &[b"ITE"[which % 3]],
+                        b'C' => b"COMMIT\0",
+                        b'S' => b"a\0b\0",
+                        b'E' => b"C26000\0\0",
+                        _ => b"",
+                    };
+                    if session.is_attached() {
+                        session.server(Piece::Message(message(kind, body)), &mut out);
+                    }
+                }
+                3 if !session.takes() => session.attach(Remote::new(2), &mut out),
+                4 if session.is_attached() => session.lost(Cut::Lost, &mut out),
+                _ => {}
+            }
+            if out.contains(&Action::Release(Ended::Kept)) {
+                prop_assert!(!session.in_transaction() && !session.is_busy() && !session.is_attached());
+            }
+        }
+    }
+}
+
+fn key(member: &str) -> Key {
+    Key { member: member.into(), user: "u".into(), database: "d".into() }
+}
+
+#[test]
+fn connections_are_opened_used_again_waited_for_and_closed() {
+    let pace = Pace { most: 3, each: 2, idle: 10.0, least: 0, lifetime: 100.0 };
+    let mut pools = Pools::new(pace, 1);
+    let (a, b) = (key("a"), key("b"));
+    for number in [1, 2] {
+        assert_eq!(pools.take(0.0, &a, 0, "t", number), Choice::Open);
+        pools.opened(0.0, &a, number);
+    }
+    // Tenants have their turn, whoever has come first.
+    for (ticket, tenant) in [(10, "x"), (11, "x"), (12, "x"), (13, "y")] {
+        assert_eq!(pools.take(0.0, &a, 0, tenant, ticket), Choice::Wait);
+    }
+    assert_eq!(pools.turn(0.0), None);
+    assert!(pools.put(1.0, &a, 1, 7));
+    assert_eq!(pools.turn(1.0), Some(10));
+    assert_eq!(pools.take(1.0, &a, 0, "x", 10), Choice::Reuse(1));
+    assert!(pools.put(1.0, &a, 1, 7));
+    assert_eq!(pools.turn(1.0), Some(13));
+    pools.give_up(11);
+    assert_eq!((pools.turn(1.0), pools.turn(1.0), pools.waiting()), (Some(12), None, 0));
+    // Of two that rest, the one that was left in the same state.
+    assert!(pools.put(2.0, &a, 2, 9));
+    assert_eq!(pools.take(2.0, &a, 7, "t", 20), Choice::Reuse(1));
+    assert_eq!(pools.take(2.0, &b, 0, "t", 21), Choice::Open);
+    pools.opened(2.0, &b, 3);
+    assert_eq!(pools.take(2.0, &key("c"), 0, "t", 22), Choice::Instead(2), "the bound of all");
+    assert_eq!(pools.due(11.0), Vec::<u64>::new());
+    assert_eq!(pools.due(12.5), [2]);
+    pools.closed(&a, 2);
+    assert!(!pools.put(101.0, &a, 1, 0), "too old to be used again");
+    assert_eq!(pools.due(101.0), [1]);
+    assert_eq!(pools.count(), 2);
+}
--- /dev/null
+++ b/crates/scram/src/client.rs
@@ -0,0 +1,57 @@
+//! The client's side of one login.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use subtle::ConstantTimeEq;
+
+use crate::server::Fault;
+use crate::verifier::{hash, hmac, rounds, salted, xor};
+
+/// A login that has begun.
+#[derive(Debug)]
+pub struct Client {
+    nonce: String,
+    bare: String,
+    /// What the server must sign its last message with.
+    expected: Option<[u8; 32]>,
+}
+
+impl Client {
+    /// Begins a login; the first message. `nonce` is printable, without commas, and never used before.
+    pub fn begin(nonce: &str) -> (Client, String) {
+        // The user is that of the startup message.
+        let bare = format!("n=,r={nonce}");
+        let first = format!("n,,{bare}");
+        (Client { nonce: nonce.into(), bare, expected: None }, first)
+    }
+
+    /// Takes the server's first message; the answer to it.
+    pub fn answer(&mut self, message: &str, password: &str) -> Result<String, Fault> {
+        let mut fields = message.split(',');
+        let mut field = |name: &str| fields.next().and_then(|f| f.strip_prefix(name)).ok_or(Fault::Malformed);
+        let (nonce, salt, iterations) = (field("r=")?, field("s=")?, field("i=")?);
+        if !nonce.starts_with(&self.nonce) || nonce.len() == self.nonce.len() {
+            return Err(Fault::Malformed);
+        }
+        let salt = STANDARD.decode(salt).map_err(|_| Fault::Malformed)?;
+        let salted = salted(password, &salt, rounds(iterations).ok_or(Fault::Malformed)?);
+        let without = format!("c=biws,r={nonce}");
+        let signed = format!("{},{message},{without}", self.bare);
+        let key = hmac(&salted, &[b"Client Key"]);
+        let proof = xor(&key, &hmac(&hash(&key), &[signed.as_bytes()]));
+        self.expected = Some(hmac(&hmac(&salted, &[b"Server Key"]), &[signed.as_bytes()]));
+        Ok(format!("{without},p={}", STANDARD.encode(proof)))
+    }
+
+    /// Takes the server's last message: whether it knows the password too.
+    pub fn finish(&self, message: &str) -> Result<(), Fault> {
+        let signature = message.strip_prefix("v=").and_then(|text| STANDARD.decode(text).ok());
+        let signature = signature.ok_or(Fault::Malformed)?;
+        let expected = self.expected.ok_or(Fault::Malformed)?;
+        if bool::from(signature.ct_eq(&expected)) {
+            Ok(())
+        } else {
+            Err(Fault::Wrong)
+        }
+    }
+}
--- /dev/null
+++ b/crates/scram/src/lib.rs
@@ -0,0 +1,18 @@
+//! SCRAM-SHA-256 (RFC 5802, RFC 7677) as PostgreSQL speaks it, from the server's side and the client's; verifiers and
+//! files of them; how long a guesser has to wait. No I/O: texts go in and come out, nonces are handed in.
+#![warn(missing_docs)]
+
+mod client;
+mod guess;
+mod server;
+mod users;
+mod verifier;
+
+pub use client::Client;
+pub use guess::Guesses;
+pub use server::{Fault, Server};
+pub use users::{Users, LONGEST};
+pub use verifier::{Unsound, Verifier, ITERATIONS};
+
+/// The mechanism's name.
+pub const MECHANISM: &str = "SCRAM-SHA-256";
--- /dev/null
+++ b/crates/scram/tests/login.rs
@@ -0,0 +1,152 @@
+//! Logins from both sides, with the RFC's own figures, and what fails.
+
+use std::net::IpAddr;
+
+use proptest::prelude::*;
+use rstest::rstest;
+use scram::{Client, Fault, Guesses, Server, Users, Verifier};
+
+/// The example of RFC 7677.
+const SALT: &[u8] = b"\x5b\x6d\x99\x68\x9d\x12\x35\x8e\xec\xa0\x4b\x14\x12\x36\xfa\x81";
+const FIRST: &str = "n,,n=user,r=rOprNGfwEbeRWgbNEkqO";
+const NONCE: &str = "%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0";
+const SERVER_FIRST: &str =
+    "r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,s=W22ZaJ0SNY7soEsUEjb6gQ==,i=4096";
+const FINAL: &str = "c=biws,r=rOprNGfwEbeRWgbNEkqO%hvYDpWUa2RaTCAfuxFIlj)hNlF$k0,\
+    p=dHzbZapWIk4jUhN+Ute9ytag9zjfMHgsqmmiz7AndVQ=";
+const SERVER_FINAL: &str = "v=6rriTRBi23WpRR/wtup+mMhUZUn/dB5nLTJRsjl95G4=";
+
+fn verifier() -> Verifier {
+    Verifier::new("pencil", SALT, 4_096)
+}
+
+fn begin(first: &str) -> Result<(Server, String), Fault> {
+    Server::begin(first, "user", Some(&verifier()), NONCE, b"secret")
+}
+
+#[test]
+fn the_example_of_the_rfc() {
+    let (server, first) = begin(FIRST).unwrap();
+    assert_eq!(first, SERVER_FIRST);
+    assert_eq!(server.finish(FINAL).unwrap(), SERVER_FINAL);
+    let again: Verifier = verifier().to_string().parse().unwrap();
+    assert_eq!(again, verifier());
+}
+
+/// A whole login; what each side makes of it.
+fn login(password: &str, known: Option<&Verifier>) -> (Result<(), Fault>, Result<(), Fault>) {
+    let (mut client, first) = Client::begin("mine");
+    let (server, told) = Server::begin(&first, "user", known, "theirs", b"secret").unwrap();
+    let last = client.answer(&told, password).unwrap();
+    match server.finish(&last) {
+        Ok(told) => (Ok(()), client.finish(&told)),
+        Err(fault) => (Err(fault), client.finish("e=no")),
+    }
+}
+
+#[test]
+fn the_right_password_is_taken_and_no_other() {
+    let short = Verifier::new("pencil", SALT, 2);
+    assert_eq!(login("pencil", Some(&short)), (Ok(()), Ok(())));
+    assert_eq!(login("pencils", Some(&short)).0, Err(Fault::Wrong));
+    assert_eq!(login("pencil", None).0, Err(Fault::Wrong));
+}
+
+#[test]
+fn nobody_learns_who_there_is() {
+    let ask = |user| Server::begin(FIRST, user, None, NONCE, b"secret").unwrap().1;
+    assert_eq!(ask("x"), ask("x"), "the same salt each time");
+    assert_ne!(ask("x"), ask("y"));
+    assert!(ask("x").ends_with(",i=4096"));
+    assert_eq!(ask("x").len(), SERVER_FIRST.len());
+}
+
+#[rstest]
+#[case("p=tls-server-end-point,,n=,r=x", Fault::Binding)]
+#[case("n,a=other,n=,r=x", Fault::Malformed)]
+#[case("n,,r=x", Fault::Malformed)]
+#[case("n,,n=,r=", Fault::Malformed)]
+#[case("n,,n=,r=a b", Fault::Malformed)]
+#[case("", Fault::Malformed)]
+fn a_first_message_that_is_none(#[case] first: &str, #[case] fault: Fault) {
+    assert_eq!(begin(first).err(), Some(fault));
+}
+
+#[rstest]
+#[case::another_nonce(FINAL.replace("hNlF", "hNlG"), Fault::Malformed)]
+#[case::another_channel(FINAL.replace("biws", "eSws"), Fault::Malformed)]
+#[case::another_proof(FINAL.replace("dHzb", "dHzc"), Fault::Wrong)]
+#[case::half_a_proof(FINAL.replace("ndVQ=", ""), Fault::Malformed)]
+#[case::no_proof("c=biws".into(), Fault::Malformed)]
+fn a_last_message_that_is_wrong(#[case] last: String, #[case] fault: Fault) {
+    assert_eq!(begin(FIRST).unwrap().0.finish(&last).err(), Some(fault));
+}
+
+#[rstest]
+#[case("r=other,s=W22Z,i=1")]
+#[case("r=mine,s=W22Z,i=1")]
+#[case("r=mine1,s=W22Z,i=0")]
+#[case("r=mine1,s=W22Z,i=2000000000")]
+#[case("r=mine1,s=?,i=1")]
+fn a_server_that_is_none(#[case] told: &str) {
+    let (mut client, _) = Client::begin("mine");
+    assert_eq!(client.answer(told, "pencil"), Err(Fault::Malformed));
+}
+
+#[test]
+fn a_server_that_does_not_know_the_password_is_found_out() {
+    let (mut client, _) = Client::begin("rOprNGfwEbeRWgbNEkqO");
+    client.answer(SERVER_FIRST, "pencil").unwrap();
+    assert_eq!(client.finish(SERVER_FINAL), Err(Fault::Wrong), "signed for another first message");
+}
+
+#[test]
+fn a_file_of_users_is_read_and_written() {
+    let mut users = Users::read("# people\n\n").unwrap();
+    assert!(users.put("clerk of the shop", verifier()) && users.put("b", verifier()));
+    assert!(!users.put("#c", verifier()) && !users.put("", verifier()) && !users.put("a\nb", verifier()));
+    let again = Users::read(&users.text()).unwrap();
+    assert_eq!(again, users);
+    assert!(again.get("clerk of the shop").is_some());
+    assert!(users.remove("b") && !users.remove("b"));
+    let line = users.text();
+    for (text, words) in [
+        (format!("{line}{line}"), "line 2: clerk of the shop stands there twice"),
+        ("a b".into(), "line 1: not a verifier"),
+    ] {
+        let fault = Users::read(&text).unwrap_err();
+        assert!(fault.starts_with(words), "{fault}");
+    }
+}
+
+#[test]
+fn a_guesser_waits_longer_each_time_and_others_do_not() {
+    let mut guesses = Guesses::default();
+    let [guesser, other]: [IpAddr; 2] = [[10, 0, 0, 1].into(), [10, 0, 0, 2].into()];
+    let mut waited = 0.0;
+    for _ in 0..1_000 {
+        waited += guesses.wrong(waited, guesser);
+    }
+    assert!(waited > 4_900.0, "a thousand guesses take {waited} s");
+    assert_eq!(guesses.wrong(waited, other), 0.1);
+    guesses.right(guesser);
+    assert_eq!(guesses.wrong(waited, guesser), 0.1);
+    assert_eq!(guesses.wrong(waited + 61.0, guesser), 0.1, "forgotten");
+    for n in 0..10_000u32 {
+        guesses.wrong(waited, IpAddr::from(n.to_be_bytes()));
+    }
+    assert!(guesses.len() <= 4_096);
+}
+
+proptest! {
+    #[test]
+    fn no_text_upsets_either_side(first in "\\PC{0,40}", last in "\\PC{0,60}", told in "(r=mine)?\\PC{0,40}") {
+        let _ = begin(&first);
+        let _ = begin(FIRST).unwrap().0.finish(&last);
+        let (mut client, _) = Client::begin("mine");
+        let _ = client.answer(&told, "x");
+        let _ = client.finish(&last);
+        let _ = Users::read(&first);
+        let _ = last.parse::<Verifier>();
+    }
+}
--- a/crates/tls/src/lib.rs
+++ b/crates/tls/src/lib.rs
@@ -1,4 +1,4 @@
-//! A client's side of TLS. No I/O of its own: [`Session`] turns what came over a connection into plain bytes and
+//! TLS from both sides. No I/O of its own: [`Session`] turns what came over a connection into plain bytes and
 //! plain bytes into what is to go, both in ring buffers; [`Link`] does so, or passes bytes on as they are, over any
 //! stream that a driver hands it.
 #![warn(missing_docs)]
@@ -8,5 +8,5 @@
 mod session;
 
 pub use link::Link;
-pub use material::{Client, Files, Unusable, LONGEST};
+pub use material::{Client, Files, Server, Unusable, LONGEST};
 pub use session::{Fault, Session};
--- a/crates/tls/src/link.rs
+++ b/crates/tls/src/link.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Goes on with a session beneath. What has come until now must have been taken: it came in the clear.
+    pub fn secure(&mut self, session: Session, budget: &Budget) {
+        self.tls = Some((session, Ring::new(budget), Ring::new(budget)));
+    }
+
+    /// Whether all that was to go has gone.
+    pub fn is_flushed(&self) -> bool {
+        self.outbox.is_empty() && self.tls.as_ref().is_none_or(|(_, _, wire)| wire.is_empty())
+    }
+
     /// Whether there is TLS beneath.
     pub fn is_secured(&self) -> bool {
         self.tls.is_some()
--- a/crates/tls/src/material.rs
+++ b/crates/tls/src/material.rs
@@ -5,7 +5,8 @@
 
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use rustls::{ClientConfig, RootCertStore};
+use rustls::server::WebPkiClientVerifier;
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use x509_parser::parse_x509_certificate;
 
 /// Longest file that is read (bytes): some hundred certificates.
@@ -40,6 +41,44 @@
 
 impl std::error::Error for Unusable {}
 
+/// What the sessions of those who connect here are made from.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub(crate) config: Arc<ServerConfig>,
+    ends: Vec<(&'static str, f64)>,
+}
+
+impl Server {
+    /// Checks the files and makes a server of them, at the time `now` (Unix seconds): its chain and key, and the
+    /// certificates of whoever may vouch for clients, where those are to show one.
+    pub fn new(chain: &[u8], key: &[u8], clients: Option<&[u8]>, now: f64) -> Result<Server, Unusable> {
+        let (chain, key, mut ends) = own(chain, key, now)?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let builder = ServerConfig::builder_with_provider(provider.clone())
+            .with_safe_default_protocol_versions()
+            .map_err(|error| Unusable { which: "certificate", what: error.to_string() })?;
+        let builder = match clients {
+            None => builder.with_no_client_auth(),
+            Some(text) => {
+                let roots = roots(text, &mut ends)?;
+                let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider).build();
+                let verifier = verifier.map_err(|error| Unusable { which: "ca", what: error.to_string() })?;
+                builder.with_client_cert_verifier(verifier)
+            }
+        };
+        let config = builder.with_single_cert(chain, key).map_err(|error| Unusable {
+            which: "key",
+            what: format!("{error}; accepted: the key of the first certificate"),
+        })?;
+        Ok(Server { config: Arc::new(config), ends })
+    }
+
+    /// Which of the files holds the certificate that runs out first, and when (Unix seconds).
+    pub fn ends(&self) -> Option<(&'static str, f64)> {
+        first(&self.ends)
+    }
+}
+
 /// What sessions are made from.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -51,16 +90,8 @@
     /// Checks the files and makes a client of them, at the time `now` (Unix seconds): each is read as PEM, the key
     /// is the certificate's, no certificate of the client's own has run out or does not hold yet.
     pub fn new(files: Files, now: f64) -> Result<Client, Unusable> {
-        let authorities = certificates("ca", files.ca)?;
-        let mut roots = RootCertStore::empty();
         let mut ends = Vec::new();
-        // An authority's certificate that has run out is left to the handshake: another may vouch in its place.
-        let spans = authorities.iter().map(|der| span("ca", der)).collect::<Result<Vec<_>, _>>()?;
-        ends.extend(spans.iter().map(|(_, end)| ("ca", *end)));
-        for der in authorities {
-            let unusable = |error: rustls::Error| Unusable { which: "ca", what: error.to_string() };
-            roots.add(der).map_err(unusable)?;
-        }
+        let roots = roots(files.ca, &mut ends)?;
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let builder = ClientConfig::builder_with_provider(provider)
             .with_safe_default_protocol_versions()
@@ -69,19 +100,8 @@
         let config = match files.own {
             None => builder.with_no_client_auth(),
             Some((chain, key)) => {
-                let chain = certificates("certificate", chain)?;
-                for der in &chain {
-                    let (begin, end) = span("certificate", der)?;
-                    if now < begin || now >= end {
-                        let what = if now < begin { "does not hold yet" } else { "has run out" };
-                        return Err(Unusable { which: "certificate", what: what.into() });
-                    }
-                    ends.push(("certificate", end));
-                }
-                let key = PrivateKeyDer::from_pem_slice(key).map_err(|error| Unusable {
-                    which: "key",
-                    what: format!("{error}; accepted: one private key in PEM, not encrypted"),
-                })?;
+                let (chain, key, own_ends) = own(chain, key, now)?;
+                ends.extend(own_ends);
                 builder.with_client_auth_cert(chain, key).map_err(|error| Unusable {
                     which: "key",
                     what: format!("{error}; accepted: the key of the first certificate"),
@@ -93,8 +113,44 @@
 
     /// Which of the files holds the certificate that runs out first, and when (Unix seconds).
     pub fn ends(&self) -> Option<(&'static str, f64)> {
-        self.ends.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))
+        first(&self.ends)
+    }
+}
+
+fn first(ends: &[(&'static str, f64)]) -> Option<(&'static str, f64)> {
+    ends.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+/// Those who may vouch for the other side. One whose certificate has run out is left to the handshake: another may
+/// vouch in its place.
+fn roots(text: &[u8], ends: &mut Vec<(&'static str, f64)>) -> Result<RootCertStore, Unusable> {
+    let mut roots = RootCertStore::empty();
+    for der in certificates("ca", text)? {
+        ends.push(("ca", span("ca", &der)?.1));
+        roots.add(der).map_err(|error| Unusable { which: "ca", what: error.to_string() })?;
+    }
+    Ok(roots)
+}
+
+type Own = (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>, Vec<(&'static str, f64)>);
+
+/// A chain of which each certificate holds now, its key, and when each ends.
+fn own(chain: &[u8], key: &[u8], now: f64) -> Result<Own, Unusable> {
+    let chain = certificates("certificate", chain)?;
+    let mut ends = Vec::new();
+    for der in &chain {
+        let (begin, end) = span("certificate", der)?;
+        if now < begin || now >= end {
+            let what = if now < begin { "does not hold yet" } else { "has run out" };
+            return Err(Unusable { which: "certificate", what: what.into() });
+        }
+        ends.push(("certificate", end));
     }
+    let key = PrivateKeyDer::from_pem_slice(key).map_err(|error| Unusable {
+        which: "key",
+        what: format!("{error}; accepted: one private key in PEM, not encrypted"),
+    })?;
+    Ok((chain, key, ends))
 }
 
 fn certificates(which: &'static str, text: &[u8]) -> Result<Vec<CertificateDer<'static>>, Unusable> {
--- a/crates/tls/src/session.rs
+++ b/crates/tls/src/session.rs
@@ -5,9 +5,9 @@
 
 use buffer::{Budget, Charge, Fill, Ring};
 use rustls::pki_types::ServerName;
-use rustls::{CertificateError, ClientConnection};
+use rustls::{CertificateError, ClientConnection, Connection, ServerConnection};
 
-use crate::material::Client;
+use crate::material::{Client, Server};
 
 /// Most plain bytes that wait within a session to be made into records; what is past it stays in its own buffer.
 const WAITING: usize = 16 * 1024;
@@ -91,12 +91,12 @@
 
 /// The TLS of one connection.
 pub struct Session {
-    connection: ClientConnection,
+    connection: Connection,
     _charge: Charge,
 }
 
 /// Takes bytes that came over the connection.
-struct Intake<'a>(&'a mut ClientConnection);
+struct Intake<'a>(&'a mut Connection);
 
 impl Write for Intake<'_> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
@@ -133,9 +133,17 @@
     pub fn new(client: &Client, name: &str, budget: &Budget) -> Result<Session, Fault> {
         let name = ServerName::try_from(name.to_string())
             .map_err(|_| Fault::Other(format!("{name:?} is neither a DNS name nor an IP address")))?;
+        Session::over(ClientConnection::new(client.config.clone(), name)?.into(), budget)
+    }
+
+    /// A session with somebody who connects here.
+    pub fn accept(server: &Server, budget: &Budget) -> Result<Session, Fault> {
+        Session::over(ServerConnection::new(server.config.clone())?.into(), budget)
+    }
+
+    fn over(mut connection: Connection, budget: &Budget) -> Result<Session, Fault> {
         let mut charge = budget.charge();
         charge.set(TAKES).map_err(|_| Fault::Budget)?;
-        let mut connection = ClientConnection::new(client.config.clone(), name)?;
         connection.set_buffer_limit(Some(WAITING));
         Ok(Session { connection, _charge: charge })
     }
@@ -191,7 +199,7 @@
 }
 
 /// Takes plain bytes that are to go; full as soon as so many wait.
-struct Writer<'a>(&'a mut ClientConnection);
+struct Writer<'a>(&'a mut Connection);
 
 impl Write for Writer<'_> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
