Pooling: TLS towards servers, dewferry sessions

What was asked of servers crossed their network in the clear, and nobody could see which sessions hold connections or why. pool.server_tls_ca has servers reached over TLS and no other way (asked for first, a refusal is a failed connection); dewferry sessions lists who is connected, in what state for how long, on which member, bound by what. Two stories: a server over TLS with large results, and one that somebody else vouches for, which gets no statement.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,8 @@
 pub const LONGEST_LINE: usize = operator::LONGEST + operator::LONGEST / 4;
 /// Most differences that an answer lists; the rest are counted.
 pub const MOST_CHANGES: usize = 200;
+/// Most sessions that an answer lists; the rest are counted.
+pub const MOST_SESSIONS: usize = 1_000;
 
 /// A call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -67,6 +69,8 @@
     History {},
     /// The document in force, as a file.
     Show {},
+    /// The sessions of ordinary clients.
+    Sessions {},
 }
 
 /// How a call ended.
@@ -175,6 +179,39 @@
     pub last: Option<Entry>,
 }
 
+/// A session of an ordinary client.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct Session {
+    pub user: String,
+    pub database: String,
+    /// The client's address.
+    pub from: String,
+    /// `login`, `idle`, `waiting`, `busy`, `transaction` or `ending`.
+    pub state: String,
+    /// For how long it has been so (seconds).
+    pub lasts_s: f64,
+    /// The member that it is on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub member: Option<String>,
+    /// What binds it to its server connection.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub bound_by: Vec<String>,
+}
+
+/// The sessions of ordinary clients.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sessions {
+    /// Those that have lasted longest in their state come first.
+    pub list: Vec<Session>,
+    /// How many more there are than listed.
+    pub more: usize,
+    /// Server connections, and sessions that wait for one.
+    pub servers: usize,
+    /// See above.
+    pub waiting: usize,
+}
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Response {
@@ -208,6 +245,9 @@
     /// A document.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub text: Option<String>,
+    /// The sessions of ordinary clients.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sessions: Option<Sessions>,
 }
 
 impl Response {
@@ -225,6 +265,7 @@
             status: None,
             history: None,
             text: None,
+            sessions: None,
         }
     }
 
--- a/crates/daemon/src/cli/config.rs
+++ b/crates/daemon/src/cli/config.rs
@@ -401,7 +401,7 @@
 }
 
 /// Makes a call, prints the answer and ends as it says.
-fn ask(socket: Option<PathBuf>, request: Call, json: bool) -> ExitCode {
+pub(super) fn ask(socket: Option<PathBuf>, request: Call, json: bool) -> ExitCode {
     match call(socket, request) {
         Ok(response) => ended(&response, json),
         Err(fault) => fail(&fault),
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -38,6 +38,7 @@
     Registry(registry::Args),
     Route(route::Args),
     Users(users::Args),
+    Sessions(Sessions),
     Version(Version),
     CheckConfig(CheckConfig),
 }
@@ -57,6 +58,18 @@
     state: Option<PathBuf>,
 }
 
+/// List the sessions of ordinary clients, those that have lasted longest in their state first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sessions")]
+struct Sessions {
+    /// the daemon's control socket; the variable DEWFERRY_CONTROL where this is not given
+    #[argh(option)]
+    socket: Option<PathBuf>,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -89,6 +102,9 @@
         Command::Registry(args) => return registry::run(args),
         Command::Route(args) => return route::run(args),
         Command::Users(args) => return users::run(args),
+        Command::Sessions(Sessions { socket, json }) => {
+            return config::ask(socket, ::control::Call::Sessions {}, json);
+        }
         Command::Version(Version {}) => {
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/cli/print.rs
+++ b/crates/daemon/src/cli/print.rs
@@ -1,6 +1,6 @@
 //! Answers for people and for machines.
 
-use control::{Found, Response, Status};
+use control::{Found, Response, Session, Sessions, Status};
 use transaction::Entry;
 
 /// Prints an answer: one JSON object, or lines.
@@ -9,6 +9,9 @@
         print!("{}", String::from_utf8_lossy(&response.line()));
         return;
     }
+    if let Some(sessions) = &response.sessions {
+        return print_sessions(sessions);
+    }
     match (&response.status, &response.history) {
         (Some(status), _) => print_status(status),
         (None, Some(history)) => print_history(history),
@@ -30,6 +33,22 @@
     }
 }
 
+fn print_sessions(sessions: &Sessions) {
+    let Sessions { list, more, servers, waiting } = sessions;
+    println!("{} sessions, {servers} server connections, {waiting} wait for one", list.len() + more);
+    println!(
+        "{:16} {:16} {:22} {:12} {:>9}  {:16} bound by",
+        "user", "database", "from", "state", "lasts s", "member"
+    );
+    for Session { user, database, from, state, lasts_s, member, bound_by } in list {
+        let (member, bound) = (member.as_deref().unwrap_or("-"), bound_by.join(", "));
+        println!("{user:16} {database:16} {from:22} {state:12} {lasts_s:>9.1}  {member:16} {bound}");
+    }
+    if *more > 0 {
+        println!("and {more} more");
+    }
+}
+
 fn print_status(status: &Status) {
     let Status { name, version, generation, digest, note, stage, confirmed, .. } = status;
     println!("{name}  dewferry {version}");
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -101,6 +101,13 @@
     })
 }
 
+/// Reads the authorities that may vouch for the servers of ordinary clients; none where those are called without TLS.
+pub(crate) fn server_tls(pool: &operator::Pool, now: f64) -> Result<Option<tls::Client>, String> {
+    let Some(ca) = &pool.server_tls_ca else { return Ok(None) };
+    let client = tls::Client::new(tls::Files { ca: &read(ca, tls::LONGEST)?, own: None }, now);
+    client.map(Some).map_err(|fault| format!("{}: {}", ca.display(), fault.what))
+}
+
 /// Reads a file of users.
 pub(crate) fn users(path: &Path) -> Result<scram::Users, String> {
     let text = String::from_utf8(private(path, scram::LONGEST)?);
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -816,6 +816,13 @@
                 let entries = changes.machine.history().entries().cloned().collect();
                 Response { history: Some(entries), ..Response::new(Code::Ok, "the newest last") }
             }
+            Call::Sessions {} => match &self.sessions {
+                Some(sessions) => {
+                    let told = sessions.tell(context.reactor.now());
+                    Response { sessions: Some(told), ..Response::new(Code::Ok, "the longest first") }
+                }
+                None => Response::new(Code::Nothing, "ordinary clients are not served: pool.listen"),
+            },
             Call::Show {} => {
                 let current = changes.machine.current();
                 let (text, number) = (Some(current.document.text()), current.number);
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, Shutdown, SocketAddr};
 use std::rc::Rc;
 
-use buffer::{Budget, Fill, Ring};
+use buffer::{Budget, Fill};
 use exchange::Answer;
 use listing::Listing;
 use mio::net::{TcpListener, TcpStream};
@@ -129,6 +129,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum At {
     Connecting,
+    /// It was asked for TLS.
+    Asking,
     Starting,
     Idle,
     Used,
@@ -138,8 +140,7 @@
 
 struct Backend {
     stream: TcpStream,
-    inbox: Ring,
-    outbox: Ring,
+    link: Link,
     flow: Flow,
     at: At,
     key: Key,
@@ -182,6 +183,8 @@
     guesses: Guesses,
     /// What clients' TLS is made from; none is spoken where there is none.
     tls: Option<tls::Server>,
+    /// What TLS towards servers is made from; none is spoken where there is none.
+    server_tls: Option<tls::Client>,
     /// Makes up what is told of users that are not known.
     key: [u8; 32],
     budget: Budget,
@@ -235,6 +238,7 @@
                 .map_err(io::Error::other)?,
             guesses: Guesses::default(),
             tls: files::pool_tls(pool, now).map_err(io::Error::other)?,
+            server_tls: files::server_tls(pool, now).map_err(io::Error::other)?,
             key,
             budget,
             connect_timeout,
@@ -273,6 +277,37 @@
         self.conns.len() == 0
     }
 
+    /// What the sessions do.
+    pub fn tell(&self, now: f64) -> control::Sessions {
+        let one = |conn: &Conn| {
+            let attached = conn.session.as_ref().filter(|session| session.is_attached());
+            let state = match (conn.stage, attached) {
+                (Stage::First | Stage::Login | Stage::Held, _) => "login",
+                (Stage::Ending, _) => "ending",
+                (Stage::Running, Some(session)) if session.is_busy() => "busy",
+                (Stage::Running, Some(session)) if session.in_transaction() => "transaction",
+                (Stage::Running, _) if conn.wanted.is_some() => "waiting",
+                (Stage::Running, _) => "idle",
+            };
+            let backend = conn.backend.and_then(|place| self.backends.get(place));
+            let pins = conn.session.iter().flat_map(|session| session.pins());
+            control::Session {
+                user: conn.user.to_string(),
+                database: conn.database.to_string(),
+                from: conn.from.map(|from| from.to_string()).unwrap_or_default(),
+                state: state.into(),
+                lasts_s: now - conn.since,
+                member: backend.map(|backend| backend.member.to_string()),
+                bound_by: pins.map(|pin| pin.words().to_string()).collect(),
+            }
+        };
+        let mut list: Vec<control::Session> = self.conns.iter().map(|(_, conn)| one(conn)).collect();
+        list.sort_by(|a, b| b.lasts_s.total_cmp(&a.lasts_s));
+        let more = list.len().saturating_sub(control::MOST_SESSIONS);
+        list.truncate(control::MOST_SESSIONS);
+        control::Sessions { list, more, servers: self.pools.count(), waiting: self.pools.waiting() }
+    }
+
     /// Takes in all that wait, as far as there are places.
     pub fn accept(&mut self, context: &mut Context) {
         while self.conns.len() < self.pool.clients as usize {
@@ -351,8 +386,8 @@
         }
         // Written first: no event tells of the room that this makes. A fault is found out again by reading.
         let room = conn.backend.and_then(|b| self.backends.get_mut(b)).is_none_or(|backend| {
-            let _ = backend.at != At::Used || backend.outbox.drain(&mut backend.stream).is_ok();
-            backend.outbox.len() < ROOM
+            let _ = backend.at != At::Used || backend.link.turn(&mut backend.stream).is_ok();
+            backend.link.outbox.len() < ROOM
         });
         let (mut actions, mut moved) = (Vec::new(), false);
         if conn.stage == Stage::Held {
@@ -422,11 +457,10 @@
         if conn.link.outbox.len() >= ROOM {
             return Step::Still;
         }
-        let written = backend.outbox.drain(&mut backend.stream);
-        let fill = backend.inbox.fill(&mut backend.stream);
-        let (mut actions, mut bytes, mut broken) = (Vec::new(), 0, written.is_err());
+        let fill = backend.link.turn(&mut backend.stream);
+        let (mut actions, mut bytes, mut broken) = (Vec::new(), 0, false);
         while bytes < ROOM && !stops(&actions) {
-            match backend.flow.next(&mut backend.inbox) {
+            match backend.flow.next(&mut backend.link.inbox) {
                 Ok(None) => break,
                 Ok(Some(piece)) => {
                     bytes += match &piece {
@@ -617,7 +651,7 @@
                 }
                 Action::Server(bytes) => {
                     let backend = conn.backend.and_then(|b| self.backends.get_mut(b));
-                    if backend.is_some_and(|backend| backend.outbox.push(&bytes).is_err()) {
+                    if backend.is_some_and(|backend| backend.link.outbox.push(&bytes).is_err()) {
                         return Step::Over;
                     }
                 }
@@ -674,7 +708,7 @@
             let asked = self
                 .backends
                 .iter()
-                .any(|(_, b)| b.key == key && matches!(b.at, At::Connecting | At::Starting));
+                .any(|(_, b)| b.key == key && matches!(b.at, At::Connecting | At::Asking | At::Starting));
             if !asked && self.pools.has_room(&key) {
                 self.open(None, key, member, address, context);
             }
@@ -761,8 +795,8 @@
     fn is_alive(&mut self, slot: Slot) -> bool {
         let Some(backend) = self.backends.get_mut(slot) else { return false };
         let same = self.members.get(&backend.member).is_some_and(|member| member.address == backend.address);
-        same && matches!(backend.inbox.fill(&mut backend.stream), Ok(Fill::Drained))
-            && backend.inbox.is_empty()
+        same && matches!(backend.link.turn(&mut backend.stream), Ok(Fill::Drained))
+            && backend.link.inbox.is_empty()
     }
 
     /// Begins a connection, for a session or for whoever comes.
@@ -800,15 +834,14 @@
         until: f64,
     ) -> Backend {
         let _ = stream.set_nodelay(true);
-        let (inbox, outbox) = (Ring::new(&self.budget), Ring::new(&self.budget));
+        let link = Link::new(None, &self.budget);
         let remote = Some(Remote::new(self.pool.statements as usize));
         let (at, flow, cancel) = (At::Connecting, Flow::default(), (0, 0));
         let (client, tainted, drain) = (None, false, None);
         let login = None;
         Backend {
             stream,
-            inbox,
-            outbox,
+            link,
             flow,
             at,
             key,
@@ -864,7 +897,7 @@
                     self.ready(slot, context);
                 }
             }
-            At::Connecting | At::Starting => {
+            At::Connecting | At::Asking | At::Starting => {
                 if let Err(outcome) = self.begin(place, context) {
                     self.fail(place, outcome, context);
                 }
@@ -878,10 +911,7 @@
             }
             At::Cancelling => {
                 let connected = backend.stream.peer_addr().is_ok();
-                let sent = !connected || backend.outbox.drain(&mut backend.stream).is_ok();
-                if !sent
-                    || (connected && !matches!(backend.inbox.fill(&mut backend.stream), Ok(Fill::Drained)))
-                {
+                if connected && !matches!(backend.link.turn(&mut backend.stream), Ok(Fill::Drained)) {
                     self.backends.remove(place);
                 }
             }
@@ -898,13 +928,42 @@
                     _ => Err(Outcome::ConnectFailed),
                 };
             }
-            let hello = wire::hello(&[("user", &backend.key.user), ("database", &backend.key.database)]);
-            backend.outbox.push(&hello).map_err(|_| Outcome::Moot)?;
+            let first = match &self.server_tls {
+                Some(_) => wire::ask_tls(),
+                None => hello(backend),
+            };
+            backend.at = if self.server_tls.is_some() { At::Asking } else { At::Starting };
+            backend.link.outbox.push(&first).map_err(|_| Outcome::Moot)?;
+        }
+        let told = |fault: &tls::Fault, backend: &Backend| {
+            if !matches!(fault, tls::Fault::Broken(_)) {
+                logging::warn!(event = "pool.server_tls", member = &*backend.member, "no TLS: {fault}");
+            }
+            Outcome::ConnectFailed
+        };
+        let turned = backend.link.turn(&mut backend.stream);
+        let mut fill = turned.map_err(|fault| told(&fault, backend))?;
+        if backend.at == At::Asking {
+            match &*backend.link.inbox.take(2) {
+                [] if fill == Fill::Drained => return Ok(()),
+                [b'S'] => {}
+                // Turned down, or something in the clear behind it, which somebody else may have put there.
+                _ => return Err(told(&tls::Fault::NotTls, backend)),
+            }
+            let Some(client) = &self.server_tls else { return Err(Outcome::Moot) };
+            let address = backend.address.ip().to_string();
+            let name = self.pool.server_tls_name.as_ref().unwrap_or(&address);
+            let session = Session::new(client, name, &self.budget).map_err(|fault| told(&fault, backend))?;
+            backend.link.secure(session, &self.budget);
             backend.at = At::Starting;
+            let first = hello(backend);
+            backend.link.outbox.push(&first).map_err(|_| Outcome::Moot)?;
+            let turned = backend.link.turn(&mut backend.stream);
+            fill = turned.map_err(|fault| told(&fault, backend))?;
         }
-        backend.outbox.drain(&mut backend.stream).map_err(|_| Outcome::ConnectFailed)?;
-        let fill = backend.inbox.fill(&mut backend.stream).map_err(|_| Outcome::ConnectFailed)?;
-        while let Some(piece) = backend.flow.next(&mut backend.inbox).map_err(|_| Outcome::ConnectFailed)? {
+        while let Some(piece) =
+            backend.flow.next(&mut backend.link.inbox).map_err(|_| Outcome::ConnectFailed)?
+        {
             let Piece::Message(message) = piece else { return Err(Outcome::ConnectFailed) };
             match message.kind {
                 b'R' => {
@@ -913,7 +972,8 @@
                         logging::warn!(event = "pool.password", member, "the server's login: {fault}");
                         return Err(Outcome::ConnectFailed);
                     }
-                    backend.outbox.drain(&mut backend.stream).map_err(|_| Outcome::ConnectFailed)?;
+                    let turned = backend.link.turn(&mut backend.stream);
+                    fill = turned.map_err(|fault| told(&fault, backend))?;
                 }
                 b'S' => {
                     if let (Some((name, value)), Some(remote)) =
@@ -973,10 +1033,8 @@
         let now = context.reactor.now();
         let Some(backend) = self.backends.get_mut(place) else { return };
         let state = backend.remote.as_ref().map_or(0, Remote::state);
-        let sound = !backend.tainted
-            && backend.drain.is_none()
-            && backend.outbox.is_empty()
-            && backend.inbox.is_empty();
+        let still = backend.link.is_flushed() && backend.link.inbox.is_empty();
+        let sound = !backend.tainted && backend.drain.is_none() && still;
         (backend.at, backend.client) = (At::Idle, None);
         if !self.pools.put(now, &backend.key, place.number(), state) || !sound {
             self.close(place);
@@ -1141,7 +1199,7 @@
         let until = context.reactor.now() + CANCEL;
         let mut asking = self.backend(stream, key, member, address, until);
         asking.at = At::Cancelling;
-        if asking.outbox.push(&bytes).is_err() {
+        if asking.link.outbox.push(&bytes).is_err() {
             return;
         }
         let place = self.backends.insert(asking);
@@ -1248,7 +1306,7 @@
         let slow: Vec<(Slot, At)> = self
             .backends
             .iter()
-            .filter(|(_, b)| now > b.until && matches!(b.at, At::Connecting | At::Starting | At::Cancelling))
+            .filter(|(_, b)| now > b.until && !matches!(b.at, At::Idle | At::Used))
             .map(|(place, backend)| (place, backend.at))
             .collect();
         for (place, at) in slow {
@@ -1321,7 +1379,12 @@
         }
         _ => return Err("it asks for what is not spoken here".into()),
     };
-    backend.outbox.push(&answer).map_err(|_| "no memory left".to_string())
+    backend.link.outbox.push(&answer).map_err(|_| "no memory left".to_string())
+}
+
+/// The first message of a session at a server.
+fn hello(backend: &Backend) -> Vec<u8> {
+    wire::hello(&[("user", &backend.key.user), ("database", &backend.key.database)])
 }
 
 /// Whether a server is the primary, as far as it has told; it does so from PostgreSQL 14 on.
--- a/crates/daemon/tests/pooling.rs
+++ b/crates/daemon/tests/pooling.rs
@@ -16,12 +16,15 @@
     pooler: Pooler,
     address: SocketAddr,
     discovery: Discovery,
-    _operator: Operator,
+    operator: Operator,
 }
 
 impl World {
     fn new(name: &str, more: &str) -> World {
-        let (primary, replica) = (Postgres::new("s-0", false), Postgres::new("s-1", true));
+        World::before(Postgres::new("s-0", false), Postgres::new("s-1", true), name, more)
+    }
+
+    fn before(primary: Postgres, replica: Postgres, name: &str, more: &str) -> World {
         let discovery = Discovery::listen();
         let settings = format!(
             "[pool]\nlisten = \"127.0.0.1:0\"\nwrite_class = \"order-write\"\nread_class = \"reports\"\ngroup = 2\n{more}"
@@ -31,7 +34,7 @@
         let pooler = Pooler::operated(PROGRAM, &list(41, true, &known), &discovery, &operator);
         let line = pooler.logged("ordinary clients connect to ");
         let address = line.split("connect to ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
-        World { primary, replica, pooler, address, discovery, _operator: operator }
+        World { primary, replica, pooler, address, discovery, operator }
     }
 
     /// The same, once it is known which server is the primary: until then a read may go to either.
@@ -334,3 +337,44 @@
     copy.write_all(&b"line\n".repeat(20_000)).unwrap();
     assert_eq!(copy.finish().unwrap(), 20_000);
 }
+
+#[test]
+fn servers_are_reached_over_tls_alone_where_an_authority_is_named() {
+    let (authority, other) = (Authority::default(), Authority::default());
+    let folder = Operator::new("pool-server-tls-files", "");
+    let ca = private(&folder.0, "ca.pem", &authority.pem);
+    let secured =
+        |name, replica| Postgres::secured(name, replica, authority.acceptor("127.0.0.1", 2040, false));
+    let settings = format!("server_tls_ca = {ca}\n");
+    let world = World::before(secured("s-0", false), secured("s-1", true), "server-tls", &settings);
+    let mut client = world.client();
+    client.execute("INSERT INTO items VALUES (1)", &[]).unwrap();
+    assert_eq!(client.query("SELECT big 5000", &[]).unwrap().len(), 5_000);
+    // Who is vouched for by somebody else gets nothing.
+    let false_ones =
+        ["s-0", "s-1"].map(|name| Postgres::secured(name, false, other.acceptor("127.0.0.1", 2040, false)));
+    let [first, second] = false_ones;
+    let world = World::before(first, second, "server-tls-false", &settings);
+    let mut client = world.client();
+    assert!(client.batch_execute("INSERT INTO items VALUES (1)").is_err());
+    assert!(world.pooler.logged("pool.server_tls").contains("vouches"));
+    assert_eq!((world.primary.asked("INSERT"), world.replica.asked("INSERT")), (0, 0));
+}
+
+#[test]
+fn sessions_are_listed_with_what_binds_them() {
+    let world = World::new("list", "");
+    let (mut one, mut two) = (world.client(), world.client());
+    one.batch_execute("CREATE TEMP TABLE x (a int)").unwrap();
+    two.batch_execute("BEGIN").unwrap();
+    let socket = world.operator.0.join("control");
+    let list = |args: &[&str]| {
+        let mut command = std::process::Command::new(PROGRAM);
+        let output = command.arg("sessions").args(args).arg("--socket").arg(&socket).output();
+        String::from_utf8(output.unwrap().stdout).unwrap()
+    };
+    let told = list(&[]);
+    assert!(told.starts_with("2 sessions, ") && told.contains("0 wait for one"), "{told}");
+    assert!(told.contains("a temporary table") && told.contains("transaction"), "{told}");
+    assert!(list(&["--json"]).contains(r#""bound_by":["a temporary table"]"#));
+}
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -262,6 +262,10 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub server_user: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_tls_ca: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_tls_name: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub server_password_file: Option<PathBuf>,
 }
 
@@ -290,6 +294,8 @@
             tls_client_ca: None,
             tls_required: false,
             server_user: None,
+            server_tls_ca: None,
+            server_tls_name: None,
             server_password_file: None,
         }
     }
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -416,6 +416,7 @@
         ("tls_key", pool.tls_key.is_some(), "tls_cert", pool.tls_cert.is_some()),
         ("tls_client_ca", pool.tls_client_ca.is_some(), "tls_cert", pool.tls_cert.is_some()),
         ("tls_required", pool.tls_required, "tls_cert", pool.tls_cert.is_some()),
+        ("server_tls_name", pool.server_tls_name.is_some(), "server_tls_ca", pool.server_tls_ca.is_some()),
         (
             "server_password_file",
             pool.server_password_file.is_some(),
--- a/crates/operator/src/schema.rs
+++ b/crates/operator/src/schema.rs
@@ -579,6 +579,22 @@
         Start,
         "the user as whom servers are connected to",
     ),
+    setting(
+        "pool.server_tls_ca",
+        Path,
+        "",
+        Means("servers are connected to without TLS", "\"/etc/dewferry/servers-ca.pem\""),
+        Start,
+        "certificates (PEM) of whoever may vouch for servers, which are then connected to over TLS alone",
+    ),
+    setting(
+        "pool.server_tls_name",
+        Text(253),
+        "",
+        Means("each server's IP address", "\"db.example\""),
+        Start,
+        "the name that the servers' certificates must be of",
+    ),
     setting(
         "pool.server_password_file",
         Path,
--- a/crates/peers/src/postgres.rs
+++ b/crates/peers/src/postgres.rs
@@ -8,6 +8,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use openssl::ssl::{Ssl, SslAcceptor, SslStream};
+
+use crate::registry::Both;
 use crate::{frame, line, Message};
 
 #[derive(Default)]
@@ -21,6 +24,8 @@
     replica: AtomicBool,
     /// Connections end when they are asked to commit.
     dies: AtomicBool,
+    /// Only TLS is spoken where there is this.
+    acceptor: Option<SslAcceptor>,
 }
 
 /// A server on a loopback address.
@@ -33,8 +38,17 @@
 
 impl Postgres {
     pub fn new(name: &str, replica: bool) -> Postgres {
+        Postgres::with(name, replica, None)
+    }
+
+    /// A server that speaks TLS alone.
+    pub fn secured(name: &str, replica: bool, acceptor: SslAcceptor) -> Postgres {
+        Postgres::with(name, replica, Some(acceptor))
+    }
+
+    fn with(name: &str, replica: bool, acceptor: Option<SslAcceptor>) -> Postgres {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let shared = Arc::new(Shared { replica: replica.into(), ..Shared::default() });
+        let shared = Arc::new(Shared { replica: replica.into(), acceptor, ..Shared::default() });
         let server = Postgres { address: listener.local_addr().unwrap(), name: name.into(), shared };
         let own = server.clone();
         std::thread::spawn(move || {
@@ -77,8 +91,17 @@
         self.shared.dies.store(dies, Ordering::SeqCst);
     }
 
-    fn serve(&self, mut stream: TcpStream) -> Option<()> {
-        stream.set_nodelay(true).ok()?;
+    fn serve(&self, socket: TcpStream) -> Option<()> {
+        socket.set_nodelay(true).ok()?;
+        let mut stream: Box<dyn Both> = Box::new(socket.try_clone().ok()?);
+        if let Some(acceptor) = &self.shared.acceptor {
+            stream.read_exact(&mut [0; 8]).ok()?;
+            stream.write_all(b"S").ok()?;
+            let mut secured =
+                SslStream::new(Ssl::new(acceptor.context()).ok()?, socket.try_clone().ok()?).ok()?;
+            secured.accept().ok()?;
+            stream = Box::new(secured);
+        }
         let mut length = [0; 4];
         stream.read_exact(&mut length).ok()?;
         let mut body = vec![0; u32::from_be_bytes(length) as usize - 4];
@@ -91,7 +114,7 @@
         }
         let number = self.shared.begun.fetch_add(1, Ordering::SeqCst) as u32 + 1;
         let ends = Arc::new(AtomicBool::new(false));
-        let own = (stream.try_clone().ok()?, ends.clone());
+        let own = (socket, ends.clone());
         self.shared.open.lock().unwrap().insert(number, own);
         let standby = if self.shared.replica.load(Ordering::SeqCst) { "on" } else { "off" };
         let mut welcome = frame(b'R', &[0; 4]);
@@ -134,7 +157,7 @@
 struct Session {
     server: Postgres,
     number: u32,
-    stream: TcpStream,
+    stream: Box<dyn Both>,
     ends: Arc<AtomicBool>,
     now: Kept,
     kept: Kept,
--- a/crates/peers/src/registry.rs
+++ b/crates/peers/src/registry.rs
@@ -102,7 +102,7 @@
     shared: Arc<Shared>,
 }
 
-trait Both: Read + Write + Send {}
+pub(crate) trait Both: Read + Write + Send {}
 impl Both for TcpStream {}
 impl Both for SslStream<TcpStream> {}
 
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -202,6 +202,11 @@
     vec![b'Z', 0, 0, 0, 5, status]
 }
 
+/// Asks a server for TLS; it answers with one byte, `S` or `N`.
+pub fn ask_tls() -> Vec<u8> {
+    [8, SSL_REQUEST].iter().flat_map(|word: &u32| word.to_be_bytes()).collect()
+}
+
 /// The first message to a server, with names and values.
 pub fn hello(options: &[(&str, &str)]) -> Vec<u8> {
     let mut out = vec![0; 4];
