TLS: what came before an end without a word is taken; replaced files after a reset too

The log showed answers that had come whole thrown away with 'unexpected end of file': the stand-in closes without TLS's last word, and the end was told in the same turn, before the data was taken. The data now comes first, the fault with the next turn; a test of the link has just that order. A connection that was reset had no peer any more, so its files were not read again: that it was made is remembered instead.

--- a/crates/daemon/src/cli/registry.rs
+++ b/crates/daemon/src/cli/registry.rs
@@ -18,6 +18,7 @@
 
 use super::caller::{now, turned_down, Caller, LONGEST};
 use super::fail;
+use crate::dial::guard;
 use crate::files;
 
 /// Keys that one transaction writes at the most: etcd takes 128 operations.
@@ -414,15 +415,8 @@
     let settings = caller.settings.clone();
     let seed = now().to_bits() ^ u64::from(std::process::id());
     let endpoints = Endpoints::new(settings.endpoints.len(), Pace::default(), seed, now());
-    let guard = Guard {
-        // Whoever looks is shown what is there, however much has gone.
-        share: 1.0,
-        silence: settings.silence_s,
-        call: settings.call_s,
-        serializable: settings.serializable,
-        login: settings.user.is_some(),
-        ..Guard::default()
-    };
+    // Whoever looks is shown what is there, however much has gone.
+    let guard = Guard { share: 1.0, ..guard(&settings) };
     let prefix = format!("{}/", settings.prefix).into_bytes();
     let mut sync = Sync::new(prefix.clone(), endpoints, guard, View::default());
     let (mut members, budget) = (Members::default(), Budget::new(4 * LONGEST));
--- a/crates/daemon/src/dial.rs
+++ b/crates/daemon/src/dial.rs
@@ -6,7 +6,7 @@
 use buffer::Budget;
 use http1::Request;
 use operator::Registry as Settings;
-use registry::wire;
+use registry::{wire, Guard};
 use tls::{Client, Link, Session};
 
 use crate::files;
@@ -85,6 +85,19 @@
     }
 }
 
+/// When what a registry says is believed, and for how long it is waited for.
+pub(crate) fn guard(settings: &Settings) -> Guard {
+    Guard {
+        share: settings.guard_share,
+        time: settings.guard_s,
+        silence: settings.silence_s,
+        call: settings.call_s,
+        serializable: settings.serializable,
+        login: settings.user.is_some(),
+        ..Guard::default()
+    }
+}
+
 /// What is to be said of a certificate that runs out at `end`, if anything is.
 pub(crate) fn expiring(settings: &Settings, which: &str, end: f64, now: f64) -> Option<String> {
     let days = (end - now) / DAY;
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -18,7 +18,7 @@
 
 use super::event_loop::{Due, Slot, Slots, Source};
 use super::{Context, Event};
-use crate::dial::Dial;
+use crate::dial::{self, Dial};
 
 /// Longest answer to a range, and longest line of a watch (bytes): pages and fragments are far shorter.
 const LONGEST: usize = 16 * 1024 * 1024;
@@ -49,6 +49,9 @@
     taking: Taking,
     /// The number of the call, its machine's.
     call: u64,
+    address: SocketAddr,
+    /// Whether the connection was made.
+    reached: bool,
     /// Whether anything has come that whoever is called must have said.
     heard: bool,
 }
@@ -125,22 +128,13 @@
                 current: None,
             }
         });
-        let guard = Guard {
-            share: settings.guard_share,
-            time: settings.guard_s,
-            silence: settings.silence_s,
-            call: settings.call_s,
-            serializable: settings.serializable,
-            login: settings.user.is_some(),
-            ..Guard::default()
-        };
         let prefix = format!("{}/", settings.prefix).into_bytes();
         Registry {
             settings: settings.clone(),
             dial: Dial::new(settings),
             // The first view that is read is kept at once.
             kept: (known.view.revision, if known.view.revision > 0 { now } else { f64::NEG_INFINITY }, false),
-            sync: Sync::new(prefix, endpoints, guard, known.view),
+            sync: Sync::new(prefix, endpoints, dial::guard(settings), known.view),
             members: known.members,
             own,
             conns: Slots::new(),
@@ -353,7 +347,8 @@
             logging::warn!(event = "registry.expiring", "{warning}");
         }
         let stream = TcpStream::connect(address).map_err(named)?;
-        let slot = self.conns.insert(Conn { stream, link, taking, call, heard: false });
+        let slot =
+            self.conns.insert(Conn { stream, link, taking, call, address, reached: false, heard: false });
         match &mut self.own {
             Some(own) if of_lease => own.current = Some((call, slot)),
             _ => self.current = Some((call, slot)),
@@ -375,8 +370,9 @@
         let mut heard = Vec::new();
         let call = conn.call;
         if let Err(fault) = conn.turn(&mut heard) {
-            let unheard = conn.link.is_secured() && !conn.heard;
-            if let Some(address) = conn.stream.peer_addr().ok().filter(|_| unheard) {
+            // One that was reset has no peer any more: that it had one is remembered.
+            if conn.link.is_secured() && conn.reached && !conn.heard {
+                let address = conn.address;
                 logging::warn!(event = "registry.tls", "{address}: nothing came over TLS: {fault}");
                 self.dial.doubt();
             }
@@ -495,6 +491,7 @@
                 _ => Err("not reached".into()),
             };
         }
+        self.reached = true;
         loop {
             let fill = self.link.turn(&mut self.stream).map_err(|fault| fault.to_string())?;
             let before = self.link.inbox.len();
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -135,6 +135,17 @@
 
 /// Takes a message without type, as clients send it first.
 pub fn startup(ring: &mut Ring) -> Result<Option<Startup>, FrameError> {
+    let Some(body) = untyped(ring)? else { return Ok(None) };
+    Ok(Some(match u32::from_be_bytes([body[4], body[5], body[6], body[7]]) {
+        SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
+        CANCEL_REQUEST => Startup::Cancel,
+        version if version >> 16 == PROTOCOL >> 16 => Startup::Session,
+        _ => Startup::Unknown,
+    }))
+}
+
+/// Takes a whole message without type: eight bytes at least, its length among them.
+fn untyped(ring: &mut Ring) -> Result<Option<Vec<u8>>, FrameError> {
     let Some([a, b, c, d]) = ring.peek() else { return Ok(None) };
     let length = u32::from_be_bytes([a, b, c, d]) as usize;
     if length < 8 {
@@ -143,16 +154,7 @@
     if length > LONGEST_STARTUP {
         return Err(FrameError::TooLong);
     }
-    if ring.len() < length {
-        return Ok(None);
-    }
-    let body = ring.take(length);
-    Ok(Some(match u32::from_be_bytes([body[4], body[5], body[6], body[7]]) {
-        SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-        CANCEL_REQUEST => Startup::Cancel,
-        version if version >> 16 == PROTOCOL >> 16 => Startup::Session,
-        _ => Startup::Unknown,
-    }))
+    Ok((ring.len() >= length).then(|| ring.take(length)))
 }
 
 /// Writes one message: its type, then whatever `body` appends.
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -4,8 +4,7 @@
 use buffer::Ring;
 
 use crate::{
-    head, text, whole, FrameError, Message, CANCEL_REQUEST, GSS_REQUEST, LONGEST_STARTUP, PROTOCOL,
-    SSL_REQUEST,
+    head, text, untyped, whole, FrameError, Message, CANCEL_REQUEST, GSS_REQUEST, PROTOCOL, SSL_REQUEST,
 };
 
 /// Longest message of a server that is taken whole; rows and copied data are passed on in parts.
@@ -32,18 +31,8 @@
 
 /// Takes a message without type, as clients send it first.
 pub fn first(ring: &mut Ring) -> Result<Option<First>, FrameError> {
-    let Some([a, b, c, d]) = ring.peek() else { return Ok(None) };
-    let length = u32::from_be_bytes([a, b, c, d]) as usize;
-    if length < 8 {
-        return Err(FrameError::Malformed);
-    }
-    if length > LONGEST_STARTUP {
-        return Err(FrameError::TooLong);
-    }
-    if ring.len() < length {
-        return Ok(None);
-    }
-    let body = ring.take(length);
+    let Some(body) = untyped(ring)? else { return Ok(None) };
+    let length = body.len();
     let word = |at: usize| body.get(at..at + 4).map(|b| u32::from_be_bytes([b[0], b[1], b[2], b[3]]));
     Ok(Some(match word(4) {
         Some(SSL_REQUEST | GSS_REQUEST) if length == 8 => First::Encryption,
--- a/crates/tls/src/link.rs
+++ b/crates/tls/src/link.rs
@@ -42,6 +42,8 @@
             let written = written?;
             match (opened, read) {
                 (Fill::Ended | Fill::Full, _) => return Ok(opened),
+                // What came before the end is taken first: it may be an answer that is whole by its own word.
+                (Fill::Drained, Fill::Ended) if !self.inbox.is_empty() => return Ok(Fill::Full),
                 // An end without the other side's last word: it may have been cut off by anybody.
                 (Fill::Drained, Fill::Ended) => return Err(Fault::Broken(ErrorKind::UnexpectedEof)),
                 (Fill::Drained, Fill::Full) if any && came.is_empty() => {}
--- a/crates/tls/tests/session.rs
+++ b/crates/tls/tests/session.rs
@@ -200,6 +200,44 @@
     assert_eq!(fault, Some(Fault::Budget));
 }
 
+/// A stream that has ended behind what is left in it.
+struct Ending(End);
+
+impl Read for Ending {
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        match self.0.read(bytes) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(0),
+            other => other,
+        }
+    }
+}
+
+impl Write for Ending {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn what_came_before_an_end_without_a_word_is_taken_first() {
+    let authority = Authority::default();
+    let (near, far) = pipe(1 << 20);
+    let mut stream = server(&authority.acceptor("127.0.0.1", 2040, false), far);
+    let budget = Budget::new(1 << 20);
+    let session = Session::new(&client(&authority, None), "127.0.0.1", &budget).unwrap();
+    let mut link = Link::new(Some(session), &budget);
+    assert_eq!(echo(&mut link, near.clone(), &mut stream, b"x").unwrap(), b"x");
+    stream.ssl_write(b"the answer").unwrap();
+    let mut ending = Ending(near);
+    assert_eq!(link.turn(&mut ending), Ok(Fill::Full));
+    assert_eq!(link.inbox.take(100), b"the answer");
+    assert_eq!(link.turn(&mut ending), Err(Fault::Broken(ErrorKind::UnexpectedEof)));
+}
+
 #[test]
 fn files_are_checked_before_anybody_is_called() {
     let authority = Authority::default();
