Stories of a drain over 200 open transactions and of a result that nobody reads

Each of 200 transactions is told 57P01 by the end of drain_s and its session goes on elsewhere; a client that asks for a gigabyte and reads nothing leaves the others served, the process under 100 MB and its server free after statement_s.

--- a/crates/daemon/tests/pooling.rs
+++ b/crates/daemon/tests/pooling.rs
@@ -378,3 +378,42 @@
     assert!(told.contains("a temporary table") && told.contains("transaction"), "{told}");
     assert!(list(&["--json"]).contains(r#""bound_by":["a temporary table"]"#));
 }
+
+#[test]
+fn a_drain_told_while_many_transactions_are_open_ends_them_all_in_time() {
+    let world = World::settled("drain-many", "drain_s = 1\nclients = 250\nservers = 220\nservers_each = 210\n");
+    let mut clients: Vec<Client> = (0..200).map(|_| world.client()).collect();
+    clients.iter_mut().for_each(|client| client.batch_execute("BEGIN READ ONLY").unwrap());
+    let (mut call, _) = world.discovery.call();
+    let drained = list(42, false, &[world.replica.line("DRAINING")]);
+    call.write_all(&[HEAD.as_bytes(), &chunks([format!("{drained}\n").as_bytes()])].concat()).unwrap();
+    wait(|| world.replica.connections().0 == 0);
+    for client in &mut clients {
+        assert_eq!(code(client.batch_execute("SELECT 1")), "57P01");
+        client.batch_execute("ROLLBACK").unwrap();
+    }
+    assert_eq!(value(&mut clients[0], "SELECT who"), "s-0");
+}
+
+#[test]
+fn a_client_that_reads_nothing_costs_its_buffers_and_no_more() {
+    let world = World::settled("unread", "statement_s = 2\n");
+    let mut stream = std::net::TcpStream::connect(world.address).unwrap();
+    stream.write_all(&startup()).unwrap();
+    stream.write_all(&query("SELECT big 1000000")).unwrap();
+    // A gigabyte is asked for; as long as nobody reads, the others are served, and memory stays.
+    let resident = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", world.pooler.pid())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap().to_string();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap()
+    };
+    wait(|| world.replica.asked("SELECT big") == 1);
+    let mut other = world.client();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(1) {
+        assert_eq!(value(&mut other, "SELECT 1"), "SELECT 1");
+        assert!(resident() < 100_000, "{} KiB", resident());
+    }
+    // Its statement takes too long: the server is free again.
+    wait(|| world.replica.connections().0 <= 1);
+}
