--- a/crates/daemon/tests/pooling.rs
+++ b/crates/daemon/tests/pooling.rs
@@ -381,7 +381,8 @@
 
 #[test]
 fn a_drain_told_while_many_transactions_are_open_ends_them_all_in_time() {
-    let world = World::settled("drain-many", "drain_s = 1\nclients = 250\nservers = 220\nservers_each = 210\n");
+    let world =
+        World::settled("drain-many", "drain_s = 1\nclients = 250\nservers = 220\nservers_each = 210\n");
     let mut clients: Vec<Client> = (0..200).map(|_| world.client()).collect();
     clients.iter_mut().for_each(|client| client.batch_execute("BEGIN READ ONLY").unwrap());
     let (mut call, _) = world.discovery.call();
