A document's values from its copy less members; one nonce, addresses plainly kept

Rereading the change: the values of a document were taken by naming every field twice, so that a new one could be forgotten; the copy with members and overrides left out says the same in a line. The two nonces of logins come of one function, a client's address is always known and no longer optional, and what only dial uses is its own.

--- a/crates/daemon/src/dial.rs
+++ b/crates/daemon/src/dial.rs
@@ -99,7 +99,7 @@
 }
 
 /// What is to be said of a certificate that runs out at `end`, if anything is.
-pub(crate) fn expiring(settings: &Settings, which: &str, end: f64, now: f64) -> Option<String> {
+fn expiring(settings: &Settings, which: &str, end: f64, now: f64) -> Option<String> {
     let days = (end - now) / DAY;
     let file = if which == "ca" { &settings.tls_ca } else { &settings.tls_cert };
     let file = file.as_ref().map(|path| path.display().to_string()).unwrap_or_default();
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -112,7 +112,7 @@
     /// A login that has begun.
     login: Option<scram::Server>,
     options: Vec<(String, String)>,
-    from: Option<IpAddr>,
+    from: IpAddr,
     until: f64,
     user: Rc<str>,
     database: Rc<str>,
@@ -294,7 +294,7 @@
             control::Session {
                 user: conn.user.to_string(),
                 database: conn.database.to_string(),
-                from: conn.from.map(|from| from.to_string()).unwrap_or_default(),
+                from: conn.from.to_string(),
                 state: state.into(),
                 lasts_s: now - conn.since,
                 member: backend.map(|backend| backend.member.to_string()),
@@ -314,7 +314,6 @@
             let Some(listener) = &self.listener else { return };
             // What keeps a new one out is looked at again with the next sweep.
             let Ok((stream, address)) = listener.accept() else { return };
-            let address = Some(address);
             let _ = stream.set_nodelay(true);
             let link = Link::new(None, &self.budget);
             let nobody: Rc<str> = "".into();
@@ -325,7 +324,7 @@
                 session: None,
                 login: None,
                 options: Vec::new(),
-                from: address.map(|address| address.ip()),
+                from: address.ip(),
                 until: 0.0,
                 user: nobody.clone(),
                 database: nobody,
@@ -551,8 +550,7 @@
         let result = match conn.login.take() {
             None => {
                 let verifier = self.users.as_ref().and_then(|users| users.get(&user));
-                // Printable and without commas, as the mechanism wants it.
-                let nonce: String = (0..24).map(|_| self.rng.alphanumeric()).collect();
+                let nonce = nonce(&mut self.rng);
                 match wire::read_first(body) {
                     Some((scram::MECHANISM, step)) => scram::Server::begin(
                         step, &user, verifier, &nonce, &self.key,
@@ -574,7 +572,7 @@
             Ok(bytes) if !done => self.push(slot, &bytes),
             Ok(mut bytes) => {
                 let (options, from) = (std::mem::take(&mut conn.options), conn.from);
-                from.into_iter().for_each(|from| self.guesses.right(from));
+                self.guesses.right(from);
                 match self.welcome(slot, &options) {
                     Ok(welcome) => {
                         bytes.extend(welcome);
@@ -589,7 +587,7 @@
             }
             Err(fault) => {
                 context.counters.malformed += 1;
-                let wait = conn.from.map_or(0.0, |from| self.guesses.wrong(now, from));
+                let wait = self.guesses.wrong(now, conn.from);
                 logging::warn!(event = "pool.login", user, "{fault}");
                 (conn.stage, conn.until) = (Stage::Held, now + wait);
                 Step::Still
@@ -1362,8 +1360,7 @@
         // A server that skips the proof that it knows the password is not the one that was meant.
         Login::Done if backend.login.is_none() => return Ok(()),
         asked @ Login::Mechanisms(_) if asked.has(scram::MECHANISM) => {
-            let nonce: String = (0..24).map(|_| rng.alphanumeric()).collect();
-            let (login, first) = scram::Client::begin(&nonce);
+            let (login, first) = scram::Client::begin(&nonce(rng));
             backend.login = Some(login);
             wire::login_first(scram::MECHANISM, &first)
         }
@@ -1382,6 +1379,11 @@
     backend.link.outbox.push(&answer).map_err(|_| "no memory left".to_string())
 }
 
+/// A text that was never used in a login: printable and without commas, as the mechanism wants it.
+fn nonce(rng: &mut fastrand::Rng) -> String {
+    (0..24).map(|_| rng.alphanumeric()).collect()
+}
+
 /// The first message of a session at a server.
 fn hello(backend: &Backend) -> Vec<u8> {
     wire::hello(&[("user", &backend.key.user), ("database", &backend.key.database)])
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -337,36 +337,7 @@
             }
         }
         let mut out = BTreeMap::new();
-        let Document {
-            listen,
-            discovery,
-            limits,
-            log,
-            change,
-            control,
-            state,
-            registry,
-            pool,
-            route,
-            class,
-            tenant,
-            ..
-        } = self.clone();
-        let rest = Document {
-            listen,
-            discovery,
-            limits,
-            log,
-            change,
-            control,
-            state,
-            registry,
-            pool,
-            route,
-            class,
-            tenant,
-            ..Document::default()
-        };
+        let rest = Document { overrides: BTreeMap::new(), member: BTreeMap::new(), ..self.clone() };
         if let Ok(value) = toml::Value::try_from(rest) {
             flatten("", &value, &mut out);
         }
