Logins bound to their TLS connection, certificates towards servers, a fuzzed protocol

A struck-out offer is found out. The stand-in server computes the hash by OpenSSL, on its own. pool.server_tls_cert and _key; one reader of TLS client files serves registry and servers. pool.servers_reserve for who has waited longest.

--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::Read;
 use std::os::unix::fs::{MetadataExt, PermissionsExt};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use bundle::Key;
@@ -101,11 +101,9 @@
     })
 }
 
-/// Reads the authorities that may vouch for the servers of ordinary clients; none where those are called without TLS.
+/// Reads the files of TLS towards the servers of ordinary clients; none where those are called without TLS.
 pub(crate) fn server_tls(pool: &operator::Pool, now: f64) -> Result<Option<tls::Client>, String> {
-    let Some(ca) = &pool.server_tls_ca else { return Ok(None) };
-    let client = tls::Client::new(tls::Files { ca: &read(ca, tls::LONGEST)?, own: None }, now);
-    client.map(Some).map_err(|fault| format!("{}: {}", ca.display(), fault.what))
+    tls_client(&pool.server_tls_ca, &pool.server_tls_cert, &pool.server_tls_key, now)
 }
 
 /// Reads a file of users.
@@ -121,11 +119,21 @@
     read.map_err(|error| format!("/dev/urandom: {error}"))
 }
 
-/// Reads the files of TLS towards a registry and makes a client of them at the time `now` (Unix seconds); none
-/// where the registry is called without TLS.
+/// Reads the files of TLS towards a registry; none where it is called without TLS.
 pub(crate) fn registry_tls(settings: &operator::Registry, now: f64) -> Result<Option<tls::Client>, String> {
-    let Some(ca) = &settings.tls_ca else { return Ok(None) };
-    let own = settings.tls_cert.as_ref().zip(settings.tls_key.as_ref());
+    tls_client(&settings.tls_ca, &settings.tls_cert, &settings.tls_key, now)
+}
+
+/// Reads the certificates of whoever may vouch for the other side, and this side's own certificate and key, and makes
+/// a client of them at the time `now` (Unix seconds).
+fn tls_client(
+    ca: &Option<PathBuf>,
+    cert: &Option<PathBuf>,
+    key: &Option<PathBuf>,
+    now: f64,
+) -> Result<Option<tls::Client>, String> {
+    let Some(ca) = ca else { return Ok(None) };
+    let own = cert.as_ref().zip(key.as_ref());
     let authorities = read(ca, tls::LONGEST)?;
     let texts =
         own.map(|(cert, key)| Ok::<_, String>((read(cert, tls::LONGEST)?, private(key, tls::LONGEST)?)));
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -17,7 +17,7 @@
 use pooling::{Action, Choice, Cut, Ended, Key, Mode, Pace, Pools, Remote, Session as Pooled, Want};
 use route::{Ask, Table};
 use routing::interface::{ListKind, MemberId, Outcome, Phase, RequestId};
-use scram::{Guesses, Users};
+use scram::{Channel, Guesses, Users, MECHANISM, MECHANISM_PLUS};
 use tls::{Link, Session};
 
 use super::event_loop::{Due, Slot, Slots, Source};
@@ -207,6 +207,8 @@
         let pace = Pace {
             most: pool.servers as usize,
             each: pool.servers_each as usize,
+            reserve: pool.servers_reserve as usize,
+            reserve_after: pool.reserve_after_s,
             idle: pool.server_idle_s,
             least: pool.servers_least as usize,
             lifetime: pool.server_lifetime_s,
@@ -493,9 +495,10 @@
                 Some(_) if !conn.link.inbox.is_empty() || conn.link.is_secured() => return Step::Over,
                 Some(server) => {
                     let Ok(session) = Session::accept(server, &self.budget) else { return Step::Over };
-                    let told =
-                        conn.link.outbox.push(b"S").is_ok() && conn.link.turn(&mut conn.stream).is_ok();
-                    if !told || !conn.link.is_flushed() || !conn.link.inbox.is_empty() {
+                    // Written without reading: what a quick client answers meanwhile is TLS already.
+                    let outbox = &mut conn.link.outbox;
+                    let told = outbox.push(b"S").is_ok() && outbox.drain(&mut conn.stream).is_ok();
+                    if !told || !conn.link.is_flushed() {
                         return Step::Over;
                     }
                     conn.link.secure(session, &self.budget);
@@ -517,7 +520,11 @@
             First::Session(options) if self.users.is_some() => {
                 let Some(conn) = self.conns.get_mut(slot) else { return Step::Still };
                 (conn.stage, conn.options) = (Stage::Login, options);
-                conn.link.outbox.push(&wire::ask_login(scram::MECHANISM))
+                let offered: &[&str] = match conn.link.endpoint() {
+                    Some(_) => &[MECHANISM_PLUS, MECHANISM],
+                    None => &[MECHANISM],
+                };
+                conn.link.outbox.push(&wire::ask_login(offered))
             }
             First::Session(options) => {
                 let welcome = self.welcome(slot, &options);
@@ -551,16 +558,20 @@
             None => {
                 let verifier = self.users.as_ref().and_then(|users| users.get(&user));
                 let nonce = nonce(&mut self.rng);
-                match wire::read_first(body) {
-                    Some((scram::MECHANISM, step)) => scram::Server::begin(
-                        step, &user, verifier, &nonce, &self.key,
-                    )
-                    .map(|(server, told)| {
-                        conn.login = Some(server);
-                        wire::login_step(false, &told)
-                    }),
+                let endpoint = conn.link.endpoint();
+                let chosen = match (wire::read_first(body), &endpoint) {
+                    (Some((MECHANISM_PLUS, step)), Some(bytes)) => Ok((step, Channel::Bound(bytes))),
+                    (Some((MECHANISM, step)), Some(_)) => Ok((step, Channel::Unbound)),
+                    (Some((MECHANISM, step)), None) => Ok((step, Channel::Open)),
                     _ => Err(scram::Fault::Malformed),
-                }
+                };
+                let begun = chosen.and_then(|(step, channel)| {
+                    scram::Server::begin(step, &user, verifier, &nonce, &self.key, channel)
+                });
+                begun.map(|(server, told)| {
+                    conn.login = Some(server);
+                    wire::login_step(false, &told)
+                })
             }
             Some(server) => {
                 let step = std::str::from_utf8(body).unwrap_or_default();
@@ -1359,10 +1370,17 @@
     let answer = match wire::login(body) {
         // A server that skips the proof that it knows the password is not the one that was meant.
         Login::Done if backend.login.is_none() => return Ok(()),
-        asked @ Login::Mechanisms(_) if asked.has(scram::MECHANISM) => {
-            let (login, first) = scram::Client::begin(&nonce(rng));
+        asked @ Login::Mechanisms(_) if asked.has(MECHANISM) || asked.has(MECHANISM_PLUS) => {
+            let endpoint = backend.link.endpoint();
+            let (mechanism, channel) = match &endpoint {
+                Some(bytes) if asked.has(MECHANISM_PLUS) => (MECHANISM_PLUS, Channel::Bound(bytes)),
+                // The server finds out whether its offer was struck out on the way.
+                Some(_) => (MECHANISM, Channel::Unbound),
+                None => (MECHANISM, Channel::Open),
+            };
+            let (login, first) = scram::Client::begin(&nonce(rng), channel);
             backend.login = Some(login);
-            wire::login_first(scram::MECHANISM, &first)
+            wire::login_first(mechanism, &first)
         }
         Login::Step(step) => {
             let file =
--- a/crates/daemon/tests/pooling.rs
+++ b/crates/daemon/tests/pooling.rs
@@ -361,6 +361,65 @@
     assert_eq!((world.primary.asked("INSERT"), world.replica.asked("INSERT")), (0, 0));
 }
 
+#[test]
+fn servers_are_shown_a_certificate_and_a_password_bound_to_the_connection() {
+    let authority = Authority::default();
+    let folder = Operator::new("pool-server-login-files", "");
+    let (cert, key) = authority.issue("pooler", 2040);
+    let ca = private(&folder.0, "ca.pem", &authority.pem);
+    let (cert, key) = (private(&folder.0, "cert.pem", &cert), private(&folder.0, "key.pem", &key));
+    let password = private(&folder.0, "password", "word\n");
+    let login =
+        format!("server_user = \"pooler\"\nserver_password_file = {password}\nserver_tls_ca = {ca}\n");
+    let own = format!("server_tls_cert = {cert}\nserver_tls_key = {key}\n");
+    let server = |name, replica, password: &str| {
+        let server = Postgres::secured(name, replica, authority.acceptor("127.0.0.1", 2040, true));
+        server.password(password);
+        server
+    };
+    let ask = |name: &str, settings: &str, password: &str| {
+        let world =
+            World::before(server("s-0", false, password), server("s-1", true, password), name, settings);
+        let result = world.client().batch_execute("INSERT INTO items VALUES (1)").is_ok();
+        (world, result)
+    };
+    let (world, served) = ask("server-login", &format!("{login}{own}"), "word");
+    assert!(served);
+    assert!(world.primary.proved().iter().all(|mechanism| mechanism == "SCRAM-SHA-256-PLUS"));
+    assert!(!world.primary.proved().is_empty());
+    // Without a certificate, or with another password, nothing is reached.
+    let (world, served) = ask("server-login-bare", &login, "word");
+    assert!(!served && world.primary.asked("INSERT") == 0);
+    let (world, served) = ask("server-login-wrong", &format!("{login}{own}"), "another");
+    assert!(!served && world.primary.asked("INSERT") == 0);
+}
+
+#[test]
+fn a_password_is_bound_to_the_connection_where_there_is_tls() {
+    let authority = Authority::default();
+    let folder = Operator::new("pool-binding-files", "");
+    let (cert, key) = authority.issue("127.0.0.1", 2040);
+    let (cert, key) = (private(&folder.0, "cert.pem", &cert), private(&folder.0, "key.pem", &key));
+    let verifier = scram::Verifier::new("word", b"a salt", 4_096);
+    let users = private(&folder.0, "users", &format!("app {verifier}\n"));
+    let world = World::new("binding", &format!("tls_cert = {cert}\ntls_key = {key}\nusers = {users}\n"));
+    let mut builder = openssl::ssl::SslConnector::builder(openssl::ssl::SslMethod::tls()).unwrap();
+    let ca = openssl::x509::X509::from_pem(authority.pem.as_bytes()).unwrap();
+    builder.cert_store_mut().add_cert(ca).unwrap();
+    let connector = postgres_openssl::MakeTlsConnector::new(builder.build());
+    let port = world.address.port();
+    let connect = |binding: &str, mode: &str| {
+        let text = format!(
+            "host=127.0.0.1 port={port} user=app password=word dbname=shop sslmode={mode} channel_binding={binding}"
+        );
+        Client::connect(&text, connector.clone())
+    };
+    for (binding, mode) in [("require", "require"), ("disable", "require"), ("disable", "disable")] {
+        assert_eq!(value(&mut connect(binding, mode).unwrap(), "SELECT 1"), "SELECT 1");
+    }
+    assert!(connect("require", "disable").is_err(), "nothing to bind to in the clear");
+}
+
 #[test]
 fn sessions_are_listed_with_what_binds_them() {
     let world = World::new("list", "");
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -243,6 +243,8 @@
     pub clients: u32,
     pub servers: u32,
     pub servers_each: u32,
+    pub servers_reserve: u32,
+    pub reserve_after_s: f64,
     pub servers_least: u32,
     pub server_idle_s: f64,
     pub server_lifetime_s: f64,
@@ -266,6 +268,10 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub server_tls_name: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_tls_cert: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_tls_key: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub server_password_file: Option<PathBuf>,
 }
 
@@ -281,6 +287,8 @@
             clients: 100,
             servers: 20,
             servers_each: 10,
+            servers_reserve: 0,
+            reserve_after_s: 0.5,
             servers_least: 0,
             server_idle_s: 30.0,
             server_lifetime_s: 3_600.0,
@@ -296,6 +304,8 @@
             server_user: None,
             server_tls_ca: None,
             server_tls_name: None,
+            server_tls_cert: None,
+            server_tls_key: None,
             server_password_file: None,
         }
     }
--- a/crates/operator/src/effective.rs
+++ b/crates/operator/src/effective.rs
@@ -388,6 +388,9 @@
         ("tls_client_ca", pool.tls_client_ca.is_some(), "tls_cert", pool.tls_cert.is_some()),
         ("tls_required", pool.tls_required, "tls_cert", pool.tls_cert.is_some()),
         ("server_tls_name", pool.server_tls_name.is_some(), "server_tls_ca", pool.server_tls_ca.is_some()),
+        ("server_tls_cert", pool.server_tls_cert.is_some(), "server_tls_ca", pool.server_tls_ca.is_some()),
+        ("server_tls_cert", pool.server_tls_cert.is_some(), "server_tls_key", pool.server_tls_key.is_some()),
+        ("server_tls_key", pool.server_tls_key.is_some(), "server_tls_cert", pool.server_tls_cert.is_some()),
         (
             "server_password_file",
             pool.server_password_file.is_some(),
--- a/crates/peers/src/postgres.rs
+++ b/crates/peers/src/postgres.rs
@@ -8,7 +8,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use openssl::hash::MessageDigest;
 use openssl::ssl::{Ssl, SslAcceptor, SslStream};
+use scram::{Channel, Server, Verifier};
 
 use crate::registry::Both;
 use crate::{frame, line, Message};
@@ -26,6 +28,9 @@
     dies: AtomicBool,
     /// Only TLS is spoken where there is this.
     acceptor: Option<SslAcceptor>,
+    /// What is kept of the password that is asked for, and the mechanisms by which it was proved so far.
+    password: Mutex<Option<Verifier>>,
+    proved: Mutex<Vec<String>>,
 }
 
 /// A server on a loopback address.
@@ -80,6 +85,48 @@
         self.shared.asked.lock().unwrap().iter().filter(|text| text.starts_with(start)).count()
     }
 
+    /// Asks for this password from now on, by SCRAM-SHA-256, bound to the connection where the client likes.
+    pub fn password(&self, password: &str) {
+        *self.shared.password.lock().unwrap() = Some(Verifier::new(password, b"a salt", 2));
+    }
+
+    /// The mechanisms by which the password was proved so far.
+    pub fn proved(&self) -> Vec<String> {
+        self.shared.proved.lock().unwrap().clone()
+    }
+
+    /// A client's login; none where it fails.
+    fn login(&self, stream: &mut (dyn Both + 'static), verifier: &Verifier) -> Option<()> {
+        // The library's own hash of its own certificate: what the other side makes of it must be the same.
+        let endpoint = self.shared.acceptor.as_ref().and_then(|acceptor| {
+            let certificate = acceptor.context().certificate()?.digest(MessageDigest::sha256()).ok()?;
+            Some(certificate.to_vec())
+        });
+        let plus = if endpoint.is_some() { "SCRAM-SHA-256-PLUS\0" } else { "" };
+        let ask = |code: u32, text: &str| frame(b'R', &[&code.to_be_bytes()[..], text.as_bytes()].concat());
+        stream.write_all(&ask(10, &format!("{plus}SCRAM-SHA-256\0\0"))).ok()?;
+        let take = |stream: &mut dyn Both| {
+            let mut head = [0; 5];
+            stream.read_exact(&mut head).ok()?;
+            let mut body = vec![0; u32::from_be_bytes(head[1..].try_into().ok()?) as usize - 4];
+            stream.read_exact(&mut body).ok()?;
+            String::from_utf8(body).ok()
+        };
+        let first = take(stream)?;
+        let (mechanism, rest) = first.split_once('\0')?;
+        let channel = match (&endpoint, mechanism) {
+            (Some(bytes), "SCRAM-SHA-256-PLUS") => Channel::Bound(bytes),
+            (Some(_), _) => Channel::Unbound,
+            (None, _) => Channel::Open,
+        };
+        let begun = Server::begin(&rest[4..], "", Some(verifier), "nonce", b"", channel);
+        let (server, told) = begun.ok()?;
+        stream.write_all(&ask(11, &told)).ok()?;
+        let told = server.finish(&take(stream)?).ok()?;
+        self.shared.proved.lock().unwrap().push(mechanism.to_string());
+        stream.write_all(&ask(12, &told)).ok()
+    }
+
     /// Ends all connections.
     pub fn kill(&self) {
         let open = self.shared.open.lock().unwrap();
@@ -112,6 +159,10 @@
             open.get(&number).iter().for_each(|(_, ends)| ends.store(true, Ordering::SeqCst));
             return None;
         }
+        let verifier = self.shared.password.lock().unwrap().clone();
+        if let Some(verifier) = verifier {
+            self.login(&mut *stream, &verifier)?;
+        }
         let number = self.shared.begun.fetch_add(1, Ordering::SeqCst) as u32 + 1;
         let ends = Arc::new(AtomicBool::new(false));
         let own = (socket, ends.clone());
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -263,8 +263,9 @@
 }
 
 /// Asks for a password by a mechanism.
-pub fn ask_login(mechanism: &str) -> Vec<u8> {
-    texts(b'R', &[], &[&10u32.to_be_bytes()[..], mechanism.as_bytes(), b"\0\0"].concat())
+pub fn ask_login(mechanisms: &[&str]) -> Vec<u8> {
+    let list: String = mechanisms.iter().map(|mechanism| format!("{mechanism}\0")).collect();
+    texts(b'R', &[], &[&10u32.to_be_bytes()[..], list.as_bytes(), b"\0"].concat())
 }
 
 /// A step of the mechanism from the server's side, or the last word of it.
--- a/crates/pooling/src/pool.rs
+++ b/crates/pooling/src/pool.rs
@@ -21,6 +21,10 @@
     pub most: usize,
     /// Most connections of one key.
     pub each: usize,
+    /// So many more of one key, for whoever has waited for `reserve_after`.
+    pub reserve: usize,
+    /// How long somebody waits before the reserve is for him.
+    pub reserve_after: f64,
     /// A connection that nobody has used for so long is closed ...
     pub idle: f64,
     /// ... unless there are no more of its key than this.
@@ -32,7 +36,7 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { most: 20, each: 10, idle: 30.0, least: 0, lifetime: 3_600.0 }
+        Pace { most: 20, each: 10, reserve: 0, reserve_after: 0.5, idle: 30.0, least: 0, lifetime: 3_600.0 }
     }
 }
 
@@ -62,7 +66,8 @@
 /// Those that wait for a connection of one key, by tenant: each tenant has its turn.
 #[derive(Default)]
 struct Queue {
-    tenants: BTreeMap<String, VecDeque<u64>>,
+    /// Tickets, with the time since when each waits.
+    tenants: BTreeMap<String, VecDeque<(u64, f64)>>,
     /// The tenant that was served last.
     last: String,
 }
@@ -74,7 +79,7 @@
             .range::<str, _>((std::ops::Bound::Excluded(self.last.as_str()), std::ops::Bound::Unbounded));
         let tenant = after.map(|(tenant, _)| tenant).next().or_else(|| self.tenants.keys().next())?.clone();
         let waiting = self.tenants.get_mut(&tenant)?;
-        let ticket = waiting.pop_front();
+        let ticket = waiting.pop_front().map(|(ticket, _)| ticket);
         if waiting.is_empty() {
             self.tenants.remove(&tenant);
         }
@@ -82,8 +87,24 @@
         ticket
     }
 
+    /// Since when the one that has waited longest waits.
+    fn since(&self) -> f64 {
+        let first = self.tenants.values().filter_map(|waiting| waiting.front());
+        first.map(|(_, since)| *since).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The ticket that has waited longest.
+    fn oldest(&mut self) -> Option<u64> {
+        let since = self.since();
+        let waiting =
+            self.tenants.values_mut().find(|waiting| waiting.front().is_some_and(|f| f.1 <= since))?;
+        let ticket = waiting.pop_front().map(|(ticket, _)| ticket);
+        self.tenants.retain(|_, waiting| !waiting.is_empty());
+        ticket
+    }
+
     fn remove(&mut self, ticket: u64) {
-        self.tenants.values_mut().for_each(|waiting| waiting.retain(|known| *known != ticket));
+        self.tenants.values_mut().for_each(|waiting| waiting.retain(|known| known.0 != ticket));
         self.tenants.retain(|_, waiting| !waiting.is_empty());
     }
 }
@@ -94,6 +115,8 @@
     known: HashMap<Key, BTreeMap<u64, Known>>,
     count: usize,
     queues: BTreeMap<Key, Queue>,
+    /// Whose turn it is to open a connection out of the reserve.
+    reserved: Option<u64>,
     rng: fastrand::Rng,
 }
 
@@ -101,7 +124,7 @@
     /// No connections yet.
     pub fn new(pace: Pace, seed: u64) -> Pools {
         let rng = fastrand::Rng::with_seed(seed);
-        Pools { pace, known: HashMap::new(), count: 0, queues: BTreeMap::new(), rng }
+        Pools { pace, known: HashMap::new(), count: 0, queues: BTreeMap::new(), reserved: None, rng }
     }
 
     /// How many connections there are.
@@ -116,6 +139,7 @@
 
     /// A session wants a connection; one that was left in its state is the best.
     pub fn take(&mut self, now: f64, key: &Key, state: u64, tenant: &str, ticket: u64) -> Choice {
+        let reserve = self.reserved.take_if(|reserved| *reserved == ticket).map_or(0, |_| self.pace.reserve);
         let each = self.known.entry(key.clone()).or_default();
         // Of one state, the one that was used last: the others may grow old and be closed.
         let idle = each
@@ -132,7 +156,7 @@
             }
             return Choice::Reuse(number);
         }
-        if each.len() < self.pace.each {
+        if each.len() < self.pace.each + reserve {
             if self.count < self.pace.most {
                 return Choice::Open;
             }
@@ -141,7 +165,7 @@
             }
         }
         let queue = self.queues.entry(key.clone()).or_default();
-        queue.tenants.entry(tenant.to_string()).or_default().push_back(ticket);
+        queue.tenants.entry(tenant.to_string()).or_default().push_back((ticket, now));
         Choice::Wait
     }
 
@@ -190,9 +214,19 @@
             let room = each.map_or(0, BTreeMap::len) < pools.pace.each;
             idle || room && (pools.count < pools.pace.most || pools.idlest().is_some())
         };
-        let key = self.queues.keys().find(|key| free(self, key)).cloned()?;
+        let reserve = |pools: &Pools, (key, queue): (&Key, &Queue)| {
+            let waited = now - queue.since() >= pools.pace.reserve_after;
+            let room = pools.known.get(key).map_or(0, BTreeMap::len) < pools.pace.each + pools.pace.reserve;
+            waited && room && (pools.count < pools.pace.most || pools.idlest().is_some())
+        };
+        let key = self.queues.keys().find(|key| free(self, key)).cloned();
+        let (key, out_of_reserve) = match key {
+            Some(key) => (key, false),
+            None => (self.queues.iter().find(|one| reserve(self, *one)).map(|(key, _)| key.clone())?, true),
+        };
         let queue = self.queues.get_mut(&key)?;
-        let ticket = queue.next();
+        let ticket = if out_of_reserve { queue.oldest() } else { queue.next() };
+        self.reserved = ticket.filter(|_| out_of_reserve);
         if queue.tenants.is_empty() {
             self.queues.remove(&key);
         }
--- a/crates/scram/src/client.rs
+++ b/crates/scram/src/client.rs
@@ -4,6 +4,7 @@
 use base64::Engine;
 use subtle::ConstantTimeEq;
 
+use crate::channel::Channel;
 use crate::server::Fault;
 use crate::verifier::{hash, hmac, rounds, salted, xor};
 
@@ -12,17 +13,21 @@
 pub struct Client {
     nonce: String,
     bare: String,
+    /// The header and what the channel is, as they are signed.
+    bound: String,
     /// What the server must sign its last message with.
     expected: Option<[u8; 32]>,
 }
 
 impl Client {
     /// Begins a login; the first message. `nonce` is printable, without commas, and never used before.
-    pub fn begin(nonce: &str) -> (Client, String) {
+    pub fn begin(nonce: &str, channel: Channel) -> (Client, String) {
         // The user is that of the startup message.
         let bare = format!("n=,r={nonce}");
-        let first = format!("n,,{bare}");
-        (Client { nonce: nonce.into(), bare, expected: None }, first)
+        let header = format!("{},,", channel.word());
+        let first = format!("{header}{bare}");
+        let bound = STANDARD.encode([header.as_bytes(), channel.bytes()].concat());
+        (Client { nonce: nonce.into(), bare, bound, expected: None }, first)
     }
 
     /// Takes the server's first message; the answer to it.
@@ -35,7 +40,7 @@
         }
         let salt = STANDARD.decode(salt).map_err(|_| Fault::Malformed)?;
         let salted = salted(password, &salt, rounds(iterations).ok_or(Fault::Malformed)?);
-        let without = format!("c=biws,r={nonce}");
+        let without = format!("c={},r={nonce}", self.bound);
         let signed = format!("{},{message},{without}", self.bare);
         let key = hmac(&salted, &[b"Client Key"]);
         let proof = xor(&key, &hmac(&hash(&key), &[signed.as_bytes()]));
--- a/crates/scram/src/lib.rs
+++ b/crates/scram/src/lib.rs
@@ -2,12 +2,14 @@
 //! files of them; how long a guesser has to wait. No I/O: texts go in and come out, nonces are handed in.
 #![warn(missing_docs)]
 
+mod channel;
 mod client;
 mod guess;
 mod server;
 mod users;
 mod verifier;
 
+pub use channel::Channel;
 pub use client::Client;
 pub use guess::Guesses;
 pub use server::{Fault, Server};
@@ -16,3 +18,5 @@
 
 /// The mechanism's name.
 pub const MECHANISM: &str = "SCRAM-SHA-256";
+/// The name of the same mechanism with the login bound to the TLS connection.
+pub const MECHANISM_PLUS: &str = "SCRAM-SHA-256-PLUS";
--- a/crates/scram/src/server.rs
+++ b/crates/scram/src/server.rs
@@ -6,6 +6,7 @@
 use base64::Engine;
 use subtle::ConstantTimeEq;
 
+use crate::channel::Channel;
 use crate::verifier::{hash, hmac, xor, Key, Verifier};
 
 /// Longest message that is read (bytes).
@@ -16,7 +17,7 @@
 pub enum Fault {
     /// A message not of the agreed form.
     Malformed,
-    /// Channel binding that there is none of here.
+    /// Channel binding that is not what this connection has: somebody may stand in between.
     Binding,
     /// The password is wrong, or the user is not known: nobody is told which.
     Wrong,
@@ -26,7 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Fault::Malformed => "malformed SCRAM message",
-            Fault::Binding => "channel binding is not served",
+            Fault::Binding => "the login is bound to another connection, or its binding was struck out",
             Fault::Wrong => "password authentication failed",
         })
     }
@@ -43,27 +44,33 @@
     nonce: String,
     /// What both sides sign, up to and with the server's first message.
     signed: String,
-    header: String,
+    /// The header and what the channel is.
+    bound: Vec<u8>,
 }
 
 impl Server {
     /// Takes a client's first message; what it is told. `nonce` is this side's, printable and never used before;
-    /// `secret` makes up what is told of users that are not known.
+    /// `secret` makes up what is told of users that are not known; `channel` is bound where the client has chosen so.
     pub fn begin(
         message: &str,
         user: &str,
         verifier: Option<&Verifier>,
         nonce: &str,
         secret: &[u8],
+        channel: Channel,
     ) -> Result<(Server, String), Fault> {
         if message.len() > LONGEST {
             return Err(Fault::Malformed);
         }
         let (binding, rest) = message.split_once(',').ok_or(Fault::Malformed)?;
         let (identity, bare) = rest.split_once(',').ok_or(Fault::Malformed)?;
-        match binding {
-            // A client that could bind but takes it that this side cannot is right.
-            "n" | "y" => {}
+        match (binding, channel) {
+            ("n", Channel::Open | Channel::Unbound) => {}
+            // A client that could bind, and was not offered it: right where it was not.
+            ("y", Channel::Open) => {}
+            (word, Channel::Bound(_)) if word == channel.word() => {}
+            // It was offered, and did not reach the client: somebody has struck it out.
+            ("n" | "y", _) => return Err(Fault::Binding),
             _ if binding.starts_with("p=") => return Err(Fault::Binding),
             _ => return Err(Fault::Malformed),
         }
@@ -82,8 +89,9 @@
         let verifier = verifier.cloned().unwrap_or_else(|| Verifier::of_nobody(secret, user));
         let nonce = format!("{theirs}{nonce}");
         let first = format!("r={nonce},s={},i={}", STANDARD.encode(&verifier.salt), verifier.iterations);
-        let (signed, header) = (format!("{bare},{first}"), format!("{binding},{identity},"));
-        Ok((Server { verifier, known, nonce, signed, header }, first))
+        let signed = format!("{bare},{first}");
+        let bound = [format!("{binding},{identity},").as_bytes(), channel.bytes()].concat();
+        Ok((Server { verifier, known, nonce, signed, bound }, first))
     }
 
     /// Takes the client's last message; what it is told where its password is right.
@@ -95,9 +103,13 @@
         let mut fields = without.split(',');
         let channel = fields.next().and_then(|field| field.strip_prefix("c=")).ok_or(Fault::Malformed)?;
         let nonce = fields.next().and_then(|field| field.strip_prefix("r=")).ok_or(Fault::Malformed)?;
-        if STANDARD.decode(channel).ok().as_deref() != Some(self.header.as_bytes()) || nonce != self.nonce {
+        let channel = STANDARD.decode(channel).map_err(|_| Fault::Malformed)?;
+        if nonce != self.nonce {
             return Err(Fault::Malformed);
         }
+        if channel != self.bound {
+            return Err(Fault::Binding);
+        }
         let proof = STANDARD
             .decode(proof)
             .ok()
--- a/crates/tls/src/lib.rs
+++ b/crates/tls/src/lib.rs
@@ -3,6 +3,7 @@
 //! stream that a driver hands it.
 #![warn(missing_docs)]
 
+mod endpoint;
 mod link;
 mod material;
 mod session;
--- a/crates/tls/src/link.rs
+++ b/crates/tls/src/link.rs
@@ -1,6 +1,7 @@
 //! A connection as whoever speaks over it sees it: plain bytes in, plain bytes out, with or without TLS beneath.
 
 use std::io::{ErrorKind, Read, Write};
+use std::sync::Arc;
 
 use buffer::{Budget, Fill, Ring};
 
@@ -63,6 +64,11 @@
         self.outbox.is_empty() && self.tls.as_ref().is_none_or(|(_, _, wire)| wire.is_empty())
     }
 
+    /// What a login can be bound to, where there is TLS beneath; see [`Session::endpoint`].
+    pub fn endpoint(&self) -> Option<Arc<[u8]>> {
+        self.tls.as_ref()?.0.endpoint()
+    }
+
     /// Whether there is TLS beneath.
     pub fn is_secured(&self) -> bool {
         self.tls.is_some()
--- a/crates/tls/src/material.rs
+++ b/crates/tls/src/material.rs
@@ -9,6 +9,8 @@
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use x509_parser::parse_x509_certificate;
 
+use crate::endpoint::endpoint;
+
 /// Longest file that is read (bytes): some hundred certificates.
 pub const LONGEST: usize = 256 * 1024;
 /// Most certificates in one file. Guards against a whole system's bundle given by mistake, which would trust the
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub struct Server {
     pub(crate) config: Arc<ServerConfig>,
+    pub(crate) endpoint: Option<Arc<[u8]>>,
     ends: Vec<(&'static str, f64)>,
 }
 
@@ -53,6 +56,7 @@
     /// certificates of whoever may vouch for clients, where those are to show one.
     pub fn new(chain: &[u8], key: &[u8], clients: Option<&[u8]>, now: f64) -> Result<Server, Unusable> {
         let (chain, key, mut ends) = own(chain, key, now)?;
+        let endpoint = chain.first().and_then(|der| endpoint(der)).map(Into::into);
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let builder = ServerConfig::builder_with_provider(provider.clone())
             .with_safe_default_protocol_versions()
@@ -70,7 +74,7 @@
             which: "key",
             what: format!("{error}; accepted: the key of the first certificate"),
         })?;
-        Ok(Server { config: Arc::new(config), ends })
+        Ok(Server { config: Arc::new(config), endpoint, ends })
     }
 
     /// Which of the files holds the certificate that runs out first, and when (Unix seconds).
--- a/crates/tls/src/session.rs
+++ b/crates/tls/src/session.rs
@@ -2,11 +2,13 @@
 
 use std::fmt;
 use std::io::{self, ErrorKind, Write};
+use std::sync::Arc;
 
 use buffer::{Budget, Charge, Fill, Ring};
 use rustls::pki_types::ServerName;
 use rustls::{CertificateError, ClientConnection, Connection, ServerConnection};
 
+use crate::endpoint::endpoint;
 use crate::material::{Client, Server};
 
 /// Most plain bytes that wait within a session to be made into records; what is past it stays in its own buffer.
@@ -92,6 +94,8 @@
 /// The TLS of one connection.
 pub struct Session {
     connection: Connection,
+    /// What a login over this connection can be bound to, where this side is the server.
+    endpoint: Option<Arc<[u8]>>,
     _charge: Charge,
 }
 
@@ -133,19 +137,36 @@
     pub fn new(client: &Client, name: &str, budget: &Budget) -> Result<Session, Fault> {
         let name = ServerName::try_from(name.to_string())
             .map_err(|_| Fault::Other(format!("{name:?} is neither a DNS name nor an IP address")))?;
-        Session::over(ClientConnection::new(client.config.clone(), name)?.into(), budget)
+        Session::over(ClientConnection::new(client.config.clone(), name)?.into(), None, budget)
     }
 
     /// A session with somebody who connects here.
     pub fn accept(server: &Server, budget: &Budget) -> Result<Session, Fault> {
-        Session::over(ServerConnection::new(server.config.clone())?.into(), budget)
+        let connection = ServerConnection::new(server.config.clone())?;
+        Session::over(connection.into(), server.endpoint.clone(), budget)
     }
 
-    fn over(mut connection: Connection, budget: &Budget) -> Result<Session, Fault> {
+    fn over(
+        mut connection: Connection,
+        endpoint: Option<Arc<[u8]>>,
+        budget: &Budget,
+    ) -> Result<Session, Fault> {
         let mut charge = budget.charge();
         charge.set(TAKES).map_err(|_| Fault::Budget)?;
         connection.set_buffer_limit(Some(WAITING));
-        Ok(Session { connection, _charge: charge })
+        Ok(Session { connection, endpoint, _charge: charge })
+    }
+
+    /// What a login over this connection can be bound to (`tls-server-end-point`): the hash of the server's
+    /// certificate, this side's own or the other's. None before the handshake is over, and for a certificate whose
+    /// signature has no hash.
+    pub fn endpoint(&self) -> Option<Arc<[u8]>> {
+        match &self.connection {
+            Connection::Server(_) => self.endpoint.clone(),
+            Connection::Client(client) => {
+                client.peer_certificates()?.first().and_then(|der| endpoint(der)).map(Into::into)
+            }
+        }
     }
 
     /// Whether the other side is known to be who it must be.
--- /dev/null
+++ b/fuzz/fuzz_targets/frames.rs
@@ -0,0 +1,2 @@
+#![no_main]
+libfuzzer_sys::fuzz_target!(|bytes: &[u8]| explore::frames(bytes));
