A daemon's life: waiting requests sent away, a time to drain, systemd, a pid file

With an operator's file those that wait leave at once with a time to come back, spread over half the settings' longest; what is open has daemon.drain_for_s and is then answered with what is known. A second signal hurries, a third ends with exit 4 and the ids in the log. Notify protocol and watchdog over a datagram socket (std), the monotonic clock by rustix (safe, in wide use), the pid file locked by std. Without an operator's file all goes on as before.

--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -23,7 +23,8 @@
     error_code(0, "done"),
     error_code(1, "refused by the check, or something else is under way"),
     error_code(2, "wrong usage, or a file that cannot be read"),
-    error_code(3, "the change was rolled back")
+    error_code(3, "the change was rolled back"),
+    error_code(4, "serve: ended while answers were owed; the log lists them")
 )]
 struct Args {
     #[argh(subcommand)]
@@ -91,13 +92,16 @@
 pub fn run() -> ExitCode {
     let Args { command } = argh::from_env();
     let result = match command {
-        Command::Serve(Serve { config, operator, state }) => load(config).and_then(|(path, config)| {
+        Command::Serve(Serve { config, operator, state }) => match load(config).and_then(|(path, config)| {
             if operator.is_none() && state.is_some() {
                 return Err("--state without --operator: there would be no changes to keep".into());
             }
             let operator = operator.map(|file| Operator { file, state });
             crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
-        }),
+        }) {
+            Ok(code) => return ExitCode::from(code),
+            Err(message) => Err(message),
+        },
         Command::Config(args) => return config::run(args),
         Command::Registry(args) => return registry::run(args),
         Command::Route(args) => return route::run(args),
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -314,8 +314,8 @@
         })
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.conns.len() == 0
+    pub fn len(&self) -> usize {
+        self.conns.len()
     }
 
     /// Takes in all that wait.
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -154,7 +154,8 @@
     Registry,
     /// A change of configuration is to be looked at.
     Change,
-    Drained,
+    /// The daemon's life goes on.
+    Life,
     /// A session of an ordinary client has its turn.
     Session(Slot),
     Pools,
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -1,6 +1,8 @@
 //! Feeds what the connections tell to the [`Policy`] and carries out what it answers. Nothing is decided
 //! here but what the limits of the process force.
 
+mod life;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +13,7 @@
 use buffer::Budget;
 use config::Config;
 use exchange::{Answer, Query, Statement};
+use lifecycle::Input as Lived;
 use listing::Listing;
 use mio::net::TcpListener;
 use mio::{Interest, Poll, Waker};
@@ -35,9 +38,7 @@
 use crate::counters::{count, Counters};
 use crate::files;
 use crate::numbers::{Assigned, Named, Numbers};
-
-/// After SIGTERM new queries are owed an answer for 0.7 s; this much longer for what is on its way (seconds).
-const LAST_CALL: f64 = 0.75;
+use life::{Life, PidFile};
 
 /// Whom a final answer is owed to.
 #[derive(Clone, Copy, Debug)]
@@ -94,8 +95,9 @@
     probe_timeout: f64,
     /// Where the configuration is read again from.
     path: PathBuf,
-    draining: bool,
-    closing: bool,
+    /// The longest time that a refusal may ask a client to stay away (seconds).
+    retry_after: f64,
+    life: Life,
 }
 
 /// The operator's side of a daemon.
@@ -107,14 +109,17 @@
 }
 
 /// Serves until told to end.
-pub(crate) fn serve(config: &Config, path: &Path, operator: Option<Operator>) -> io::Result<()> {
+pub(crate) fn serve(config: &Config, path: &Path, operator: Option<Operator>) -> io::Result<u8> {
     let mut poll = Poll::new()?;
     let reactor = Reactor::new(&poll)?;
     let mut context = Context { reactor, events: Default::default(), counters: Counters::default() };
     let mut proxy = Proxy::new(config, path, operator, &mut context)?;
     event_loop::run(&mut poll, &mut proxy, &mut context)?;
     logging::info!(event = "ended", "{} ends: {}", config.name, context.counters);
-    Ok(())
+    Ok(match proxy.life.stage() {
+        lifecycle::Stage::Ended(code) => code,
+        _ => lifecycle::OWED,
+    })
 }
 
 impl Proxy {
@@ -144,7 +149,11 @@
         let Assigned { settings, classes, tenants } =
             numbers.assign(&effective, |_| false).map_err(invalid)?;
         let (connect_timeout, keepalive) = (settings.connect_timeout, effective.keepalive);
+        let retry_after = advice(&settings);
         let policy = Policy::new(settings, config.seed).map_err(|fault| invalid(fault.to_string()))?;
+        // Before anything is bound: who holds it has the rest as well.
+        let pid = effective.document.daemon.pid_file.as_ref().map(|path| PidFile::take(path)).transpose()?;
+        let terms = life::terms(opening.as_ref().map(|_| &effective.document.daemon));
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
@@ -180,6 +189,7 @@
             Sessions::new(listener, pool, effective.routes(), terms, context)
         });
         let sessions = sessions.transpose()?;
+        let (fresh, begun) = Life::new(terms, pid, config.seed, context);
         let mut proxy = Proxy {
             policy,
             sessions,
@@ -204,9 +214,11 @@
             zones: effective.zones.clone(),
             probe_timeout: connect_timeout,
             path: path.to_path_buf(),
-            draining: false,
-            closing: false,
+            retry_after,
+            life: fresh,
         };
+        proxy.carry_on(begun, context);
+        proxy.live(Lived::Bound, context);
         context.events.push_back(Event::Members(ListKind::Saved, config.known.listings.clone()));
         proxy.drain(context);
         proxy.intend(&effective, context);
@@ -518,6 +530,7 @@
         self.tell(interface::Event::Members { kind, entries }, context);
         if any {
             self.clients.serve(context);
+            self.live(Lived::Listed, context);
         }
     }
 
@@ -647,7 +660,7 @@
         let mut numbers = self.numbers.clone();
         let Assigned { settings, classes, tenants } =
             numbers.assign(&effective, |number| self.policy.class_in_hand(number))?;
-        let connect_timeout = settings.connect_timeout;
+        let (connect_timeout, retry_after) = (settings.connect_timeout, advice(&settings));
         self.policy.reconfigure(settings).map_err(|fault| fault.to_string())?;
         (self.numbers, self.classes, self.tenants) = (numbers, classes, tenants);
         if let Some(listener) = listener {
@@ -664,7 +677,8 @@
         self.clients.set_limit(sockets / 2, context);
         self.servers.set_limits(sockets - sockets / 2, effective.keepalive, connect_timeout);
         self.budget.resize(effective.memory / 2);
-        self.probe_timeout = connect_timeout;
+        (self.probe_timeout, self.retry_after) = (connect_timeout, retry_after);
+        self.life.set_terms(life::terms(Some(&effective.document.daemon)));
         self.log.set(effective.document.log.level);
         if let Some(control) = &mut self.control {
             control.set_idle(effective.document.control.idle_s);
@@ -870,12 +884,16 @@
             if signal == SIGUSR1 {
                 logging::info!(event = "counters", left_out = self.log.left_out(), "{}", context.counters);
             } else if signal == SIGHUP {
-                self.reload(context);
-            } else if !std::mem::replace(&mut self.draining, true) {
-                logging::info!(event = "ending", "asked to end");
-                self.registry.iter_mut().for_each(|registry| registry.leave(context));
-                self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
-                context.reactor.timer(context.reactor.now() + LAST_CALL, Due::Drained);
+                self.live(Lived::Reload(life::monotonic_us()), context);
+            } else {
+                if !self.life.stage().ends() {
+                    logging::info!(event = "ending", "asked to end");
+                    self.registry.iter_mut().for_each(|registry| registry.leave(context));
+                    self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
+                }
+                // What is owed is counted now: a third one ends it at once.
+                self.age(context);
+                self.live(Lived::Stop, context);
             }
         }
     }
@@ -901,6 +919,7 @@
             Source::Backend(slot) => self.sessions.iter_mut().for_each(|s| s.ready_server(slot, context)),
         }
         self.drain(context);
+        self.look(context);
     }
 
     fn due(&mut self, due: Due, context: &mut Context) {
@@ -920,17 +939,23 @@
             Due::Change => self.probation(context),
             Due::Session(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
             Due::Pools => self.sessions.iter_mut().for_each(|sessions| sessions.sweep(context)),
-            Due::Drained => {
-                self.sessions.iter_mut().for_each(|sessions| sessions.end(true, context));
-                self.closing = true;
-                self.clients.close(context);
-            }
+            Due::Life => self.age(context),
         }
         self.drain(context);
+        self.look(context);
     }
 
     fn finished(&self) -> bool {
-        self.closing && self.clients.is_empty() && self.sessions.as_ref().is_none_or(Sessions::is_empty)
+        matches!(self.life.stage(), lifecycle::Stage::Ended(_))
+    }
+}
+
+/// The longest time that a refusal may ask a client to stay away (seconds).
+fn advice(settings: &interface::Settings) -> f64 {
+    if settings.retry_after {
+        settings.max_retry_after
+    } else {
+        0.0
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -0,0 +1,265 @@
+//! The daemon's life on its sockets: carries out what [`lifecycle::Machine`] says, tells a service manager, holds the
+//! pid file.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, Read, Seek, Write};
+use std::os::linux::net::SocketAddrExt;
+use std::os::unix::net::{SocketAddr, UnixDatagram};
+use std::path::{Path, PathBuf};
+
+use exchange::Answer;
+use lifecycle::{notify, Action, Input, Machine, Owed, Stage, Terms};
+use routing::interface::{self, RequestId};
+
+use super::{Owed as Whom, Proxy};
+use crate::net::event_loop::Due;
+use crate::net::sessions::Sessions;
+use crate::net::Context;
+
+/// Most requests that the log names of those that are owed an answer at the end.
+const MOST_NAMED: usize = 20;
+
+/// The service manager's socket, where there is one.
+struct Manager(UnixDatagram);
+
+impl Manager {
+    /// Of the variable `NOTIFY_SOCKET`: a path, or a name behind `@` in the abstract space.
+    fn of(name: &str) -> io::Result<Manager> {
+        let socket = UnixDatagram::unbound()?;
+        match name.strip_prefix('@') {
+            Some(name) => socket.connect_addr(&SocketAddr::from_abstract_name(name)?)?,
+            None => socket.connect(name)?,
+        }
+        socket.set_nonblocking(true)?;
+        Ok(Manager(socket))
+    }
+}
+
+/// The file with the process's number, locked for as long as it runs: two daemons cannot hold one.
+pub(super) struct PidFile {
+    file: File,
+    path: PathBuf,
+}
+
+impl PidFile {
+    /// Takes the file; an old one that nobody holds is taken over.
+    pub fn take(path: &Path) -> io::Result<PidFile> {
+        let named = |error: io::Error| io::Error::new(error.kind(), format!("{}: {error}", path.display()));
+        let mut file = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(path)
+            .map_err(named)?;
+        match file.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => {
+                let mut pid = String::new();
+                let _ = Read::by_ref(&mut file).take(32).read_to_string(&mut pid);
+                let what = format!("process {} runs with it", pid.trim());
+                return Err(named(io::Error::new(io::ErrorKind::AddrInUse, what)));
+            }
+            Err(TryLockError::Error(error)) => return Err(named(error)),
+        }
+        file.set_len(0).and_then(|()| file.rewind()).map_err(named)?;
+        writeln!(file, "{}", std::process::id()).map_err(named)?;
+        Ok(PidFile { file, path: path.to_path_buf() })
+    }
+}
+
+impl Drop for PidFile {
+    fn drop(&mut self) {
+        // Removed while it is held: who takes it next makes a new one.
+        let _ = std::fs::remove_file(&self.path);
+        let _ = self.file.unlock();
+    }
+}
+
+/// The machine, and whom it speaks to.
+pub(super) struct Life {
+    machine: Machine,
+    manager: Option<Manager>,
+    _pid: Option<PidFile>,
+    rng: fastrand::Rng,
+}
+
+/// The time limits that an operator's file sets; the platform's where there is none.
+pub(super) fn terms(daemon: Option<&operator::Daemon>) -> Terms {
+    let env = |name: &str| std::env::var(name).ok();
+    let watchdog =
+        notify::watchdog(env("WATCHDOG_USEC").as_deref(), env("WATCHDOG_PID").as_deref(), std::process::id());
+    let terms = Terms { watchdog, ..Terms::default() };
+    daemon.map_or(terms, |daemon| Terms {
+        last_call: daemon.last_call_s,
+        drain_for: daemon.drain_for_s,
+        send_away: true,
+        ..terms
+    })
+}
+
+impl Life {
+    /// A life that begins.
+    pub fn new(terms: Terms, pid: Option<PidFile>, seed: u64, context: &mut Context) -> (Life, Vec<Action>) {
+        let mut actions = Vec::new();
+        let machine = Machine::new(terms, context.reactor.now(), &mut actions);
+        let manager = std::env::var("NOTIFY_SOCKET").ok().filter(|name| !name.is_empty()).and_then(|name| {
+            let manager = Manager::of(&name);
+            manager
+                .map_err(|error| {
+                    logging::warn!(event = "notify.lost", "NOTIFY_SOCKET: {name}: {error}");
+                })
+                .ok()
+        });
+        (Life { machine, manager, _pid: pid, rng: fastrand::Rng::with_seed(seed ^ 0x11fe) }, actions)
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.machine.stage()
+    }
+
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.machine.set_terms(terms);
+    }
+
+    fn tell(&self, text: &str) {
+        if let Some(Manager(socket)) = &self.manager {
+            // A manager that does not read is its own trouble: the loop does not wait for it.
+            if let Err(error) = socket.send(text.as_bytes()) {
+                logging::debug!(event = "notify.lost", "service manager: {error}");
+            }
+        }
+    }
+}
+
+/// The monotonic clock (microseconds), as service managers read it.
+pub(super) fn monotonic_us() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
+
+impl Proxy {
+    /// What is owed now.
+    fn owed(&self) -> Owed {
+        let mut owed = Owed::default();
+        for request in self.requests.values().filter(|request| request.client.is_some()) {
+            *if request.out.is_some() { &mut owed.out } else { &mut owed.waiting } += 1;
+        }
+        owed.clients = self.clients.len() + self.sessions.as_ref().map_or(0, Sessions::len);
+        owed
+    }
+
+    /// The life goes on by what has happened.
+    pub(super) fn live(&mut self, input: Input, context: &mut Context) {
+        let mut actions = Vec::new();
+        self.life.machine.handle(context.reactor.now(), input, &mut actions);
+        self.carry_on(actions, context);
+    }
+
+    pub(super) fn carry_on(&mut self, actions: Vec<Action>, context: &mut Context) {
+        for action in actions {
+            match action {
+                Action::Notify(text) => self.life.tell(&text),
+                Action::Timer(at) => context.reactor.timer(at, Due::Life),
+                Action::SendAway => self.send_away(context),
+                Action::Close => {
+                    self.sessions.iter_mut().for_each(|sessions| {
+                        sessions.end(!self.life.machine.stage().ends(), context);
+                    });
+                    self.clients.close(context);
+                }
+                Action::Cut => self.cut(context),
+                Action::Read => self.reload(context),
+                Action::NotRead(why) => {
+                    context.counters.reloads_failed += 1;
+                    logging::warn!(event = "config.kept", "not read again: {why}");
+                }
+                Action::Exit(code) => {
+                    let left = self.requests.iter().filter(|(_, request)| request.client.is_some());
+                    let left: Vec<String> = left.map(|(id, _)| id.to_string()).take(MOST_NAMED).collect();
+                    if code != lifecycle::CLEAN {
+                        let (owed, first) = (self.owed(), left.join(" "));
+                        logging::error!(
+                            event = "ending.owed",
+                            waiting = owed.waiting,
+                            out = owed.out,
+                            clients = owed.clients,
+                            first,
+                            "ends with answers owed"
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// Looks whether the life has come further by what has been carried out.
+    pub(super) fn look(&mut self, context: &mut Context) {
+        match self.life.stage() {
+            Stage::Reloading => {
+                let settled = self.changes.as_ref().is_none_or(|changes| {
+                    use transaction::Stage as At;
+                    matches!(changes.machine.stage(), At::Idle | At::Probation(_))
+                });
+                if settled {
+                    self.live(Input::Reloaded, context);
+                }
+            }
+            Stage::Closing | Stage::Cutting => {
+                let owed = self.owed();
+                if owed.none() {
+                    self.live(Input::Time(owed), context);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Time passes.
+    pub(super) fn age(&mut self, context: &mut Context) {
+        if self.life.stage() == Stage::Closing {
+            // Sessions that have come to rest since the last look.
+            self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
+        }
+        let owed = self.owed();
+        self.live(Input::Time(owed), context);
+    }
+
+    /// Those that wait for a server are told when to come back: not all at once.
+    fn send_away(&mut self, context: &mut Context) {
+        let waiting =
+            self.requests.iter().filter(|(_, request)| request.client.is_some() && request.out.is_none());
+        let waiting: Vec<RequestId> = waiting.map(|(id, _)| id.clone()).collect();
+        if !waiting.is_empty() {
+            logging::info!(
+                event = "ending.sent_away",
+                requests = waiting.len(),
+                "sent away: the pooler ends"
+            );
+        }
+        for id in waiting {
+            let backoff = self.retry_after * (0.5 + 0.5 * self.life.rng.f64());
+            self.answer(&id, Answer::Refused(backoff), context);
+            self.tell(interface::Event::Gone { id }, context);
+        }
+    }
+
+    /// Time is up: whoever is owed an answer gets what is known.
+    fn cut(&mut self, context: &mut Context) {
+        self.send_away(context);
+        let out = self.requests.iter().filter(|(_, request)| request.client.is_some());
+        let out: Vec<(RequestId, Option<crate::net::event_loop::Slot>)> =
+            out.map(|(id, request)| (id.clone(), request.out.and_then(|(_, slot)| slot))).collect();
+        if !out.is_empty() {
+            logging::warn!(event = "ending.cut", requests = out.len(), "cut off: the time to drain is over");
+        }
+        for (id, slot) in out {
+            let session = self.requests.get(&id).is_some_and(|r| matches!(r.client, Some(Whom::Session(_))));
+            // It has reached a server: whether it ran there is not known.
+            self.answer(&id, if session { Answer::Refused(0.0) } else { Answer::Failed }, context);
+            self.tell(interface::Event::Gone { id }, context);
+            slot.into_iter().for_each(|slot| self.servers.cancel(slot, context));
+        }
+        self.sessions.iter_mut().for_each(|sessions| sessions.end(true, context));
+    }
+}
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -275,8 +275,8 @@
         }
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.conns.len() == 0
+    pub fn len(&self) -> usize {
+        self.conns.len()
     }
 
     /// What the sessions do.
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -28,6 +28,8 @@
     pub control: Control,
     /// What is kept on disk.
     pub state: State,
+    /// How the daemon begins and ends.
+    pub daemon: Daemon,
     /// The registry that holds the list; discovery does where it has no endpoints.
     pub registry: Registry,
     /// The front for ordinary clients.
@@ -106,6 +108,23 @@
     Manual,
 }
 
+/// How the daemon begins and ends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Daemon {
+    pub drain_for_s: f64,
+    pub last_call_s: f64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub pid_file: Option<PathBuf>,
+}
+
+impl Default for Daemon {
+    fn default() -> Self {
+        Daemon { drain_for_s: 30.0, last_call_s: 0.75, pid_file: None }
+    }
+}
+
 /// How changes are taken in.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -45,7 +45,7 @@
 impl Pooler {
     /// Starts the program on a configuration in which each of `edits` is made.
     pub fn start(program: &str, list: &str, discovery: &Discovery, edits: &[(&str, &str)]) -> Pooler {
-        Pooler::begin(program, list, discovery, edits, None)
+        Pooler::begin(program, list, discovery, edits, None, &[])
     }
 
     /// Starts the program with an operator's file as well; control socket and history are in the same folder.
@@ -61,7 +61,18 @@
         operator: &Operator,
         edits: &[(&str, &str)],
     ) -> Pooler {
-        Pooler::begin(program, list, discovery, edits, Some(operator))
+        Pooler::begin(program, list, discovery, edits, Some(operator), &[])
+    }
+
+    /// The same with more variables in its environment.
+    pub fn operated_in(
+        program: &str,
+        list: &str,
+        discovery: &Discovery,
+        operator: &Operator,
+        environment: &[(&str, &str)],
+    ) -> Pooler {
+        Pooler::begin(program, list, discovery, &[], Some(operator), environment)
     }
 
     fn begin(
@@ -70,6 +81,7 @@
         discovery: &Discovery,
         edits: &[(&str, &str)],
         operator: Option<&Operator>,
+        environment: &[(&str, &str)],
     ) -> Pooler {
         let mut text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
@@ -85,6 +97,7 @@
         std::fs::write(&path, text).unwrap();
         let mut command = Command::new(program);
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
+        command.envs(environment.iter().copied());
         if let Some(operator) = operator {
             command.arg("--operator").arg(operator.file()).arg("--state").arg(operator.0.join("state"));
         }
