--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -24,6 +24,7 @@
     error_code(1, "refused by the check, or something else is under way"),
     error_code(2, "wrong usage, or a file that cannot be read"),
     error_code(3, "the change was rolled back"),
+    error_code(5, "serve --take-over: the first seconds went badly, handed back"),
     error_code(4, "serve: ended while answers were owed; the log lists them")
 )]
 struct Args {
@@ -57,6 +58,9 @@
     /// folder of the history; needed to come up where the operator's file, which may name it, is bad
     #[argh(option)]
     state: Option<PathBuf>,
+    /// take over the listeners, and what is known, from the daemon that runs with the same operator's file
+    #[argh(switch)]
+    take_over: bool,
 }
 
 /// List the sessions of ordinary clients, those that have lasted longest in their state first.
@@ -92,16 +96,23 @@
 pub fn run() -> ExitCode {
     let Args { command } = argh::from_env();
     let result = match command {
-        Command::Serve(Serve { config, operator, state }) => match load(config).and_then(|(path, config)| {
-            if operator.is_none() && state.is_some() {
-                return Err("--state without --operator: there would be no changes to keep".into());
+        Command::Serve(Serve { config, operator, state, take_over }) => {
+            match load(config).and_then(|(path, config)| {
+                if operator.is_none() && state.is_some() {
+                    return Err("--state without --operator: there would be no changes to keep".into());
+                }
+                if operator.is_none() && take_over {
+                    return Err(
+                        "--take-over without --operator: it names the socket of the running daemon".into()
+                    );
+                }
+                let operator = operator.map(|file| Operator { file, state, take_over });
+                crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
+            }) {
+                Ok(code) => return ExitCode::from(code),
+                Err(message) => Err(message),
             }
-            let operator = operator.map(|file| Operator { file, state });
-            crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
-        }) {
-            Ok(code) => return ExitCode::from(code),
-            Err(message) => Err(message),
-        },
+        }
         Command::Config(args) => return config::run(args),
         Command::Registry(args) => return registry::run(args),
         Command::Route(args) => return route::run(args),
--- a/crates/daemon/src/net/change.rs
+++ b/crates/daemon/src/net/change.rs
@@ -36,7 +36,7 @@
 /// to `loud`. Where there is neither a usable file nor a history, that is a fault.
 pub(crate) fn open(
     path: &Path,
-    state: Option<PathBuf>,
+    (state, lock): (Option<PathBuf>, Option<std::fs::File>),
     platform: &Config,
     now: f64,
     loud: &mut Vec<String>,
@@ -46,7 +46,7 @@
     let (mut store, history) = match &dir {
         None => (None, History::default()),
         Some(dir) => {
-            let (store, history, cut) = Store::open(dir)?;
+            let (store, history, cut) = Store::open(dir, lock)?;
             loud.extend(cut);
             (Some(store), history)
         }
@@ -149,6 +149,18 @@
         self.inputs.push_back(Input::Persisted { step, result });
     }
 
+    /// The lock of the history's folder, for a successor.
+    pub fn lock(&self) -> Option<&std::fs::File> {
+        self.writer.as_ref().and_then(|writer| writer.lock.as_ref())
+    }
+
+    /// A successor that may have written has failed: what is on disk is this daemon's again.
+    pub fn reclaim(&mut self) {
+        if let Some(writer) = &mut self.writer {
+            writer.reclaim(self.machine.history());
+        }
+    }
+
     /// Whether a registry's view can be kept now: there is a folder, and none is being written.
     pub fn can_keep(&self) -> bool {
         self.writer.as_ref().is_some_and(|writer| !writer.keeps())
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -290,6 +290,8 @@
     quiet_until: f64,
     /// Whether queries can be carried out.
     serving: bool,
+    /// Another process takes in who comes to the listener.
+    paused: bool,
 }
 
 impl Clients {
@@ -311,6 +313,7 @@
             full: false,
             quiet_until: 0.0,
             serving: false,
+            paused: false,
         })
     }
 
@@ -318,8 +321,22 @@
         self.conns.len()
     }
 
+    /// The listeners, for a successor.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
+    /// Whether another process takes in who comes to the listener.
+    pub fn pause(&mut self, paused: bool, context: &mut Context) {
+        self.paused = paused;
+        self.accept(context);
+    }
+
     /// Takes in all that wait.
     pub fn accept(&mut self, context: &mut Context) {
+        if self.paused {
+            return;
+        }
         self.accept_from(false, context);
         self.accept_from(true, context);
     }
--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -2,7 +2,7 @@
 //! is not known here.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::os::unix::fs::{DirBuilderExt, MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 
 use ::control::{Code, Request, Response, LONGEST_LINE};
@@ -35,8 +35,7 @@
 
 /// The socket and all connections on it.
 pub(crate) struct Controls {
-    listener: UnixListener,
-    path: PathBuf,
+    bound: Bound,
     conns: Slots<Conn>,
     idle: f64,
 }
@@ -45,27 +44,18 @@
     /// Listens at a path; only the owner's processes can connect. A socket that a daemon left behind when it
     /// was killed is taken over, one that answers is not.
     pub fn new(path: &Path, idle: f64, context: &mut Context) -> io::Result<Controls> {
-        if path.exists() {
-            if std::os::unix::net::UnixStream::connect(path).is_ok() {
-                return Err(io::Error::new(ErrorKind::AddrInUse, "another daemon answers there"));
-            }
-            std::fs::remove_file(path)?;
-        }
-        // Bound inside a folder that only the owner may enter, and moved out once its mode is set: at no time
-        // can another user connect.
-        let name = path.file_name().ok_or(ErrorKind::InvalidInput)?;
-        let private = path.with_extension(format!("{}.new", std::process::id()));
-        std::fs::DirBuilder::new().mode(0o700).create(&private)?;
-        let inside = private.join(name);
-        let bound = UnixListener::bind(&inside).and_then(|listener| {
-            std::fs::set_permissions(&inside, PermissionsExt::from_mode(0o600))?;
-            std::fs::rename(&inside, path)?;
-            Ok(listener)
-        });
-        let _ = std::fs::remove_dir_all(&private);
-        let mut listener = bound?;
-        context.reactor.registry.register(&mut listener, Source::Control.into(), Interest::READABLE)?;
-        Ok(Controls { listener, path: path.to_path_buf(), conns: Slots::new(), idle })
+        Controls::over(Bound::new(path)?, idle, context)
+    }
+
+    /// Listens at a path in place of a daemon that answers there still.
+    pub fn succeed(path: &Path, idle: f64, context: &mut Context) -> io::Result<Controls> {
+        Controls::over(Bound::instead(path)?, idle, context)
+    }
+
+    fn over(mut bound: Bound, idle: f64, context: &mut Context) -> io::Result<Controls> {
+        let token = Source::Control.into();
+        context.reactor.registry.register(&mut bound.listener, token, Interest::READABLE)?;
+        Ok(Controls { bound, conns: Slots::new(), idle })
     }
 
     /// Closes a connection that is silent for so long (seconds), from now on.
@@ -75,7 +65,7 @@
 
     pub fn accept(&mut self, context: &mut Context) {
         loop {
-            let mut stream = match self.listener.accept() {
+            let mut stream = match self.bound.listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error)
                     if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) =>
@@ -180,9 +170,53 @@
     }
 }
 
-impl Drop for Controls {
+/// A listener at a path, which goes with it.
+pub(crate) struct Bound {
+    pub listener: UnixListener,
+    path: PathBuf,
+    /// The file that was made: another may have taken its place.
+    file: Option<(u64, u64)>,
+}
+
+impl Bound {
+    /// Listens at a path that no other process answers at; a file that one has left behind is taken over.
+    pub fn new(path: &Path) -> io::Result<Bound> {
+        if path.exists() {
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                return Err(io::Error::new(ErrorKind::AddrInUse, "another daemon answers there"));
+            }
+            std::fs::remove_file(path)?;
+        }
+        Bound::instead(path)
+    }
+
+    /// Listens at a path whoever answers there until now. Bound inside a folder that only the owner may enter, and
+    /// moved out once its mode is set: at no time can another user connect.
+    pub fn instead(path: &Path) -> io::Result<Bound> {
+        let name = path.file_name().ok_or(ErrorKind::InvalidInput)?;
+        let private = path.with_extension(format!("{}.new", std::process::id()));
+        std::fs::DirBuilder::new().mode(0o700).create(&private)?;
+        let inside = private.join(name);
+        let bound = UnixListener::bind(&inside).and_then(|listener| {
+            std::fs::set_permissions(&inside, PermissionsExt::from_mode(0o600))?;
+            std::fs::rename(&inside, path)?;
+            Ok(listener)
+        });
+        let _ = std::fs::remove_dir_all(&private);
+        Ok(Bound { listener: bound?, path: path.to_path_buf(), file: file(path) })
+    }
+}
+
+/// Which file stands at a path.
+fn file(path: &Path) -> Option<(u64, u64)> {
+    std::fs::symlink_metadata(path).ok().map(|metadata| (metadata.dev(), metadata.ino()))
+}
+
+impl Drop for Bound {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        if self.file.is_some() && file(&self.path) == self.file {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -90,6 +90,11 @@
         Discovery { address, watches: Slots::new(), current: None, budget, index, trouble: None }
     }
 
+    /// The version of the list that is held.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
     /// Watches the list at another address from now on; the watch that is open there is left as it is.
     pub fn move_to(&mut self, address: SocketAddr, context: &mut Context) {
         if std::mem::replace(&mut self.address, address) != address {
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -92,6 +92,10 @@
     Disk,
     /// The listener for ordinary clients, their connections, and those to the servers behind them.
     Pooled,
+    /// The listener for a successor, its connection, and that to the daemon before this one.
+    Heir,
+    Heard,
+    Ancestor,
     Pool(Slot),
     Backend(Slot),
 }
@@ -109,6 +113,9 @@
             Source::Control => (0, one(2)),
             Source::Disk => (0, one(3)),
             Source::Pooled => (0, one(4)),
+            Source::Heir => (0, one(5)),
+            Source::Heard => (0, one(6)),
+            Source::Ancestor => (0, one(7)),
             Source::Client(slot) => (1, slot),
             Source::Server(slot) => (2, slot),
             Source::Discovery(slot) => (3, slot),
@@ -129,7 +136,10 @@
             (0, 1) => Source::Signals,
             (0, 2) => Source::Control,
             (0, 3) => Source::Disk,
-            (0, _) => Source::Pooled,
+            (0, 4) => Source::Pooled,
+            (0, 5) => Source::Heir,
+            (0, 6) => Source::Heard,
+            (0, _) => Source::Ancestor,
             (1, _) => Source::Client(slot),
             (2, _) => Source::Server(slot),
             (3, _) => Source::Discovery(slot),
@@ -156,6 +166,7 @@
     Change,
     /// The daemon's life goes on.
     Life,
+    Handover,
     /// A session of an ordinary client has its turn.
     Session(Slot),
     Pools,
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -1,6 +1,7 @@
 //! Feeds what the connections tell to the [`Policy`] and carries out what it answers. Nothing is decided
 //! here but what the limits of the process force.
 
+mod handover;
 mod life;
 
 use std::collections::{BTreeMap, HashMap};
@@ -28,7 +29,7 @@
 
 use super::change::{self, Changes};
 use super::clients::Clients;
-use super::control::Controls;
+use super::control::{Bound, Controls};
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
 use super::registry::{Known, Registry, Who};
@@ -38,8 +39,12 @@
 use crate::counters::{count, Counters};
 use crate::files;
 use crate::numbers::{Assigned, Named, Numbers};
+use handover::{FromPredecessor, Inherited, ToSuccessor};
 use life::{Life, PidFile};
 
+/// The exit code of a successor that has failed its first seconds and handed back.
+const HANDED_BACK: u8 = 5;
+
 /// Whom a final answer is owed to.
 #[derive(Clone, Copy, Debug)]
 enum Owed {
@@ -98,6 +103,11 @@
     /// The longest time that a refusal may ask a client to stay away (seconds).
     retry_after: f64,
     life: Life,
+    /// Hand-overs to a successor, and from the daemon before this one.
+    heir: Option<ToSuccessor>,
+    ancestor: Option<FromPredecessor>,
+    /// Whether this one has failed its first seconds as a successor.
+    yielded: bool,
 }
 
 /// The operator's side of a daemon.
@@ -106,6 +116,8 @@
     pub file: PathBuf,
     /// The folder of the history, where the file's word for it is not to be relied on.
     pub state: Option<PathBuf>,
+    /// Whether to take over from the daemon that runs with this file.
+    pub take_over: bool,
 }
 
 /// Serves until told to end.
@@ -117,6 +129,7 @@
     event_loop::run(&mut poll, &mut proxy, &mut context)?;
     logging::info!(event = "ended", "{} ends: {}", config.name, context.counters);
     Ok(match proxy.life.stage() {
+        _ if proxy.yielded => HANDED_BACK,
         lifecycle::Stage::Ended(code) => code,
         _ => lifecycle::OWED,
     })
@@ -132,8 +145,13 @@
         let invalid = |fault: String| io::Error::new(io::ErrorKind::InvalidInput, fault);
         let now = context.reactor.now();
         let mut loud = Vec::new();
-        let opening =
-            operator.map(|operator| change::open(&operator.file, operator.state, config, now, &mut loud));
+        let mut inherited = match operator.as_ref().filter(|operator| operator.take_over) {
+            Some(operator) => Some(ask(operator, now).map_err(invalid)?),
+            None => None,
+        };
+        let lock = inherited.as_mut().and_then(Inherited::state);
+        let opening = operator
+            .map(|operator| change::open(&operator.file, (operator.state, lock), config, now, &mut loud));
         let opening = opening.transpose().map_err(invalid)?;
         let effective = match &opening {
             Some(opening) => opening.effective.clone(),
@@ -152,7 +170,12 @@
         let retry_after = advice(&settings);
         let policy = Policy::new(settings, config.seed).map_err(|fault| invalid(fault.to_string()))?;
         // Before anything is bound: who holds it has the rest as well.
-        let pid = effective.document.daemon.pid_file.as_ref().map(|path| PidFile::take(path)).transpose()?;
+        let daemon = &effective.document.daemon;
+        let pid = daemon.pid_file.as_ref().map(|path| match inherited.as_mut().and_then(Inherited::pid) {
+            Some(file) => Ok(PidFile::inherit(file, path)),
+            None => PidFile::take(path),
+        });
+        let pid = pid.transpose()?;
         let terms = life::terms(opening.as_ref().map(|_| &effective.document.daemon));
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
@@ -165,13 +188,27 @@
         }
         let budget = Budget::new(effective.memory / 2);
         let control = &effective.document.control;
-        let controls = control.socket.as_ref().map(|path| {
+        // A successor has these once it stands; until then the daemon before it does.
+        let own = inherited.is_none();
+        let heir = daemon.handover.as_ref().filter(|_| own).map(|path| {
+            let bound = Bound::new(path).and_then(|bound| ToSuccessor::new(bound, context));
+            bound.map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
+        });
+        let heir = heir.transpose()?;
+        let controls = control.socket.as_ref().filter(|_| own).map(|path| {
             Controls::new(path, control.idle_s, context)
                 .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))
         });
         // All that can be asked of it is there once the log says that it listens.
         let control = controls.transpose()?;
-        let listener = TcpListener::bind(effective.listen)?;
+        let bind = |inherited: &mut Option<Inherited>, pool: bool, address: SocketAddr| match inherited
+            .as_mut()
+            .and_then(|inherited| inherited.listener(pool, address))
+        {
+            Some(listener) => Ok(listener),
+            None => TcpListener::bind(address),
+        };
+        let listener = bind(&mut inherited, false, effective.listen)?;
         let address = listener.local_addr()?;
         logging::info!(event = "listening", "{} listens on {address}, for {clients} clients", config.name);
         let registry = &context.reactor.registry;
@@ -179,7 +216,7 @@
         let changes = opening.map(|opening| Changes::new(opening, config.clone(), waker, now)).transpose()?;
         let pool = &effective.document.pool;
         let sessions = pool.listen.map(|address| {
-            let listener = TcpListener::bind(address)?;
+            let listener = bind(&mut inherited, true, address)?;
             let (address, mode) = (listener.local_addr()?, format!("{:?}", pool.mode).to_lowercase());
             logging::info!(
                 event = "pool.listening",
@@ -190,12 +227,20 @@
         });
         let sessions = sessions.transpose()?;
         let (fresh, begun) = Life::new(terms, pid, config.seed, context);
+        let list = inherited.as_ref().and_then(Inherited::list);
+        let (index, saved) = list
+            .filter(|(index, _)| *index >= config.known.index)
+            .unwrap_or_else(|| (config.known.index, config.known.listings.clone()));
+        let trial_s = effective.document.daemon.trial_s;
+        let ancestor = inherited.map(|inherited| FromPredecessor::new(inherited, trial_s, context));
+        let (ancestor, comes) =
+            ancestor.transpose()?.map_or((None, Vec::new()), |(from, does)| (Some(from), does));
         let mut proxy = Proxy {
             policy,
             sessions,
             clients: Clients::new(listener, clients, budget.clone(), context)?,
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
-            discovery: Discovery::new(effective.discovery, config.known.index, budget.clone()),
+            discovery: Discovery::new(effective.discovery, index, budget.clone()),
             registry: None,
             seed: config.seed,
             name: config.name.clone(),
@@ -216,11 +261,19 @@
             path: path.to_path_buf(),
             retry_after,
             life: fresh,
+            heir,
+            ancestor,
+            yielded: false,
         };
         proxy.carry_on(begun, context);
+        if proxy.ancestor.is_some() {
+            proxy.pause(true, context);
+        }
         proxy.live(Lived::Bound, context);
-        context.events.push_back(Event::Members(ListKind::Saved, config.known.listings.clone()));
+        context.events.push_back(Event::Members(ListKind::Saved, saved));
         proxy.drain(context);
+        proxy.inherit(context);
+        proxy.taken(comes, context);
         proxy.intend(&effective, context);
         proxy.source(&effective, context);
         proxy.drain(context);
@@ -360,6 +413,7 @@
         };
         self.requests.insert(id.clone(), request);
         self.asking.insert(client, id);
+        self.beside(context);
         self.tell(interface::Event::Arrival(arrival), context);
     }
 
@@ -400,6 +454,7 @@
             taken: context.reactor.now(),
         };
         self.requests.insert(id, request);
+        self.beside(context);
         self.tell(interface::Event::Arrival(arrival), context);
     }
 
@@ -577,6 +632,9 @@
                     "the operator file is as it was when it was last taken"
                 );
             }
+            Ok(_) if self.heir.as_ref().is_some_and(ToSuccessor::is_busy) => {
+                logging::warn!(event = "config.kept", "operator file not taken: a successor takes over");
+            }
             Ok(document) => self.propose(None, document, "SIGHUP".into(), None, Vec::new(), context),
             Err(fault) => {
                 context.counters.reloads_failed += 1;
@@ -778,7 +836,12 @@
 
     /// Answers a control call, at once or once the transaction has come so far.
     fn called(&mut self, caller: Slot, call: Call, context: &mut Context) {
+        let heir = self.heir.as_ref().is_some_and(ToSuccessor::is_busy);
         let Some(changes) = &mut self.changes else { return };
+        if heir && matches!(call, Call::Apply { .. } | Call::Confirm { .. } | Call::Rollback { .. }) {
+            let busy = Response::new(Code::Busy, "a successor takes over: ask again once it stands");
+            return self.control.iter_mut().for_each(|control| control.answer(caller, &busy, context));
+        }
         let unreadable = |fault: String| Response::new(Code::Unreadable, fault);
         let read = |text: &str| {
             let policy = &changes.effective.document.change;
@@ -914,6 +977,9 @@
                 self.keep(context);
             }
             Source::Disk => self.written(context),
+            Source::Heir => self.heir_comes(context),
+            Source::Heard => self.heir_says(context),
+            Source::Ancestor => self.ancestor_says(context),
             Source::Pooled => self.sessions.iter_mut().for_each(|sessions| sessions.accept(context)),
             Source::Pool(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
             Source::Backend(slot) => self.sessions.iter_mut().for_each(|s| s.ready_server(slot, context)),
@@ -940,6 +1006,7 @@
             Due::Session(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
             Due::Pools => self.sessions.iter_mut().for_each(|sessions| sessions.sweep(context)),
             Due::Life => self.age(context),
+            Due::Handover => self.hand_over(context),
         }
         self.drain(context);
         self.look(context);
@@ -959,6 +1026,13 @@
     }
 }
 
+/// Asks the daemon that runs with an operator's file for what it holds and knows.
+fn ask(operator: &Operator, now: f64) -> Result<Inherited, String> {
+    let (_, document) = files::document(&operator.file)?;
+    let path = document.daemon.handover.ok_or("--take-over: the operator's file has no daemon.handover")?;
+    Inherited::ask(&path, now)
+}
+
 /// Descriptors that ordinary clients and their servers may take.
 fn pooled(effective: &Effective) -> usize {
     let pool = &effective.document.pool;
--- /dev/null
+++ b/crates/daemon/src/net/proxy/handover.rs
@@ -0,0 +1,489 @@
+//! Hand-overs on their sockets, from both sides: what [`handover::Giver`] and [`handover::Taker`] say is carried out,
+//! descriptors go along with the offer.
+
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::path::Path;
+use std::time::Duration;
+
+use buffer::Lines;
+use handover::{
+    Act, Do, Giver, Heard, Known, Member, Place, Say, Seen, Snapshot, Taker, Trial, LONGEST, LONGEST_LINE,
+    OLDEST, PATIENCE, VERSION,
+};
+use lifecycle::{Input as Lived, Stage};
+use listing::Listing;
+use mio::net::UnixStream;
+use mio::Interest;
+use routing::interface::Phase;
+use routing::Learned;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+
+use super::{Controls, Proxy};
+use crate::net::control::Bound;
+use crate::net::event_loop::{Due, Source};
+use crate::net::Context;
+
+/// Most descriptors that go along with an offer.
+const MOST_FDS: usize = 8;
+/// What each of them is.
+const LISTEN: &str = "listen";
+const POOL: &str = "pool";
+const STATE: &str = "state";
+const PID: &str = "pid";
+
+/// A connection between a daemon and its successor.
+struct Conn {
+    stream: UnixStream,
+    lines: Lines,
+    outbox: Vec<u8>,
+    written: usize,
+}
+
+impl Conn {
+    fn new(stream: UnixStream) -> Conn {
+        Conn { stream, lines: Lines::new(LONGEST_LINE), outbox: Vec::new(), written: 0 }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        while self.written < self.outbox.len() {
+            match self.stream.write(&self.outbox[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        (self.outbox, self.written) = (Vec::new(), 0);
+        Ok(())
+    }
+
+    fn say(&mut self, say: &Say) {
+        self.outbox.extend(say.line());
+        // A fault is found out again by reading.
+        let _ = self.flush();
+    }
+
+    /// What has been said, and whether that was the last.
+    fn hear(&mut self) -> (Vec<Result<Say, String>>, bool) {
+        let (mut heard, mut over, mut piece) = (Vec::new(), self.flush().is_err(), [0; 1024]);
+        while !over {
+            match self.stream.read(&mut piece) {
+                Ok(0) => over = true,
+                Ok(count) => over = self.lines.push(&piece[..count]).is_err(),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => over = true,
+            }
+            while let Some(line) = self.lines.take() {
+                heard.push(Say::read(&line));
+            }
+        }
+        (heard, over)
+    }
+}
+
+/// What a successor has got from the daemon before it.
+pub(crate) struct Inherited {
+    stream: std::os::unix::net::UnixStream,
+    fds: HashMap<String, OwnedFd>,
+    known: Option<Known>,
+}
+
+impl Inherited {
+    /// Asks the daemon that listens for a successor there.
+    pub fn ask(path: &Path, now: f64) -> Result<Inherited, String> {
+        let named = |fault: &dyn std::fmt::Display| format!("{}: {fault}", path.display());
+        let mut stream = std::os::unix::net::UnixStream::connect(path).map_err(|error| named(&error))?;
+        let patience = Some(Duration::from_secs_f64(PATIENCE));
+        stream.set_read_timeout(patience).map_err(|error| named(&error))?;
+        let ask = Say::Ask { oldest: OLDEST, version: VERSION, pid: std::process::id() };
+        stream.write_all(&ask.line()).map_err(|error| named(&error))?;
+        // The descriptors come with the first byte of the line; what is behind it is the snapshot.
+        let (mut bytes, mut got) = (Vec::new(), Vec::new());
+        let end = loop {
+            let mut piece = [0; LONGEST_LINE];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let mut into = [IoSliceMut::new(&mut piece)];
+            let count = recvmsg(&stream, &mut into, &mut control, RecvFlags::CMSG_CLOEXEC);
+            let count = count.map_err(|error| named(&error))?.bytes;
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(fds) = message {
+                    got.extend(fds);
+                }
+            }
+            bytes.extend(&piece[..count]);
+            match bytes.iter().position(|byte| *byte == b'\n') {
+                Some(end) => break end,
+                None if count == 0 || bytes.len() > LONGEST_LINE => {
+                    return Err(named(&"ended without an answer"))
+                }
+                None => {}
+            }
+        };
+        let mut rest = bytes.split_off(end + 1);
+        let (names, length) = match Say::read(&bytes).map_err(|fault| named(&fault))? {
+            Say::Offer { fds, snapshot } if fds.len() == got.len() && snapshot <= LONGEST => (fds, snapshot),
+            Say::Denied { why } => return Err(named(&format!("no hand-over now: {why}"))),
+            _ => return Err(named(&"an offer that is none")),
+        };
+        let before = rest.len();
+        rest.resize(length.max(before), 0);
+        stream.read_exact(&mut rest[before..]).map_err(|error| named(&error))?;
+        let known = match Snapshot::decode(&rest, (OLDEST, VERSION)) {
+            Ok(snapshot) => Some(snapshot.at(now)),
+            Err(fault) => {
+                // It starts like one that has nobody before it, with the listeners.
+                logging::warn!(event = "handover.cold", "what the old daemon knows is not used: {fault}");
+                None
+            }
+        };
+        let _ = stream.set_read_timeout(None);
+        Ok(Inherited { stream, fds: names.into_iter().zip(got).collect(), known })
+    }
+
+    /// The listener for platform clients, or for ordinary ones, where it is at this address.
+    pub fn listener(&mut self, pool: bool, address: SocketAddr) -> Option<mio::net::TcpListener> {
+        let fd = self.fds.remove(if pool { POOL } else { LISTEN })?;
+        let listener = std::net::TcpListener::from(fd);
+        let own = listener.local_addr().ok()?;
+        let same = own == address || address.port() == 0 && own.ip() == address.ip();
+        listener.set_nonblocking(true).ok().filter(|()| same)?;
+        Some(mio::net::TcpListener::from_std(listener))
+    }
+
+    /// The lock of the folder of the history.
+    pub fn state(&mut self) -> Option<std::fs::File> {
+        self.fds.remove(STATE).map(Into::into)
+    }
+
+    /// The pid file.
+    pub fn pid(&mut self) -> Option<std::fs::File> {
+        self.fds.remove(PID).map(Into::into)
+    }
+
+    /// What the old daemon knew of the list, and its version.
+    pub fn list(&self) -> Option<(u64, Vec<Listing>)> {
+        let known = self.known.as_ref().filter(|known| !known.places.is_empty())?;
+        Some((known.index, known.places.iter().filter_map(listing).collect()))
+    }
+}
+
+fn place(listing: &Listing) -> Place {
+    Place {
+        name: listing.name.to_string(),
+        address: listing.address.to_string(),
+        zone: listing.zone.clone(),
+        group: listing.group,
+        phase: if listing.phase == Phase::Active { "serving" } else { "draining" }.into(),
+        since: listing.since,
+    }
+}
+
+fn listing(place: &Place) -> Option<Listing> {
+    Some(Listing {
+        name: place.name.as_str().into(),
+        address: place.address.parse().ok()?,
+        zone: place.zone.clone(),
+        group: place.group,
+        phase: if place.phase == "serving" { Phase::Active } else { Phase::Leaving },
+        since: place.since,
+    })
+}
+
+/// Hand-overs to a successor.
+pub(super) struct ToSuccessor {
+    bound: Bound,
+    giver: Giver,
+    conn: Option<Conn>,
+}
+
+impl ToSuccessor {
+    pub fn new(mut bound: Bound, context: &mut Context) -> io::Result<ToSuccessor> {
+        let token = Source::Heir.into();
+        context.reactor.registry.register(&mut bound.listener, token, Interest::READABLE)?;
+        Ok(ToSuccessor { bound, giver: Giver::default(), conn: None })
+    }
+
+    /// Whether a successor is at it.
+    pub fn is_busy(&self) -> bool {
+        self.giver.is_busy()
+    }
+}
+
+/// The hand-over from the daemon before this one.
+pub(super) struct FromPredecessor {
+    taker: Taker,
+    conn: Conn,
+    known: Option<Known>,
+    /// Answers, and bad ones among them, when clients were first taken in.
+    base: (u64, u64),
+}
+
+impl FromPredecessor {
+    pub fn new(inherited: Inherited, trial_s: f64, context: &mut Context) -> io::Result<(Self, Vec<Do>)> {
+        let Inherited { stream, known, .. } = inherited;
+        stream.set_nonblocking(true)?;
+        let mut stream = UnixStream::from_std(stream);
+        let both = Interest::READABLE | Interest::WRITABLE;
+        context.reactor.registry.register(&mut stream, Source::Ancestor.into(), both)?;
+        let mut out = Vec::new();
+        let trial = Trial { seconds: trial_s, ..Trial::default() };
+        let taker = Taker::new(trial, context.reactor.now(), &mut out);
+        Ok((FromPredecessor { taker, conn: Conn::new(stream), known, base: (0, 0) }, out))
+    }
+}
+
+impl Proxy {
+    /// Takes over what the old daemon knew, once the members are listed.
+    pub(super) fn inherit(&mut self, context: &mut Context) {
+        let Some(known) = self.ancestor.as_mut().and_then(|ancestor| ancestor.known.take()) else { return };
+        let members = known.members.iter().map(|member| Learned {
+            member: member.name.as_str().into(),
+            primary: member.primary,
+            position: member.position,
+            cold_since: member.cold_since,
+        });
+        let (now, mut actions) = (context.reactor.now(), Vec::new());
+        self.policy.take_over(now, &members.collect::<Vec<_>>(), &mut actions);
+        let (sessions, members) = (known.sessions.len(), known.members.len());
+        let written = known.sessions.into_iter().map(|(name, commit)| (name.into(), commit));
+        self.policy.wrote(written, known.forgotten.unwrap_or(f64::NEG_INFINITY));
+        logging::info!(event = "handover.known", members, sessions, "goes on with what the old daemon knew");
+        self.carry_out(actions, context);
+    }
+
+    /// What this daemon knows.
+    fn known(&self) -> Known {
+        let finite = |value: f64| value.is_finite().then_some(value);
+        let (sessions, forgotten) = self.policy.written();
+        let listed = self.changes.iter().flat_map(|changes| changes.roster.listed());
+        let members = self.policy.learned().into_iter().map(|learned| Member {
+            name: learned.member.to_string(),
+            primary: learned.primary,
+            position: learned.position,
+            cold_since: learned.cold_since,
+        });
+        Known {
+            index: self.discovery.index(),
+            places: listed.filter(|listing| listing.phase != Phase::Left).map(place).collect(),
+            members: members.collect(),
+            sessions: sessions.into_iter().map(|(name, commit)| (name.to_string(), commit)).collect(),
+            forgotten: finite(forgotten),
+        }
+    }
+
+    /// A successor knocks.
+    pub(super) fn heir_comes(&mut self, context: &mut Context) {
+        let Some(heir) = &mut self.heir else { return };
+        while let Ok((mut stream, _)) = heir.bound.listener.accept() {
+            if heir.conn.is_some() {
+                let denied = Say::Denied { why: "another successor is at it".into() };
+                let _ = stream.write(&denied.line());
+                continue;
+            }
+            let (token, both) = (Source::Heard.into(), Interest::READABLE | Interest::WRITABLE);
+            if context.reactor.registry.register(&mut stream, token, both).is_ok() {
+                heir.conn = Some(Conn::new(stream));
+            }
+        }
+        self.heir_says(context);
+    }
+
+    /// The successor has said something, or is gone.
+    pub(super) fn heir_says(&mut self, context: &mut Context) {
+        let Some((heard, over)) = self.heir.as_mut().and_then(|heir| heir.conn.as_mut()).map(Conn::hear)
+        else {
+            return;
+        };
+        for said in heard {
+            match said {
+                Ok(say) => self.give(Heard::Said(say), context),
+                Err(why) => self.give(Heard::Said(Say::Back { why }), context),
+            }
+        }
+        if over {
+            if let Some(heir) = &mut self.heir {
+                heir.conn = None;
+            }
+            self.give(Heard::Gone, context);
+        }
+    }
+
+    fn give(&mut self, heard: Heard, context: &mut Context) {
+        use transaction::Stage as At;
+        let hindrance = match (self.life.stage(), &self.changes) {
+            (Stage::Ready, Some(changes)) if !matches!(changes.machine.stage(), At::Idle) => {
+                Some("a change of configuration is under way")
+            }
+            (Stage::Ready, _) => None,
+            (stage, _) => Some(stage.words()),
+        };
+        let Some(heir) = &mut self.heir else { return };
+        let mut acts = Vec::new();
+        heir.giver.handle(context.reactor.now(), heard, hindrance, &mut acts);
+        for act in acts {
+            match act {
+                Act::Say(say) => self.heir_conn().into_iter().for_each(|conn| conn.say(&say)),
+                Act::Offer { versions } => self.offer(versions, context),
+                Act::Pause => {
+                    logging::info!(event = "handover.given", "a successor takes in clients, on trial");
+                    self.pause(true, context);
+                }
+                Act::Resume(why) => {
+                    logging::warn!(event = "handover.back", "takes in clients again: {why}");
+                    if let Some(changes) = &mut self.changes {
+                        changes.reclaim();
+                    }
+                    self.pause(false, context);
+                }
+                Act::Succeeded => {
+                    logging::info!(event = "handover.over", "the successor stands");
+                    self.registry.iter_mut().for_each(|registry| registry.leave(context));
+                    self.live(Lived::Succeeded, context);
+                }
+                Act::Hang => self.heir.iter_mut().for_each(|heir| heir.conn = None),
+                Act::Timer(at) => context.reactor.timer(at, Due::Handover),
+            }
+        }
+    }
+
+    fn heir_conn(&mut self) -> Option<&mut Conn> {
+        self.heir.as_mut().and_then(|heir| heir.conn.as_mut())
+    }
+
+    pub(super) fn pause(&mut self, paused: bool, context: &mut Context) {
+        self.clients.pause(paused, context);
+        self.sessions.iter_mut().for_each(|sessions| sessions.pause(paused, context));
+    }
+
+    /// Sends the descriptors, and what is known to a reader of these versions.
+    fn offer(&mut self, versions: (u32, u32), context: &mut Context) {
+        let snapshot = Snapshot::new(context.reactor.now(), self.known());
+        let bytes = if snapshot.is_for(versions) { snapshot.encode() } else { Vec::new() };
+        let bytes = if bytes.len() > LONGEST { Vec::new() } else { bytes };
+        let state = self.changes.as_ref().and_then(|changes| changes.lock());
+        let fds: Vec<(&str, BorrowedFd)> = [
+            (LISTEN, self.clients.listener().map(AsFd::as_fd)),
+            (POOL, self.sessions.as_ref().and_then(|sessions| sessions.listener()).map(AsFd::as_fd)),
+            (STATE, state.map(AsFd::as_fd)),
+            (PID, self.life.pid().map(AsFd::as_fd)),
+        ]
+        .into_iter()
+        .filter_map(|(name, fd)| Some((name, fd?)))
+        .collect();
+        let names = fds.iter().map(|(name, _)| name.to_string()).collect();
+        let line = Say::Offer { fds: names, snapshot: bytes.len() }.line();
+        let fds: Vec<BorrowedFd> = fds.into_iter().map(|(_, fd)| fd).collect();
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_FDS))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        let room = control.push(SendAncillaryMessage::ScmRights(&fds));
+        let Some(conn) = self.heir.as_mut().and_then(|heir| heir.conn.as_mut()) else { return };
+        // Nothing was said to it before: the line fits into the socket whole.
+        let sent = sendmsg(&conn.stream, &[IoSlice::new(&line)], &mut control, SendFlags::NOSIGNAL);
+        if room && sent == Ok(line.len()) {
+            conn.outbox.extend(bytes);
+            let _ = conn.flush();
+        } else {
+            logging::error!(event = "handover.back", "the descriptors cannot be sent: {sent:?}");
+            self.heir.iter_mut().for_each(|heir| heir.conn = None);
+            self.give(Heard::Gone, context);
+        }
+    }
+
+    /// The daemon before this one has said something, or is gone.
+    pub(super) fn ancestor_says(&mut self, context: &mut Context) {
+        let Some(ancestor) = &mut self.ancestor else { return };
+        let (heard, over) = ancestor.conn.hear();
+        for said in heard.into_iter().flatten() {
+            self.take(Seen::Said(said), context);
+        }
+        if over {
+            self.take(Seen::Gone, context);
+            // From here on there is no write that this daemon does not hear of.
+            self.beside(context);
+            self.ancestor = None;
+        }
+    }
+
+    /// While the old daemon is there, sessions that it serves still may write through it.
+    pub(super) fn beside(&mut self, context: &mut Context) {
+        if self.ancestor.is_some() {
+            self.policy.anybody_wrote(context.reactor.now());
+        }
+    }
+
+    /// Time passes for a hand-over.
+    pub(super) fn hand_over(&mut self, context: &mut Context) {
+        self.give(Heard::Time, context);
+        let Some(ancestor) = &self.ancestor else { return };
+        let (answers, bad) = answers(context);
+        let (all, worse) = (answers - ancestor.base.0, bad - ancestor.base.1);
+        let waiting = self.owed().waiting as u64;
+        self.take(Seen::Time(all, worse, waiting), context);
+    }
+
+    pub(super) fn take(&mut self, seen: Seen, context: &mut Context) {
+        let Some(ancestor) = &mut self.ancestor else { return };
+        let mut does = Vec::new();
+        ancestor.taker.handle(context.reactor.now(), seen, &mut does);
+        self.taken(does, context);
+    }
+
+    pub(super) fn taken(&mut self, does: Vec<Do>, context: &mut Context) {
+        for act in does {
+            match act {
+                Do::Say(say) => self.ancestor.iter_mut().for_each(|ancestor| ancestor.conn.say(&say)),
+                Do::Accept => {
+                    logging::info!(event = "handover.taken", "takes in clients, on trial");
+                    self.ancestor.iter_mut().for_each(|ancestor| ancestor.base = answers(context));
+                    self.pause(false, context);
+                }
+                Do::Yield(why) => {
+                    logging::error!(event = "handover.yielded", "hands back to the old daemon: {why}");
+                    self.yielded = true;
+                    self.pause(true, context);
+                    self.live(Lived::Succeeded, context);
+                }
+                Do::Stand => self.stand(context),
+                Do::Timer(at) => context.reactor.timer(at, Due::Handover),
+            }
+        }
+    }
+
+    /// This is the daemon now: what only one may have is its own.
+    fn stand(&mut self, context: &mut Context) {
+        self.life.stand();
+        let document = self.changes.as_ref().map(|changes| changes.effective.document.clone());
+        let document = document.unwrap_or_default();
+        let (control, daemon) = (document.control, document.daemon);
+        if let Some(path) = &control.socket {
+            match Controls::succeed(path, control.idle_s, context) {
+                Ok(controls) => self.control = Some(controls),
+                Err(error) => logging::error!(event = "handover.control", "{}: {error}", path.display()),
+            }
+        }
+        if let Some(path) = &daemon.handover {
+            match Bound::instead(path).and_then(|bound| ToSuccessor::new(bound, context)) {
+                Ok(heir) => self.heir = Some(heir),
+                Err(error) => logging::error!(event = "handover.heir", "{}: {error}", path.display()),
+            }
+        }
+        logging::info!(event = "handover.stands", "stands in the old daemon's place");
+    }
+}
+
+/// Final answers so far, and how many of them were refusals or failures.
+fn answers(context: &Context) -> (u64, u64) {
+    let counters = &context.counters;
+    let bad = counters.refused + counters.failed;
+    (counters.served + bad, bad)
+}
--- a/crates/daemon/src/net/proxy/life.rs
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -62,17 +62,34 @@
             }
             Err(TryLockError::Error(error)) => return Err(named(error)),
         }
-        file.set_len(0).and_then(|()| file.rewind()).map_err(named)?;
-        writeln!(file, "{}", std::process::id()).map_err(named)?;
-        Ok(PidFile { file, path: path.to_path_buf() })
+        let mut pid = PidFile { file, path: path.to_path_buf() };
+        pid.write().map_err(named)?;
+        Ok(pid)
+    }
+
+    /// The file of the daemon before this one, which holds it still; this process's once it is written.
+    pub fn inherit(file: File, path: &Path) -> PidFile {
+        PidFile { file, path: path.to_path_buf() }
+    }
+
+    /// Puts this process's number into it.
+    fn write(&mut self) -> io::Result<()> {
+        // Cut off last: at no time is there nothing in it.
+        let text = format!("{}\n", std::process::id());
+        self.file.rewind()?;
+        self.file.write_all(text.as_bytes())?;
+        self.file.set_len(text.len() as u64)
     }
 }
 
 impl Drop for PidFile {
     fn drop(&mut self) {
-        // Removed while it is held: who takes it next makes a new one.
-        let _ = std::fs::remove_file(&self.path);
-        let _ = self.file.unlock();
+        // Removed while it is held: who takes it next makes a new one. A successor's is left.
+        let own =
+            std::fs::read_to_string(&self.path).is_ok_and(|pid| pid.trim() == std::process::id().to_string());
+        if own {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
@@ -80,7 +97,7 @@
 pub(super) struct Life {
     machine: Machine,
     manager: Option<Manager>,
-    _pid: Option<PidFile>,
+    pid: Option<PidFile>,
     rng: fastrand::Rng,
 }
 
@@ -111,7 +128,7 @@
                 })
                 .ok()
         });
-        (Life { machine, manager, _pid: pid, rng: fastrand::Rng::with_seed(seed ^ 0x11fe) }, actions)
+        (Life { machine, manager, pid, rng: fastrand::Rng::with_seed(seed ^ 0x11fe) }, actions)
     }
 
     pub fn stage(&self) -> Stage {
@@ -122,6 +139,19 @@
         self.machine.set_terms(terms);
     }
 
+    /// The pid file's descriptor, for a successor.
+    pub fn pid(&self) -> Option<&File> {
+        self.pid.as_ref().map(|pid| &pid.file)
+    }
+
+    /// This process is the daemon in another's place.
+    pub fn stand(&mut self) {
+        if let Some(Err(error)) = self.pid.as_mut().map(PidFile::write) {
+            logging::error!(event = "pid.unwritten", "{error}");
+        }
+        self.tell(&format!("MAINPID={}\n{}", std::process::id(), notify::READY));
+    }
+
     fn tell(&self, text: &str) {
         if let Some(Manager(socket)) = &self.manager {
             // A manager that does not read is its own trouble: the loop does not wait for it.
@@ -140,7 +170,7 @@
 
 impl Proxy {
     /// What is owed now.
-    fn owed(&self) -> Owed {
+    pub(super) fn owed(&self) -> Owed {
         let mut owed = Owed::default();
         for request in self.requests.values().filter(|request| request.client.is_some()) {
             *if request.out.is_some() { &mut owed.out } else { &mut owed.waiting } += 1;
@@ -195,6 +225,9 @@
 
     /// Looks whether the life has come further by what has been carried out.
     pub(super) fn look(&mut self, context: &mut Context) {
+        if self.ancestor.is_some() && self.life.stage() == Stage::Ready {
+            self.take(handover::Seen::Up, context);
+        }
         match self.life.stage() {
             Stage::Reloading => {
                 let settled = self.changes.as_ref().is_none_or(|changes| {
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -168,6 +168,8 @@
 /// All ordinary clients, their listener, and the server connections.
 pub(crate) struct Sessions {
     listener: Option<TcpListener>,
+    /// Another process takes in who comes to it.
+    paused: bool,
     conns: Slots<Conn>,
     backends: Slots<Backend>,
     pools: Pools,
@@ -224,6 +226,7 @@
             ]);
         Ok(Sessions {
             listener: Some(listener),
+            paused: false,
             conns: Slots::new(),
             backends: Slots::new(),
             pools: Pools::new(pace, seed),
@@ -310,8 +313,22 @@
         control::Sessions { list, more, servers: self.pools.count(), waiting: self.pools.waiting() }
     }
 
+    /// The listener, for a successor.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
+    /// Whether another process takes in who comes to the listener.
+    pub fn pause(&mut self, paused: bool, context: &mut Context) {
+        self.paused = paused;
+        self.accept(context);
+    }
+
     /// Takes in all that wait, as far as there are places.
     pub fn accept(&mut self, context: &mut Context) {
+        if self.paused {
+            return;
+        }
         while self.conns.len() < self.pool.clients as usize {
             let Some(listener) = &self.listener else { return };
             // What keeps a new one out is looked at again with the next sweep.
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -53,19 +53,24 @@
     size: usize,
     most: usize,
     viewing: Arc<AtomicBool>,
+    /// The folder's lock, for a successor.
+    pub lock: Option<File>,
 }
 
 impl Store {
     /// Takes the folder and reads what its log holds; what was cut off it, where something was.
-    pub fn open(folder: &Path) -> Result<(Store, History, Option<String>), String> {
+    /// `lock` is the folder's own, where a daemon that holds it still has handed it over.
+    pub fn open(folder: &Path, lock: Option<File>) -> Result<(Store, History, Option<String>), String> {
         let named = |path: &Path, fault: &dyn std::fmt::Display| format!("{}: {fault}", path.display());
         // What the history holds is the operator's alone.
         let made = DirBuilder::new().recursive(true).mode(0o700).create(folder);
         made.map_err(|error| named(folder, &error))?;
         let lock_path = folder.join(LOCK);
-        let lock = OpenOptions::new().create(true).truncate(false).write(true).mode(0o600).open(&lock_path);
-        let lock = lock.map_err(|error| named(&lock_path, &error))?;
-        match lock.try_lock() {
+        let inherited = lock.is_some();
+        let opened =
+            || OpenOptions::new().create(true).truncate(false).write(true).mode(0o600).open(&lock_path);
+        let lock = lock.map_or_else(opened, Ok).map_err(|error| named(&lock_path, &error))?;
+        match if inherited { Ok(()) } else { lock.try_lock() } {
             Ok(()) => {}
             Err(TryLockError::WouldBlock) => {
                 return Err(named(folder, &"another pooler uses this folder; each needs one of its own"));
@@ -146,6 +151,7 @@
         let size = self.sound as usize;
         let viewing = Arc::new(AtomicBool::new(false));
         let busy = viewing.clone();
+        let lock = self._lock.try_clone().ok();
         let named = |store: &Store, name: &str, result: std::io::Result<()>| {
             result.map_err(|error| format!("{}: {error}", store.folder.join(name).display()))
         };
@@ -171,7 +177,7 @@
                 }
             }
         })?;
-        Ok(Writer { jobs, done, size, most, viewing })
+        Ok(Writer { jobs, done, size, most, viewing, lock })
     }
 }
 
@@ -191,6 +197,13 @@
         Ok(())
     }
 
+    /// Puts the whole history on disk anew, over whatever a successor that failed has left there.
+    pub fn reclaim(&mut self, history: &History) {
+        let whole = steplog::rewritten(history);
+        self.size = whole.len();
+        let _ = self.jobs.try_send(Job::Rewrite(whole));
+    }
+
     /// Whether a view is being written: one at a time, since each may take all the memory there is for it.
     pub fn keeps(&self) -> bool {
         self.viewing.load(Ordering::SeqCst)
--- /dev/null
+++ b/crates/daemon/tests/upgrade.rs
@@ -0,0 +1,223 @@
+//! A daemon handed over to its successor, both of them running programs, with clients that do not stop asking.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use peers::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
+const VALUE: &[u8] = b"\x9f";
+
+/// A daemon that can be succeeded, before a machine of its own.
+struct World {
+    db: Answering,
+    _replica: Answering,
+    discovery: Discovery,
+    operator: Operator,
+    settings: String,
+    list: String,
+}
+
+impl World {
+    fn new(name: &str) -> World {
+        let db = Answering::new(|_| served(VALUE, "writer"));
+        let operator = Operator::new(name, "");
+        let path = |name: &str| operator.0.join(name).to_str().unwrap().to_string();
+        let (handover, pid) = (path("handover"), path("pid"));
+        let settings = format!(
+            "[daemon]\nhandover = {handover:?}\npid_file = {pid:?}\ntrial_s = 0.5\ndrain_for_s = 5.0\n"
+        );
+        operator.write("dewferry.toml", &settings);
+        // A read that one of them is slow to answer has another to go to.
+        let replica = Answering::new(|_| served(VALUE, "reader"));
+        let list = list(41, true, &[db.line("s-1", "here"), replica.line("s-2", "here")]);
+        World { db, _replica: replica, discovery: Discovery::listen(), operator, settings, list }
+    }
+
+    fn start(&self) -> Pooler {
+        Pooler::operated(PROGRAM, &self.list, &self.discovery, &self.operator)
+    }
+
+    /// A successor of the daemon that listens there.
+    fn succeed(&self, old: &Pooler) -> Pooler {
+        let address = old.address.to_string();
+        Pooler::succeeding(PROGRAM, &self.list, &self.discovery, &self.operator, &address)
+    }
+
+    fn pid(&self) -> u32 {
+        std::fs::read_to_string(self.operator.0.join("pid")).unwrap().trim().parse().unwrap()
+    }
+}
+
+/// Clients that ask without pause, each query on a connection of its own or on one that it keeps.
+struct Load {
+    over: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    bad: Arc<Mutex<Vec<String>>>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn new(address: std::net::SocketAddr) -> Load {
+        let (over, served, bad) = (Arc::default(), Arc::default(), Arc::default());
+        let mut load = Load { over, served, bad, threads: Vec::new() };
+        for thread in 0..4 {
+            let (over, served, bad) = (load.over.clone(), load.served.clone(), load.bad.clone());
+            load.threads.push(std::thread::spawn(move || {
+                let mut kept: Option<Wire> = None;
+                for number in 0.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let mut wire = kept.take().unwrap_or_else(|| {
+                        let mut wire = Wire::over(std::net::TcpStream::connect(address).unwrap());
+                        wire.send(&startup());
+                        wire.answer();
+                        wire
+                    });
+                    let class = if number % 2 == 0 { "order-write" } else { "reports" };
+                    let sent = wire.try_send(&query(&ask(&format!("{thread}-{number}"), class)));
+                    let answer = if sent { wire.answer() } else { Vec::new() };
+                    match answer.first() {
+                        Some((b'T', _)) => {
+                            served.fetch_add(1, Ordering::SeqCst);
+                            kept = (thread % 2 == 0).then_some(wire);
+                        }
+                        // A kept connection that ended between requests: what was asked on it has not been taken.
+                        None if number > 0 && thread % 2 == 0 => {}
+                        Some((_, words)) => {
+                            bad.lock().unwrap().push(format!("{number}: {}", String::from_utf8_lossy(words)));
+                        }
+                        None => bad.lock().unwrap().push(format!("{number}: no answer")),
+                    }
+                }
+            }));
+        }
+        load
+    }
+
+    /// Waits for so many more answers.
+    fn more(&self, count: usize) {
+        let (until, begun) = (self.served.load(Ordering::SeqCst) + count, Instant::now());
+        while self.served.load(Ordering::SeqCst) < until {
+            assert!(begun.elapsed() < Duration::from_secs(20), "nothing is served any more");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn end(self) -> Vec<String> {
+        self.over.store(true, Ordering::SeqCst);
+        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
+        Arc::try_unwrap(self.bad).unwrap().into_inner().unwrap()
+    }
+}
+
+#[test]
+fn an_upgrade_under_load_loses_nothing() {
+    let world = World::new("upgrade-load");
+    let mut old = world.start();
+    let address = old.address;
+    let load = Load::new(address);
+    load.more(100);
+    let first = old.pid();
+    assert_eq!(world.pid(), first);
+    let mut new = world.succeed(&old);
+    assert!(new.logged("handover.known").contains("members=2"));
+    new.logged("handover.stands");
+    assert_eq!(old.ended().code(), Some(0));
+    assert_eq!((new.address, world.pid()), (address, new.pid()));
+    load.more(100);
+    // What only one daemon may have is the successor's: it takes changes, and can be succeeded in turn.
+    assert_eq!(new.config(&["status"]).0, 0);
+    let third = world.succeed(&new);
+    third.logged("handover.stands");
+    assert_eq!(new.ended().code(), Some(0));
+    load.more(100);
+    assert_eq!(load.end(), Vec::<String>::new());
+    assert_eq!(third.config(&["status"]).0, 0);
+    assert!(world.db.count() > 300);
+}
+
+#[test]
+fn a_successor_that_is_killed_at_any_step_leaves_the_old_daemon_at_work() {
+    let world = World::new("upgrade-killed");
+    let old = world.start();
+    let load = Load::new(old.address);
+    load.more(50);
+    // Once it has the descriptors, once it takes in clients, and at a time of chance in between.
+    for (step, line) in ["handover.known", "handover.taken", "listens on "].into_iter().enumerate() {
+        let mut new = world.succeed(&old);
+        if line != "listens on " {
+            new.logged(line);
+        }
+        new.kill();
+        old.logged("handover.back");
+        load.more(50);
+        assert_eq!(old.config(&["status"]).0, 0, "after step {step}");
+    }
+    // What the killed ones did to the history does no harm: a change is taken and outlasts the daemon.
+    let changed = format!("{}[tenant.new]\nquota_per_s = 5\n", world.settings);
+    let file = world.operator.write("changed.toml", &changed);
+    let (code, words) = old.config(&["apply", &file, "--confirm-within", "60"]);
+    assert_eq!(code, 0, "{words}");
+    assert_eq!(old.config(&["confirm"]).0, 0);
+    let new = world.succeed(&old);
+    new.logged("handover.stands");
+    assert!(new.config(&["show"]).1.contains("quota_per_s = 5"));
+    // Answers under way in a process that is killed are lost with it, and no others.
+    let bad = load.end();
+    assert!(bad.len() <= 4, "{bad:?}");
+}
+
+#[test]
+fn a_successor_that_fails_its_first_seconds_hands_back() {
+    let world = World::new("upgrade-bad");
+    let old = world.start();
+    let load = Load::new(old.address);
+    load.more(50);
+    // A new configuration under which nothing can be served: all machines are drained.
+    let good = &world.settings;
+    world
+        .operator
+        .write("dewferry.toml", &format!("{good}[override]\n\"s-1\" = \"drain\"\n\"s-2\" = \"drain\"\n"));
+    let mut new = world.succeed(&old);
+    new.logged("handover.yielded");
+    assert_eq!(new.ended().code(), Some(5));
+    old.logged("handover.back");
+    world.operator.write("dewferry.toml", good);
+    load.more(100);
+    assert_eq!(old.config(&["status"]).0, 0);
+    drop(load.end());
+}
+
+#[test]
+fn one_that_is_ending_or_does_not_listen_hands_nothing_over() {
+    let world = World::new("upgrade-denied");
+    let mut old = world.start();
+    let refused = |what: &str| {
+        let output = std::process::Command::new(PROGRAM)
+            .args(["serve", "--take-over", "--config"])
+            .arg(old.platform())
+            .arg("--operator")
+            .arg(world.operator.file())
+            .output()
+            .unwrap();
+        let words = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.code() == Some(2) && words.contains(what), "{words}");
+    };
+    let db = Db::listen();
+    drop(db);
+    let mut held = client(&old);
+    held.send(&query(&ask("1", "reports")));
+    assert_eq!(held.answer()[0].0, b'T');
+    old.signal("TERM");
+    old.logged("asked to end");
+    refused("draining");
+    assert_eq!(old.ended().code(), Some(0));
+    let output = std::process::Command::new(PROGRAM)
+        .args(["serve", "--take-over", "--config", "/nowhere", "--operator", "/nowhere"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+}
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -117,11 +117,14 @@
     pub last_call_s: f64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub pid_file: Option<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub handover: Option<PathBuf>,
+    pub trial_s: f64,
 }
 
 impl Default for Daemon {
     fn default() -> Self {
-        Daemon { drain_for_s: 30.0, last_call_s: 0.75, pid_file: None }
+        Daemon { drain_for_s: 30.0, last_call_s: 0.75, pid_file: None, handover: None, trial_s: 3.0 }
     }
 }
 
--- a/crates/operator/src/schema.rs
+++ b/crates/operator/src/schema.rs
@@ -299,6 +299,22 @@
         Start,
         "the process's number, locked while it runs: a second daemon with the same file does not start",
     ),
+    setting(
+        "daemon.handover",
+        Path,
+        "",
+        Means("no successor can take over", "\"/run/dewferry/handover\""),
+        Start,
+        "Unix socket by which `dewferry serve --take-over` takes the listeners over from this daemon, mode 0600",
+    ),
+    setting(
+        "daemon.trial_s",
+        Number(0.1, 60.0),
+        "s",
+        Is("3.0"),
+        Start,
+        "a successor whose first seconds go badly hands back within this",
+    ),
     setting(
         "registry.endpoints",
         Addresses(16),
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -21,6 +21,9 @@
 /// Far longer than anything here takes: only a test that has failed waits so long.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// How many poolers have been started: each has a configuration file of its own.
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
 /// Settings of five classes, as wide as they go, so that a slow machine changes no verdict.
 const SETTINGS: &str = r#"{"classes":[
 {"name":"browse","aim":8,"deadline":9,"effect":"read_like","value":1},
@@ -75,6 +78,18 @@
         Pooler::begin(program, list, discovery, &[], Some(operator), environment)
     }
 
+    /// A successor of the daemon that listens there with the same operator's file.
+    pub fn succeeding(
+        program: &str,
+        list: &str,
+        discovery: &Discovery,
+        operator: &Operator,
+        listen: &str,
+    ) -> Pooler {
+        let edits = [("127.0.0.1:0", listen)];
+        Pooler::begin(program, list, discovery, &edits, Some(operator), &[("TAKE_OVER", "1")])
+    }
+
     fn begin(
         program: &str,
         list: &str,
@@ -93,11 +108,18 @@
             text = text.replace(from, to);
         }
         let number = discovery.address().port();
-        let path = std::env::temp_dir().join(format!("dewferry-{}-{number}.json", std::process::id()));
+        let path = std::env::temp_dir().join(format!(
+            "dewferry-{}-{number}-{}.json",
+            std::process::id(),
+            STARTED.fetch_add(1, Ordering::SeqCst)
+        ));
         std::fs::write(&path, text).unwrap();
         let mut command = Command::new(program);
         command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
         command.envs(environment.iter().copied());
+        if environment.contains(&("TAKE_OVER", "1")) {
+            command.arg("--take-over");
+        }
         if let Some(operator) = operator {
             command.arg("--operator").arg(operator.file()).arg("--state").arg(operator.0.join("state"));
         }
@@ -178,8 +200,16 @@
         self.logged("taken=")
     }
 
+    /// Waits for its end.
     pub fn ended(&mut self) -> ExitStatus {
-        self.child.wait().unwrap()
+        let begun = std::time::Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(begun.elapsed() < PATIENCE, "the pooler does not end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
     }
 }
 
@@ -231,7 +261,7 @@
 pub struct Wire(pub TcpStream);
 
 impl Wire {
-    fn over(stream: TcpStream) -> Wire {
+    pub fn over(stream: TcpStream) -> Wire {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
         Wire(stream)
@@ -241,6 +271,11 @@
         self.0.write_all(bytes).unwrap();
     }
 
+    /// Whether it could be sent.
+    pub fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).is_ok()
+    }
+
     /// The next message; none where the connection has ended.
     pub fn message(&mut self) -> Option<Message> {
         let mut head = [0; 5];
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,9 +16,11 @@
 
 mod check;
 pub mod interface;
+mod learned;
 mod policy;
 mod reconfigure;
 mod state;
 
 pub use check::{check, SettingsError};
+pub use learned::Learned;
 pub use policy::Policy;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -271,7 +271,7 @@
 
     /// Settles who the group's primary is: the best dated claim. What a member said of itself beats the list,
     /// whose roles are late; among claims the newest wins. Then held requests move.
-    fn settle(&mut self, group: u32, out: &mut Vec<Action>) {
+    pub(crate) fn settle(&mut self, group: u32, out: &mut Vec<Action>) {
         let late = self.settings.ask_within * LIST_LATE;
         let Some(state) = self.groups.get(&group) else { return };
         let claim = |m: usize| {
@@ -764,7 +764,7 @@
     }
 
     /// Remembers a session's last commit; what is forgotten raises the floor for all unknown sessions.
-    fn remember(&mut self, session: Arc<str>, commit: f64) {
+    pub(crate) fn remember(&mut self, session: Arc<str>, commit: f64) {
         if self.settings.tokens_carried {
             return;
         }
