--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -169,6 +169,18 @@
     /// The end of the probation.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub until: Option<f64>,
+    /// Where the daemon is in its life: `starting`, `ready`, `reloading`, `draining`, `closing` or `cutting`.
+    #[serde(default)]
+    pub life: String,
+    #[serde(default)]
+    pub pid: u32,
+    /// Final answers since its start.
+    #[serde(default)]
+    pub served: u64,
+    #[serde(default)]
+    pub refused: u64,
+    #[serde(default)]
+    pub failed: u64,
     pub members: usize,
     pub requests: usize,
     pub overrides: usize,
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod config;
+mod fleet;
 mod print;
 mod registry;
 mod route;
@@ -37,6 +38,7 @@
 enum Command {
     Serve(Serve),
     Config(config::Args),
+    Fleet(fleet::Args),
     Registry(registry::Args),
     Route(route::Args),
     Users(users::Args),
@@ -114,6 +116,7 @@
             }
         }
         Command::Config(args) => return config::run(args),
+        Command::Fleet(args) => return fleet::run(args),
         Command::Registry(args) => return registry::run(args),
         Command::Route(args) => return route::run(args),
         Command::Users(args) => return users::run(args),
--- a/crates/daemon/src/net/change.rs
+++ b/crates/daemon/src/net/change.rs
@@ -13,6 +13,7 @@
     Stage, Start, Verdict, View, TURN,
 };
 
+use crate::counters::Counters;
 use crate::files;
 use crate::store::{Store, Writer};
 
@@ -281,7 +282,7 @@
     }
 
     /// What is in force and under way.
-    pub fn status(&self, requests: usize) -> Response {
+    pub fn status(&self, requests: usize, life: lifecycle::Stage, counters: &Counters) -> Response {
         let current = self.machine.current();
         let (stage, until) = match self.machine.stage() {
             Stage::Idle => ("idle", None),
@@ -301,6 +302,11 @@
             confirmed: self.machine.base().number,
             stage: stage.into(),
             until,
+            life: life.words().into(),
+            pid: std::process::id(),
+            served: counters.served,
+            refused: counters.refused,
+            failed: counters.failed,
             members: self.roster.listed().count(),
             requests,
             overrides: self.effective.document.overrides.len(),
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -23,6 +23,7 @@
 use event_loop::{Reactor, Slot};
 
 pub(crate) use change::words;
+pub(crate) use control::Bound;
 pub(crate) use proxy::{serve, Operator};
 
 /// Something to send to a db machine.
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -201,12 +201,17 @@
         });
         // All that can be asked of it is there once the log says that it listens.
         let control = controls.transpose()?;
-        let bind = |inherited: &mut Option<Inherited>, pool: bool, address: SocketAddr| match inherited
-            .as_mut()
-            .and_then(|inherited| inherited.listener(pool, address))
-        {
-            Some(listener) => Ok(listener),
-            None => TcpListener::bind(address),
+        // Sockets that a service manager has bound come before any other: it says where it wants to be called.
+        let mut activated = listenfd::ListenFd::from_env();
+        let mut bind = |inherited: &mut Option<Inherited>, pool: bool, address: SocketAddr| {
+            if let Some(listener) = activated.take_tcp_listener(usize::from(pool))? {
+                listener.set_nonblocking(true)?;
+                return Ok(TcpListener::from_std(listener));
+            }
+            match inherited.as_mut().and_then(|inherited| inherited.listener(pool, address)) {
+                Some(listener) => Ok(listener),
+                None => TcpListener::bind(address),
+            }
         };
         let listener = bind(&mut inherited, false, effective.listen)?;
         let address = listener.local_addr()?;
@@ -888,7 +893,7 @@
                     None => Response::new(Code::Nothing, "no such confirmed generation is kept"),
                 }
             }
-            Call::Status {} => changes.status(self.requests.len()),
+            Call::Status {} => changes.status(self.requests.len(), self.life.stage(), &context.counters),
             Call::History {} => {
                 let entries = changes.machine.history().entries().cloned().collect();
                 Response { history: Some(entries), ..Response::new(Code::Ok, "the newest last") }
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -15,7 +15,8 @@
 
 use crate::files;
 
-const LOG: &str = "steps.log";
+/// The history.
+pub(crate) const LOG: &str = "steps.log";
 const LOCK: &str = "lock";
 const NEW: &str = "steps.new";
 /// The view of a registry, and the file that takes its place.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -35,6 +35,15 @@
 "limits":{"cancel":true,"connectTimeout":1,"keepalive":15,"maxAttempts":6,"maxRetryAfter":0.5,"probes":false,"retryAfter":true},
 "specifics":{"consistency":["bounded","session","any","write"],"stalenessBound":[3,0,0,0],"whenBehind":"silent","writeMarks":"remembered"}}"#;
 
+/// The platform's configuration with this list.
+pub fn platform_of(list: &str, discovery: &Discovery) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+        "limits":{{"memory_mb":192,"sockets":1024}},"known":{list},"settings":{SETTINGS}}}"#,
+        discovery.address()
+    )
+}
+
 pub struct Pooler {
     child: Child,
     log: Mutex<Receiver<String>>,
@@ -98,11 +107,7 @@
         operator: Option<&Operator>,
         environment: &[(&str, &str)],
     ) -> Pooler {
-        let mut text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"memory_mb":192,"sockets":1024}},"known":{list},"settings":{SETTINGS}}}"#,
-            discovery.address()
-        );
+        let mut text = platform_of(list, discovery);
         for (from, to) in edits {
             assert!(text.contains(from), "{from} is not in the configuration");
             text = text.replace(from, to);
