What a successor cannot read is told once there is a log; the close names its case

The fault is carried along and told where what is known is taken over. The close computed from the stage what is always false there. A listener of a test that nobody used is gone.

--- a/crates/daemon/src/net/proxy/handover.rs
+++ b/crates/daemon/src/net/proxy/handover.rs
@@ -11,8 +11,8 @@
 
 use buffer::Lines;
 use handover::{
-    Act, Do, Giver, Heard, Known, Member, Place, Say, Seen, Snapshot, Taker, Trial, LONGEST, LONGEST_LINE,
-    OLDEST, PATIENCE, VERSION,
+    Act, Do, Fault, Giver, Heard, Known, Member, Place, Say, Seen, Snapshot, Taker, Trial, LONGEST,
+    LONGEST_LINE, OLDEST, PATIENCE, VERSION,
 };
 use lifecycle::{Input as Lived, Stage};
 use listing::Listing;
@@ -94,7 +94,7 @@
 pub(crate) struct Inherited {
     stream: std::os::unix::net::UnixStream,
     fds: HashMap<String, OwnedFd>,
-    known: Option<Known>,
+    known: Result<Known, Fault>,
 }
 
 impl Inherited {
@@ -138,14 +138,7 @@
         let before = rest.len();
         rest.resize(length.max(before), 0);
         stream.read_exact(&mut rest[before..]).map_err(|error| named(&error))?;
-        let known = match Snapshot::decode(&rest, (OLDEST, VERSION)) {
-            Ok(snapshot) => Some(snapshot.at(now)),
-            Err(fault) => {
-                // It starts like one that has nobody before it, with the listeners.
-                logging::warn!(event = "handover.cold", "what the old daemon knows is not used: {fault}");
-                None
-            }
-        };
+        let known = Snapshot::decode(&rest, (OLDEST, VERSION)).map(|snapshot| snapshot.at(now));
         let _ = stream.set_read_timeout(None);
         Ok(Inherited { stream, fds: names.into_iter().zip(got).collect(), known })
     }
@@ -172,7 +165,7 @@
 
     /// What the old daemon knew of the list, and its version.
     pub fn list(&self) -> Option<(u64, Vec<Listing>)> {
-        let known = self.known.as_ref().filter(|known| !known.places.is_empty())?;
+        let known = self.known.as_ref().ok().filter(|known| !known.places.is_empty())?;
         Some((known.index, known.places.iter().filter_map(listing).collect()))
     }
 }
@@ -223,7 +216,8 @@
 pub(super) struct FromPredecessor {
     taker: Taker,
     conn: Conn,
-    known: Option<Known>,
+    /// What the old daemon knew, until it is taken over.
+    known: Option<Result<Known, Fault>>,
     /// Answers, and bad ones among them, when clients were first taken in.
     base: (u64, u64),
 }
@@ -238,14 +232,24 @@
         let mut out = Vec::new();
         let trial = Trial { seconds: trial_s, ..Trial::default() };
         let taker = Taker::new(trial, context.reactor.now(), &mut out);
-        Ok((FromPredecessor { taker, conn: Conn::new(stream), known, base: (0, 0) }, out))
+        Ok((FromPredecessor { taker, conn: Conn::new(stream), known: Some(known), base: (0, 0) }, out))
     }
 }
 
 impl Proxy {
     /// Takes over what the old daemon knew, once the members are listed.
     pub(super) fn inherit(&mut self, context: &mut Context) {
-        let Some(known) = self.ancestor.as_mut().and_then(|ancestor| ancestor.known.take()) else { return };
+        let known = match self.ancestor.as_mut().and_then(|ancestor| ancestor.known.take()) {
+            Some(Ok(known)) => known,
+            Some(Err(fault)) => {
+                // It starts like one that has nobody before it, with the listeners.
+                return logging::warn!(
+                    event = "handover.cold",
+                    "what the old daemon knows is not used: {fault}"
+                );
+            }
+            None => return,
+        };
         let members = known.members.iter().map(|member| Learned {
             member: member.name.as_str().into(),
             primary: member.primary,
--- a/crates/daemon/src/net/proxy/life.rs
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -193,9 +193,7 @@
                 Action::Timer(at) => context.reactor.timer(at, Due::Life),
                 Action::SendAway => self.send_away(context),
                 Action::Close => {
-                    self.sessions.iter_mut().for_each(|sessions| {
-                        sessions.end(!self.life.machine.stage().ends(), context);
-                    });
+                    self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
                     self.clients.close(context);
                 }
                 Action::Cut => self.cut(context),
--- a/crates/daemon/tests/upgrade.rs
+++ b/crates/daemon/tests/upgrade.rs
@@ -206,8 +206,6 @@
         let words = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(output.status.code() == Some(2) && words.contains(what), "{words}");
     };
-    let db = Db::listen();
-    drop(db);
     let mut held = client(&old);
     held.send(&query(&ask("1", "reports")));
     assert_eq!(held.answer()[0].0, b'T');
