One outbox for the control socket and for hand-overs

Reread: the hand-over's connection wrote what waits by a loop that the control socket's had already. Outbox holds the bytes and writes them as far as it goes; both use it.

--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -11,6 +11,7 @@
 use mio::Interest;
 
 use super::event_loop::{Due, Slot, Slots, Source};
+use super::outbox::Outbox;
 use super::{Context, Event};
 
 /// Most connections at a time; a further one is closed at once.
@@ -23,8 +24,7 @@
 struct Conn {
     stream: UnixStream,
     lines: Lines,
-    outbox: Vec<u8>,
-    written: usize,
+    outbox: Outbox,
     /// A call of it is not answered yet; no further one is read until then.
     waits: bool,
     /// Ends once all is written.
@@ -84,8 +84,7 @@
             let conn = Conn {
                 stream,
                 lines: Lines::new(LONGEST_LINE),
-                outbox: Vec::new(),
-                written: 0,
+                outbox: Outbox::default(),
                 waits: false,
                 ending: false,
                 heard,
@@ -150,7 +149,7 @@
         let now = context.reactor.now();
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.waits) else { return };
         (conn.waits, conn.heard) = (false, now);
-        conn.outbox.extend(response.line());
+        conn.outbox.push(&response.line());
         context.reactor.timer(now + self.idle, Due::Caller(slot));
         self.ready(slot, context);
     }
@@ -222,19 +221,12 @@
 
 impl Conn {
     fn flush(&mut self, now: f64) -> io::Result<()> {
-        while self.written < self.outbox.len() {
-            match self.stream.write(&self.outbox[self.written..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => {
-                    self.written += count;
-                    self.heard = now;
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
+        if self.outbox.flush(&mut self.stream)? {
+            self.heard = now;
+        }
+        if !self.outbox.is_empty() {
+            return Ok(());
         }
-        (self.outbox, self.written) = (Vec::new(), 0);
         if self.ending {
             return Err(ErrorKind::ConnectionAborted.into());
         }
@@ -243,7 +235,7 @@
 
     /// Says what is wrong and ends the connection once that is written.
     fn last_word(&mut self, code: Code, fault: String, now: f64) -> io::Result<()> {
-        self.outbox.extend(Response::new(code, fault).line());
+        self.outbox.push(&Response::new(code, fault).line());
         self.ending = true;
         self.flush(now)
     }
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod discovery;
 mod event_loop;
+mod outbox;
 mod proxy;
 mod registry;
 mod servers;
--- a/crates/daemon/src/net/proxy/handover.rs
+++ b/crates/daemon/src/net/proxy/handover.rs
@@ -28,6 +28,7 @@
 use super::{Controls, Proxy};
 use crate::net::control::Bound;
 use crate::net::event_loop::{Due, Source};
+use crate::net::outbox::Outbox;
 use crate::net::Context;
 
 /// Most descriptors that go along with an offer.
@@ -42,31 +43,20 @@
 struct Conn {
     stream: UnixStream,
     lines: Lines,
-    outbox: Vec<u8>,
-    written: usize,
+    outbox: Outbox,
 }
 
 impl Conn {
     fn new(stream: UnixStream) -> Conn {
-        Conn { stream, lines: Lines::new(LONGEST_LINE), outbox: Vec::new(), written: 0 }
+        Conn { stream, lines: Lines::new(LONGEST_LINE), outbox: Outbox::default() }
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        while self.written < self.outbox.len() {
-            match self.stream.write(&self.outbox[self.written..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.written += count,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
-        }
-        (self.outbox, self.written) = (Vec::new(), 0);
-        Ok(())
+        self.outbox.flush(&mut self.stream).map(drop)
     }
 
     fn say(&mut self, say: &Say) {
-        self.outbox.extend(say.line());
+        self.outbox.push(&say.line());
         // A fault is found out again by reading.
         let _ = self.flush();
     }
@@ -394,7 +384,7 @@
         // Nothing was said to it before: the line fits into the socket whole.
         let sent = sendmsg(&conn.stream, &[IoSlice::new(&line)], &mut control, SendFlags::NOSIGNAL);
         if room && sent == Ok(line.len()) {
-            conn.outbox.extend(bytes);
+            conn.outbox.push(&bytes);
             let _ = conn.flush();
         } else {
             logging::error!(event = "handover.back", "the descriptors cannot be sent: {sent:?}");
