A session takes over a connection that is being made for nobody, in place of a second

A probe of each opening showed why: a scout's connection to the server was still being made, for nobody, and the session that came meanwhile opened its own beside it. It now takes that one over; if it fails, the attempt ends as one of its own would.

--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -812,11 +812,29 @@
                     self.close(Slot::of(number));
                     return self.open(Some(slot), key, member, address, context);
                 }
-                Choice::Open => return self.open(Some(slot), key, member, address, context),
+                Choice::Open => match self.unclaimed(&key, address) {
+                    Some(place) => return self.claim(slot, place),
+                    None => return self.open(Some(slot), key, member, address, context),
+                },
             }
         }
     }
 
+    /// A connection that is being made for nobody: of a scout, or of a session that no longer wants it.
+    fn unclaimed(&self, key: &Key, address: SocketAddr) -> Option<Slot> {
+        let made = |at| matches!(at, At::Connecting | At::Asking | At::Starting);
+        let fits =
+            |b: &Backend| b.key == *key && b.address == address && b.client.is_none() && b.drain.is_none();
+        self.backends.iter().find(|(_, backend)| made(backend.at) && fits(backend)).map(|(place, _)| place)
+    }
+
+    /// A connection that is being made for nobody is made for this session from now on.
+    fn claim(&mut self, slot: Slot, place: Slot) {
+        if let (Some(conn), Some(backend)) = (self.conns.get_mut(slot), self.backends.get_mut(place)) {
+            (conn.backend, backend.client) = (Some(place), Some(slot));
+        }
+    }
+
     /// Whether an idle connection has not ended meanwhile without that having been looked at.
     fn is_alive(&mut self, slot: Slot) -> bool {
         let Some(backend) = self.backends.get_mut(slot) else { return false };
