A pushed list is followed: the driver asks the agent, whoever else does not

At fault: crates/config/src/lib.rs:103, where only 'subscribe' made the decisions ask for the list, and net/proxy.rs:373, where Action::Listen was the only thing that opened a watch. Ruled out by the simulator, where the same settings keep all drains: changes come unasked there, so the decisions and the adapter are right and must not ask.

Now the driver follows a pushed list by itself: at once, again a connect time-out after a failure, and after 3 s of silence in place of 5, since calls to an agent are free and what it holds counts as told. An unknown registryMode is turned away with what would be accepted; it was taken for a pushed list without a word.

Five stories hold it.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,6 +27,32 @@
     }
 }
 
+/// How the list of db machines comes to a pooler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    /// One service for all poolers: a call costs it something, and it is asked as the decisions say.
+    Asked,
+    /// Told unasked; on sockets by an agent on the pooler's own machine, whom to ask costs nothing.
+    Pushed,
+}
+
+impl ListSource {
+    /// The source that the settings name; where they name none, one that may be asked has always been meant.
+    fn of(info: Node) -> Result<ListSource, ConfigError> {
+        let mode = info.at("registryMode");
+        match mode.text() {
+            Some("subscribe") => Ok(ListSource::Asked),
+            Some("automatic") => Ok(ListSource::Pushed),
+            Some(other) => Err(format!(
+                "'registryMode' is \"{other}\"; accepted: \"subscribe\" (the list is asked for), \"automatic\" (it is pushed)"
+            )
+            .into()),
+            None if mode.is_null() => Ok(ListSource::Pushed),
+            None => Err("'registryMode' is not a text".to_string().into()),
+        }
+    }
+}
+
 /// A number under that name; `absent` where there is none, a fault where it is something else.
 fn number_or(node: Node, name: &str, absent: f64) -> Result<f64, ConfigError> {
     let value = node.at(name);
@@ -100,7 +126,7 @@
         retry_after: limits.at("retryAfter").flag(),
         max_retry_after: number_or(limits, "maxRetryAfter", 0.0)?,
         connect_timeout: number_or(limits, "connectTimeout", 0.25)?,
-        subscribe: info.at("registryMode").text() == Some("subscribe"),
+        subscribe: ListSource::of(info)? == ListSource::Asked,
         ask_within: number_or(rules, "askWithin", 10.0)?,
         cold_from: number_or(rules, "coldFrom", 1.0)?,
         warm_up: number_or(rules, "warmUp", 0.0)?,
@@ -133,6 +159,8 @@
     pub memory: usize,
     /// What the policy is handed.
     pub settings: Settings,
+    /// How the list comes.
+    pub source: ListSource,
     /// Names of the classes, in the order of the settings.
     pub classes: Vec<String>,
     /// Names of the tenants, in the order of the settings.
@@ -185,6 +213,7 @@
             sockets: number_or(root.at("limits"), "sockets", 1024.0)? as usize,
             memory: (number_or(root.at("limits"), "memory_mb", 192.0)? * 1e6) as usize,
             settings,
+            source: ListSource::of(info)?,
             classes: names("classes")?,
             tenants: names("customers")?,
             zones: names("zones")?,
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -12,8 +12,10 @@
 use super::{Context, Event};
 
 const PATH: &str = "/catalog/members";
-/// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s.
+/// A watch that says nothing for so long is given up (seconds): an empty line is due every 2 s. An agent costs
+/// nothing to ask and what it holds counts as told, so it is asked again sooner.
 const SILENCE: f64 = 5.0;
+const SILENCE_OF_AGENT: f64 = 3.0;
 /// Longest line of a watch (bytes).
 const LONGEST_LINE: usize = 1024 * 1024;
 
@@ -80,14 +82,32 @@
     current: Option<Slot>,
     budget: Budget,
     index: u64,
+    /// Where the list is pushed: how long after a failure the agent is asked again (seconds). None where the
+    /// decisions say when to ask.
+    follow: Option<f64>,
     /// What is wrong at present; logged when it changes, not with each call that fails.
     trouble: Option<Broken>,
 }
 
 impl Discovery {
     /// Holds the list of that index, and no watch yet.
-    pub fn new(address: SocketAddr, index: u64, budget: Budget) -> Discovery {
-        Discovery { address, watches: Slots::new(), current: None, budget, index, trouble: None }
+    pub fn new(address: SocketAddr, index: u64, follow: Option<f64>, budget: Budget) -> Discovery {
+        Discovery { address, watches: Slots::new(), current: None, budget, index, follow, trouble: None }
+    }
+
+    /// Where the list is pushed, sees to it that there is a watch: nobody else will ask for one.
+    pub fn follow(&mut self, context: &mut Context) {
+        if self.follow.is_some() && self.current.is_none() {
+            self.listen(context);
+        }
+    }
+
+    fn silence(&self) -> f64 {
+        if self.follow.is_some() {
+            SILENCE_OF_AGENT
+        } else {
+            SILENCE
+        }
     }
 
     /// The version of the list that is held.
@@ -140,7 +160,7 @@
         if pushed.is_err() || registered.is_err() {
             return self.failed("no connection", context);
         }
-        context.reactor.timer(heard + SILENCE, Due::Discovery(slot));
+        context.reactor.timer(heard + self.silence(), Due::Discovery(slot));
     }
 
     fn failed(&mut self, why: Broken, context: &mut Context) {
@@ -150,6 +170,9 @@
         if self.trouble.replace(why) != Some(why) {
             logging::warn!(event = "discovery.lost", "discovery: {why}");
         }
+        if let Some(wait) = self.follow {
+            context.reactor.timer(context.reactor.now() + wait, Due::Follow);
+        }
         context.events.push_back(Event::Members(ListKind::Failed, Vec::new()));
     }
 
@@ -189,8 +212,9 @@
 
     /// Looks whether the watch has been silent for too long: one that is cut off would stay open for ever.
     pub fn due(&mut self, slot: Slot, context: &mut Context) {
+        let silence = self.silence();
         let Some(watch) = self.watches.get_mut(slot) else { return };
-        let until = watch.heard + SILENCE;
+        let until = watch.heard + silence;
         if context.reactor.now() >= until {
             self.failed("silent", context);
         } else {
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -155,6 +155,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Due {
     Policy(u64),
+    /// A list that is pushed is to be followed again.
+    Follow,
     Accept,
     Rested,
     Client(Slot),
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -12,7 +12,7 @@
 
 use ::control::{Call, Code, Response};
 use buffer::Budget;
-use config::Config;
+use config::{Config, ListSource};
 use exchange::{Answer, Query, Statement};
 use lifecycle::Input as Lived;
 use listing::Listing;
@@ -240,12 +240,13 @@
         let ancestor = inherited.map(|inherited| FromPredecessor::new(inherited, trial_s, context));
         let (ancestor, comes) =
             ancestor.transpose()?.map_or((None, Vec::new()), |(from, does)| (Some(from), does));
+        let follow = (config.source == ListSource::Pushed).then_some(connect_timeout);
         let mut proxy = Proxy {
             policy,
             sessions,
             clients: Clients::new(listener, clients, budget.clone(), context)?,
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
-            discovery: Discovery::new(effective.discovery, index, budget.clone()),
+            discovery: Discovery::new(effective.discovery, index, follow, budget.clone()),
             registry: None,
             seed: config.seed,
             name: config.name.clone(),
@@ -281,6 +282,7 @@
         proxy.taken(comes, context);
         proxy.intend(&effective, context);
         proxy.source(&effective, context);
+        proxy.follow(context);
         proxy.drain(context);
         Ok(proxy)
     }
@@ -318,6 +320,14 @@
         }
     }
 
+    /// Follows a list that is pushed, unless the operator's file has one of its own or names a registry.
+    fn follow(&mut self, context: &mut Context) {
+        let fixed = self.changes.as_ref().is_some_and(|changes| changes.roster.is_fixed());
+        if !fixed && self.registry.is_none() {
+            self.discovery.follow(context);
+        }
+    }
+
     /// Tells the policy and carries out its actions in their order.
     fn tell(&mut self, event: interface::Event, context: &mut Context) {
         let actions = self.decide(event, context);
@@ -753,6 +763,8 @@
         self.sessions.iter_mut().for_each(|sessions| sessions.set(pool, effective.routes(), now));
         self.source(&effective, context);
         self.intend(&effective, context);
+        // A list of the operator's own may have been taken out.
+        self.follow(context);
         if let Some(changes) = &mut self.changes {
             changes.effective = effective;
         }
@@ -996,6 +1008,7 @@
     fn due(&mut self, due: Due, context: &mut Context) {
         match due {
             Due::Policy(cookie) => self.tell(interface::Event::Timer { cookie }, context),
+            Due::Follow => self.follow(context),
             Due::Accept => self.clients.accept(context),
             Due::Rested => self.clients.sweep(context),
             Due::Client(slot) => self.clients.due(slot, context),
--- /dev/null
+++ b/crates/daemon/tests/deployments.rs
@@ -0,0 +1,100 @@
+//! Stories over loopback of what one deployment has and another has not: where the list comes from, what
+//! machines tell, and whether a request may be out twice.
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use peers::*;
+use rstest::rstest;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
+
+const VALUE: &[u8] = b"\x9f\x00\x03";
+/// The list comes unasked, from an agent.
+const PUSHED: (&str, &str) = (r#""registryMode":"subscribe""#, r#""registryMode":"automatic""#);
+
+/// Tells a watch that has just been opened, or one that is open, of a list.
+fn tell(watch: &mut TcpStream, first: bool, news: &str) {
+    let head = if first { HEAD.as_bytes() } else { b"" };
+    watch.write_all(&[head, &chunks([news.as_bytes(), b"\n"])].concat()).unwrap();
+}
+
+/// One read, answered by the next connection of this machine.
+fn read_from(db: &Db, client: &mut Wire, id: &str) -> Wire {
+    client.send(&query(&ask(id, "reports")));
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains(&format!("id={id},")));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    wire
+}
+
+#[rstest]
+#[case::refuses(0)]
+#[case::ends_the_watch(1)]
+#[case::is_silent(2)]
+fn an_agent_that_was_away_is_asked_again_by_itself_and_its_list_binds(#[case] away: u8) {
+    let (drained, removed, new) = (Db::listen(), Db::listen(), Db::listen());
+    let agent = Discovery::listen();
+    let known = list(41, true, &[drained.line("s-1", "here"), removed.line("s-2", "here")]);
+    let pooler = Pooler::start(PROGRAM, &known, &agent, &[PUSHED]);
+    let (mut watch, line) = agent.call();
+    assert!(line.contains("follow=1&since=41 "), "{line}");
+    match away {
+        0 => drop(watch),
+        1 => watch.write_all([HEAD, "0\r\n\r\n"].concat().as_bytes()).unwrap(),
+        // It has been told of the call and says nothing: nobody could tell that from a cut.
+        _ => {}
+    }
+    // Without any request, which would make the decisions look at the list.
+    let (mut watch, line) = agent.call();
+    assert!(line.contains("follow=1&since=41 "), "{line}");
+    let whole = [drained.line("s-1", "here").replace("SERVING", "DRAINING"), new.line("s-3", "here")];
+    tell(&mut watch, true, &list(50, true, &whole));
+    let mut client = client(&pooler);
+    while !pooler.counters().contains(" lists=2") {}
+    let mut wire = read_from(&new, &mut client, "1");
+    // Changes follow on the same watch.
+    tell(&mut watch, false, &list(51, false, &[new.line("s-3", "here").replace("SERVING", "DELETED")]));
+    wire.ends();
+    client.send(&query(&ask("2", "reports")));
+    assert_eq!(client.error().0, "53300");
+    assert!(wire.message().is_none());
+}
+
+#[test]
+fn another_agent_is_followed_while_lines_of_the_old_one_still_come() {
+    let (old, new) = (Db::listen(), Db::listen());
+    let (first, second) = (Discovery::listen(), Discovery::listen());
+    let known = list(41, true, &[old.line("s-1", "here")]);
+    let pooler = Pooler::start(PROGRAM, &known, &first, &[PUSHED]);
+    let mut watch = first.call().0;
+    // Half a line of the old agent's is there when the other takes its place.
+    let late = list(99, true, &[old.line("s-9", "here")]);
+    watch.write_all(&[HEAD.as_bytes(), &chunks([&late.as_bytes()[..20]])].concat()).unwrap();
+    pooler.reload(&first.address().to_string(), &second.address().to_string());
+    let (mut news, line) = second.call();
+    assert!(line.contains("follow=1&since=0 "), "{line}");
+    let _ = watch.write_all(&chunks([&late.as_bytes()[20..], b"\n"]));
+    tell(&mut news, true, &list(3, true, &[new.line("s-2", "here")]));
+    while !pooler.counters().contains(" lists=2") {}
+    read_from(&new, &mut client(&pooler), "1");
+    // The version held is the new agent's.
+    drop(news);
+    assert!(second.call().1.contains("follow=1&since=3 "));
+}
+
+#[test]
+fn a_source_of_the_list_that_is_not_known_is_turned_away_with_what_would_be_accepted() {
+    let path = std::env::temp_dir().join(format!("dewferry-source-{}.json", std::process::id()));
+    let platform = platform_of(&list(0, true, &[]), &Discovery::listen());
+    std::fs::write(&path, platform.replace(PUSHED.0, r#""registryMode":"gossip""#)).unwrap();
+    let output = std::process::Command::new(PROGRAM).args(["check-config", "--config"]).arg(&path).output();
+    let _ = std::fs::remove_file(&path);
+    let output = output.unwrap();
+    assert!(!output.status.success());
+    let words = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+    for part in ["registryMode", "gossip", "subscribe", "automatic", &*path.to_string_lossy()] {
+        assert!(words.contains(part), "{part} is not in: {words}");
+    }
+}
