The end of every copy reaches the decisions, and the one that loses is withdrawn

At fault: net/proxy.rs:64, a request remembered one attempt only, and :563 forgot it with the first end. The other copy's end was told to nobody, its member's in_flight in the decisions never went down again, and ever more was refused. Ruled out: places for clients (descriptors were free), the list (drains kept since it is followed) and the simulator, which tells every end. A connection used again could also have been cancelled for the request before it (net/servers.rs, cancel): the attempt is now checked.

--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -59,8 +59,9 @@
     client: Option<Owed>,
     statement: Rc<Statement>,
     attempts: usize,
-    /// The attempt that is out, until its end is handled: its number and its connection, if it has one.
-    out: Option<(usize, Option<Slot>)>,
+    /// The attempts that are out, each until its end is handled: its number and its connection, if it has one.
+    /// More than one where the settings allow second copies; never more than `max_attempts`.
+    out: Vec<(usize, Option<Slot>)>,
     /// What it counts under: the lasting number of its class, its group, whether it is a repeat, its tenant.
     class: u16,
     group: u32,
@@ -69,6 +70,13 @@
     taken: f64,
 }
 
+impl Request {
+    /// The connection of an attempt that is out.
+    fn slot_of(&self, attempt: usize) -> Option<Slot> {
+        self.out.iter().find(|(number, _)| *number == attempt).and_then(|(_, slot)| *slot)
+    }
+}
+
 struct Proxy {
     policy: Policy,
     clients: Clients,
@@ -350,22 +358,21 @@
                     context.counters.sent += 1;
                     if let (Some(Owed::Session(slot)), Some(sessions)) = (request.client, &mut self.sessions)
                     {
-                        request.out = Some((number, None));
+                        request.out.push((number, None));
                         sessions.give(slot, &id, number, &member, timeout, context);
                         continue;
                     }
                     let task = Task::Attempt(id, number, request.statement.clone());
-                    request.out = Some((number, self.servers.send(task, &member, timeout, context)));
+                    request.out.push((number, self.servers.send(task, &member, timeout, context)));
                 }
                 Action::Cancel { id, attempt } => {
                     let request = self.requests.get(&id);
-                    let out = request.and_then(|request| request.out);
                     if let (Some(Owed::Session(slot)), Some(sessions)) =
                         (request.and_then(|request| request.client), &mut self.sessions)
                     {
                         sessions.withdraw(slot, attempt, context);
-                    } else if let Some((_, Some(slot))) = out.filter(|(number, _)| *number == attempt) {
-                        self.servers.cancel(slot, context);
+                    } else if let Some(slot) = request.and_then(|request| request.slot_of(attempt)) {
+                        self.servers.cancel(slot, &id, attempt, context);
                     }
                 }
                 Action::Refuse { id, backoff } => self.answer(&id, Answer::Refused(backoff), context),
@@ -419,7 +426,7 @@
             client: Some(Owed::Client(client)),
             statement: Rc::new(query.statement),
             attempts: 0,
-            out: None,
+            out: Vec::new(),
             class: counted,
             group: query.group,
             repeat: query.repeat,
@@ -461,7 +468,7 @@
             client: Some(Owed::Session(slot)),
             statement: Rc::new(Statement::new("".into(), 0..0)),
             attempts: 0,
-            out: None,
+            out: Vec::new(),
             class: counted,
             group,
             repeat: false,
@@ -479,7 +486,7 @@
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
         // One that was withdrawn may be told of after the next was begun.
-        request.out.take_if(|(number, _)| *number == attempt);
+        request.out.retain(|(number, _)| *number != attempt);
         let finished = request.client.is_none();
         if finished {
             if let Some(changes) = &mut self.changes {
@@ -511,11 +518,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         context.counters.gone += 1;
         request.client = None;
-        let out = request.out;
         self.tell(interface::Event::Gone { id: id.clone() }, context);
-        if let Some((_, Some(slot))) = out {
-            self.servers.cancel(slot, context);
-        }
+        self.give_up(&id, context);
         self.forget(&id);
     }
 
@@ -545,9 +549,17 @@
         self.forget(id);
     }
 
+    /// Gives up whatever is still out for a request that nobody waits for.
+    fn give_up(&mut self, id: &RequestId, context: &mut Context) {
+        let out = self.requests.get(id).map(|request| request.out.clone()).unwrap_or_default();
+        for (attempt, slot) in out {
+            slot.into_iter().for_each(|slot| self.servers.cancel(slot, id, attempt, context));
+        }
+    }
+
     /// Forgets a request that neither a client nor an attempt waits for.
     fn forget(&mut self, id: &RequestId) {
-        if self.requests.get(id).is_some_and(|request| request.client.is_none() && request.out.is_none()) {
+        if self.requests.get(id).is_some_and(|request| request.client.is_none() && request.out.is_empty()) {
             self.requests.remove(id);
         }
     }
@@ -560,7 +572,8 @@
         };
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.out = None;
+        // Another copy may still be out: its end is owed to the decisions, which count what each machine holds.
+        request.out.retain(|(number, _)| *number != attempt);
         let served = outcome == Outcome::Ok;
         let finished = served || request.client.is_none();
         let done =
--- a/crates/daemon/src/net/proxy/life.rs
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -173,7 +173,7 @@
     pub(super) fn owed(&self) -> Owed {
         let mut owed = Owed::default();
         for request in self.requests.values().filter(|request| request.client.is_some()) {
-            *if request.out.is_some() { &mut owed.out } else { &mut owed.waiting } += 1;
+            *if !request.out.is_empty() { &mut owed.out } else { &mut owed.waiting } += 1;
         }
         owed.clients = self.clients.len() + self.sessions.as_ref().map_or(0, Sessions::len);
         owed
@@ -259,7 +259,7 @@
     /// Those that wait for a server are told when to come back: not all at once.
     fn send_away(&mut self, context: &mut Context) {
         let waiting =
-            self.requests.iter().filter(|(_, request)| request.client.is_some() && request.out.is_none());
+            self.requests.iter().filter(|(_, request)| request.client.is_some() && request.out.is_empty());
         let waiting: Vec<RequestId> = waiting.map(|(id, _)| id.clone()).collect();
         if !waiting.is_empty() {
             logging::info!(
@@ -279,17 +279,16 @@
     fn cut(&mut self, context: &mut Context) {
         self.send_away(context);
         let out = self.requests.iter().filter(|(_, request)| request.client.is_some());
-        let out: Vec<(RequestId, Option<crate::net::event_loop::Slot>)> =
-            out.map(|(id, request)| (id.clone(), request.out.and_then(|(_, slot)| slot))).collect();
+        let out: Vec<RequestId> = out.map(|(id, _)| id.clone()).collect();
         if !out.is_empty() {
             logging::warn!(event = "ending.cut", requests = out.len(), "cut off: the time to drain is over");
         }
-        for (id, slot) in out {
+        for id in out {
             let session = self.requests.get(&id).is_some_and(|r| matches!(r.client, Some(Whom::Session(_))));
             // It has reached a server: whether it ran there is not known.
             self.answer(&id, if session { Answer::Refused(0.0) } else { Answer::Failed }, context);
-            self.tell(interface::Event::Gone { id }, context);
-            slot.into_iter().for_each(|slot| self.servers.cancel(slot, context));
+            self.tell(interface::Event::Gone { id: id.clone() }, context);
+            self.give_up(&id, context);
         }
         self.sessions.iter_mut().for_each(|sessions| sessions.end(true, context));
     }
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -9,7 +9,7 @@
 use mio::net::TcpStream;
 use mio::Interest;
 use pgwire::{code, Message};
-use routing::interface::{ListKind, MemberId, Outcome, Phase, Report};
+use routing::interface::{ListKind, MemberId, Outcome, Phase, Report, RequestId};
 
 use super::event_loop::{Due, Slot, Slots, Source};
 use super::{Context, Ended, Event, Task};
@@ -490,9 +490,13 @@
         }
     }
 
-    /// Gives up an attempt: the machine learns of it by the end of the connection.
-    pub fn cancel(&mut self, slot: Slot, context: &mut Context) {
-        self.settle(slot, Step::Broken(Outcome::Cancelled), context);
+    /// Gives up an attempt: the machine learns of it by the end of the connection. Guards against one that has
+    /// just ended, its end still on the way to the proxy, while its connection carries another request already.
+    pub fn cancel(&mut self, slot: Slot, id: &RequestId, attempt: usize, context: &mut Context) {
+        let task = self.conns.get_mut(slot).and_then(|conn| conn.job.as_ref()).map(|job| &job.task);
+        if matches!(task, Some(Task::Attempt(of, number, _)) if of == id && *number == attempt) {
+            self.settle(slot, Step::Broken(Outcome::Cancelled), context);
+        }
     }
 
     /// A stage may have lasted long enough.
--- a/crates/daemon/tests/deployments.rs
+++ b/crates/daemon/tests/deployments.rs
@@ -98,3 +98,101 @@
         assert!(words.contains(part), "{part} is not in: {words}");
     }
 }
+
+/// Two copies of one request may be out; the second goes out 2.4 s after the first, at 0.6 of the aim.
+const COPIES: [(&str, &str); 2] =
+    [(r#""probes":false"#, r#""probes":false,"mayDuplicate":true"#), (r#""aim":8"#, r#""aim":4"#)];
+
+/// A request with a copy out at each of two machines, neither of which has answered.
+struct Twice {
+    pooler: Pooler,
+    client: Wire,
+    near: Db,
+    _far: Db,
+    first: Wire,
+    second: Wire,
+    _discovery: Discovery,
+}
+
+fn twice() -> Twice {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &COPIES);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut first = near.accept();
+    asked(&mut first);
+    let mut second = far.accept();
+    asked(&mut second);
+    Twice { pooler, client, near, _far: far, first, second, _discovery: discovery }
+}
+
+impl Twice {
+    /// The client's answer is this value, once, and its connection goes on.
+    fn answers(&mut self, value: &[u8]) {
+        assert!(self.client.answer()[1].1.ends_with(value));
+        self.client.send(&query(""));
+        assert_eq!(self.client.answer(), [(b'I', vec![])]);
+    }
+}
+
+#[test]
+fn the_copy_that_loses_is_withdrawn_and_its_end_is_counted() {
+    let mut both = twice();
+    both.second.send(&served(b"second", "reader"));
+    both.answers(b"second");
+    // The machine learns of it by the end of the connection; what it says after that reaches nobody.
+    both.first.ends();
+    let counters = both.pooler.counters();
+    assert!(counters.contains(" served=1 ") && counters.contains(" sent=2 ok=1 "), "{counters}");
+    assert!(counters.contains(" cancelled=1 "), "{counters}");
+    // Neither machine is taken for one that still holds something: the one at home gets the next.
+    let Twice { mut client, near, .. } = both;
+    read_from(&near, &mut client, "2");
+}
+
+#[test]
+fn two_copies_that_answer_at_once_make_one_answer() {
+    let mut both = twice();
+    // Both are there before either is read, as far as a stopped program can tell.
+    both.pooler.signal("STOP");
+    both.first.send(&served(b"first", "reader"));
+    both.second.send(&served(b"second", "reader"));
+    both.pooler.signal("CONT");
+    let answer = both.client.answer();
+    assert!(answer[1].1.ends_with(b"first") || answer[1].1.ends_with(b"second"));
+    both.client.send(&query(""));
+    assert_eq!(both.client.answer(), [(b'I', vec![])]);
+    let counters = both.pooler.counters();
+    assert!(counters.contains(" served=1 refused=0 failed=0 "), "{counters}");
+}
+
+#[rstest]
+#[case::spoilt(true)]
+#[case::dies(false)]
+fn a_copy_that_comes_to_nothing_leaves_the_other_its_time(#[case] spoilt: bool) {
+    let mut both = twice();
+    if spoilt {
+        both.first.send(b"\x9f\x03\x00\xfe\xc1");
+        both.first.ends();
+    } else {
+        let _ = both.first.0.shutdown(std::net::Shutdown::Both);
+    }
+    while !both.pooler.counters().contains(if spoilt { " error=1 " } else { " reset=1 " }) {}
+    both.second.send(&served(VALUE, "reader"));
+    both.answers(VALUE);
+    let counters = both.pooler.counters();
+    assert!(
+        counters.contains(" served=1 refused=0 failed=0 ") && counters.contains(" sent=2 "),
+        "{counters}"
+    );
+}
+
+#[test]
+fn a_client_that_leaves_takes_both_copies_with_it() {
+    let Twice { pooler, client, mut first, mut second, .. } = twice();
+    drop(client);
+    first.ends();
+    second.ends();
+    assert!(pooler.counters().contains(" cancelled=2 "));
+}
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -134,7 +134,7 @@
             }
             Event::Started { id } | Event::Gone { id } => {
                 if let Some(&n) = self.numbers.get(&id) {
-                    self.finish(n);
+                    self.finish(n, out);
                 }
             }
             Event::Timer { cookie: HOUSEKEEPING } => self.housekeep(out),
@@ -416,10 +416,16 @@
         self.advance(n, out);
     }
 
-    /// Marks a request as finished; it is kept while attempts of it are out.
-    fn finish(&mut self, n: u64) {
+    /// Marks a request as finished; it is kept while attempts of it are out. These are withdrawn: nobody
+    /// waits for them any more, and a second copy's work is in the way of others'.
+    fn finish(&mut self, n: u64, out: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&n) {
             request.done = true;
+            let left = request.attempts.iter_mut().enumerate().filter(|(_, a)| a.open && !a.cancelled);
+            for (attempt, a) in left.filter(|_| self.settings.cancel) {
+                a.cancelled = true;
+                out.push(Action::Cancel { id: request.id.clone(), attempt });
+            }
             if request.attempts.iter().all(|a| !a.open) {
                 self.numbers.remove(&request.id);
                 self.requests.remove(&n);
@@ -444,7 +450,7 @@
         } else {
             out.push(Action::Fail { id });
         }
-        self.finish(n);
+        self.finish(n, out);
     }
 
     /// Takes the next step of a request that has no attempt out.
@@ -596,8 +602,11 @@
             Some(home) => idlest.filter(|&away| self.exits(home, away)).or(Some(home)),
             None => (!remote.is_empty()).then(|| drawn(&remote)),
         };
+        // Where the choice could not answer in time, the one of all the fresh that would be soonest may.
+        let soonest = |a: &usize, b: &usize| self.predicted(*a, class).total_cmp(&self.predicted(*b, class));
+        let spare = choice.and_then(|_| fresh.iter().copied().min_by(soonest));
         let mut verdict = Choice::Hold;
-        if let Some(m) = choice {
+        for m in choice.into_iter().chain(spare) {
             verdict = self.admit(request, m, 1.0);
             if let Choice::To(_) = verdict {
                 return verdict;
@@ -747,7 +756,11 @@
             self.remember(session, position.filter(|p| *p <= self.now).unwrap_or(self.now));
         }
         if finished || self.requests.get(&n).is_none_or(|r| r.done) {
-            return self.finish(n);
+            return self.finish(n, out);
+        }
+        // Another copy is still out: its end decides.
+        if self.requests.get(&n).is_some_and(|r| r.attempts.iter().any(|a| a.open)) {
+            return;
         }
         // A further attempt after work may have been done draws on the retry budget. A full primary has no
         // stand-in: trying it again would be the same crowd within milliseconds, up to the last attempt.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -250,6 +250,11 @@
         self.members.len()
     }
 
+    /// How many requests are kept in mind, those answered whose attempts have not all ended included.
+    pub fn requests_known(&self) -> usize {
+        self.requests.len()
+    }
+
     /// How many groups are kept in mind.
     pub fn groups_known(&self) -> usize {
         self.groups.len()
--- /dev/null
+++ b/crates/routing/tests/drive/mod.rs
@@ -0,0 +1,138 @@
+//! What the scenarios share: a policy that is driven by events, and what they look for in its actions.
+#![allow(dead_code)] // Each set of scenarios uses its part of it.
+
+use routing::interface::*;
+use routing::Policy;
+
+/// Drives one policy and keeps what it did.
+pub struct Drive {
+    pub policy: Policy,
+    pub now: f64,
+    pub acts: Vec<Action>,
+    pub timers: Vec<(f64, u64)>,
+}
+
+pub fn class(consistency: Consistency, effect: Effect) -> Class {
+    Class { aim: 0.5, deadline: 2.0, dedup_window: 1.2, effect, value: 1.0, consistency, ..Class::default() }
+}
+
+/// Classes: 0 write (keyed, late worth), 1 bounded to 0.5 s, 2 session, 3 any, 4 fresh, 5 unsafe write.
+pub fn settings() -> Settings {
+    let write = Class { late_worth: 0.3, ..class(Consistency::Write, Effect::Keyed) };
+    Settings {
+        classes: vec![
+            write,
+            class(Consistency::Bounded(0.5), Effect::Safe),
+            class(Consistency::Session, Effect::Safe),
+            class(Consistency::Any, Effect::Safe),
+            class(Consistency::Fresh, Effect::Safe),
+            class(Consistency::Write, Effect::Unsafe),
+        ],
+        ..Settings::default()
+    }
+}
+
+pub fn entry(member: &str, zone: u32, primary: bool) -> Entry {
+    Entry { member: member.into(), zone, primary, ..Entry::default() }
+}
+
+impl Drive {
+    /// Primary "p" and replica "r" at home, replica "far" elsewhere.
+    pub fn new(settings: Settings) -> Drive {
+        let mut drive = Drive {
+            policy: Policy::new(settings, 1).unwrap(),
+            now: 100.0,
+            acts: Vec::new(),
+            timers: Vec::new(),
+        };
+        drive.list(ListKind::Saved, vec![entry("p", 0, true), entry("r", 0, false), entry("far", 1, false)]);
+        drive
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.policy.handle(self.now, event, &mut out);
+        for action in &out {
+            if let Action::Timer { at, cookie } = action {
+                self.timers.push((*at, *cookie));
+            }
+        }
+        self.acts.extend(out.iter().cloned());
+        out
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: Vec<Entry>) -> Vec<Action> {
+        self.feed(Event::Members { kind, entries })
+    }
+
+    /// Lets time pass, firing timers as they come due.
+    pub fn pass(&mut self, seconds: f64) -> Vec<Action> {
+        let (end, from) = (self.now + seconds, self.acts.len());
+        while let Some(next) =
+            (0..self.timers.len()).min_by(|&a, &b| self.timers[a].0.total_cmp(&self.timers[b].0))
+        {
+            if self.timers[next].0 > end {
+                break;
+            }
+            let (at, cookie) = self.timers.swap_remove(next);
+            self.now = self.now.max(at);
+            self.feed(Event::Timer { cookie });
+        }
+        self.now = end;
+        self.acts[from..].to_vec()
+    }
+
+    pub fn ask(&mut self, id: &str, class: usize) -> Vec<Action> {
+        self.feed(Event::arrival(id, class, 0, 1.8))
+    }
+
+    pub fn answer(&mut self, id: &str, member: &str, attempt: usize, outcome: Outcome) -> Vec<Action> {
+        self.told(id, member, attempt, outcome, None, None)
+    }
+
+    pub fn told(
+        &mut self,
+        id: &str,
+        member: &str,
+        attempt: usize,
+        outcome: Outcome,
+        primary: Option<bool>,
+        position: Option<f64>,
+    ) -> Vec<Action> {
+        self.feed(Event::Done(Done {
+            id: id.into(),
+            member: member.into(),
+            attempt,
+            outcome,
+            finished: outcome == Outcome::Ok,
+            elapsed: 0.05,
+            position,
+            primary,
+            report: Report::default(),
+        }))
+    }
+
+    /// Makes a replica known to be fresh as of now.
+    pub fn freshen(&mut self, member: &str) {
+        let report = Report { position: Some(self.now), primary: Some(false) };
+        self.feed(Event::Probed { member: member.into(), outcome: Outcome::Ok, report });
+    }
+}
+
+/// A request of the session "s".
+pub fn of_session(id: &str, class: usize) -> Event {
+    let Event::Arrival(mut arrival) = Event::arrival(id, class, 0, 1.0) else { unreachable!() };
+    arrival.session = Some("s".into());
+    Event::Arrival(arrival)
+}
+
+pub fn sent(actions: &[Action]) -> Vec<&str> {
+    actions
+        .iter()
+        .filter_map(|a| if let Action::Send { member, .. } = a { Some(&**member) } else { None })
+        .collect()
+}
+
+pub fn finals(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count()
+}
