A request's 'after' is read, honoured in every class and passed on; malformed ones are turned away

Need: PROTOCOL.md lets a read say which position it must see. crates/pgwire skipped the value as an unknown name and net/proxy.rs handed the decisions no position, so on a site whose sessions carry their commits a session read would have been answered from any replica. It binds bounded and any reads as well, and on a site where writes are remembered the later of both holds.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -126,8 +126,9 @@
                 Event::Arrival(Arrival {
                     id: fields.text(1, "corr")?.into(),
                     left: fields.number(2, "expiresIn")?,
-                    token_age: Some(fields.number_or(3, "tokenAgeMs", 0.0)? / 1000.0)
-                        .filter(|age| *age > 0.0),
+                    token: Some(fields.number_or(3, "tokenAgeMs", 0.0)? / 1000.0)
+                        .filter(|age| *age > 0.0)
+                        .map(|age| self.now - age),
                     session: fields.at(4).as_str().map(Arc::from),
                     tenant: fields.whole(5, "realm")? as usize,
                     predicted: fields.at(7).as_f64().filter(|_| options & 1 != 0),
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -416,7 +416,7 @@
             class,
             group: query.group,
             left: query.patience,
-            token_age: None,
+            token: query.after,
             session: query.key.filter(|_| sessions).map(Into::into),
             tenant,
             predicted: None,
@@ -458,7 +458,7 @@
             group,
             // Its class says how long it waits at most.
             left: f64::MAX,
-            token_age: None,
+            token: None,
             session: sessions.then(|| format!("session-{}", slot.number()).into()),
             tenant,
             predicted: None,
--- a/crates/daemon/tests/deployments.rs
+++ b/crates/daemon/tests/deployments.rs
@@ -196,3 +196,60 @@
     second.ends();
     assert!(pooler.counters().contains(" cancelled=2 "));
 }
+
+/// A machine's answer with its role and the position that it stands at (Unix milliseconds).
+fn at(value: &[u8], role: &str, position: u64) -> Vec<u8> {
+    let told = |name: &str, value: &str| frame(b'S', format!("{name}\0{value}\0").as_bytes());
+    let position = told("commit_clock", &position.to_string());
+    [row(value), told("server_role", role), position, frame(b'Z', b"I")].concat()
+}
+
+/// A session read that must see this position.
+fn after(id: &str, position: &str) -> Vec<u8> {
+    query(&ask(id, "own-orders").replace("cluster=2", &format!("cluster=2,after={position}")))
+}
+
+#[rstest]
+#[case::carried("carried")]
+#[case::remembered("remembered")]
+fn a_read_that_says_what_it_must_see_is_not_answered_from_behind_that(#[case] marks: &str) {
+    let discovery = Discovery::listen();
+    let stands = std::sync::Arc::new(std::sync::atomic::AtomicU64::new(0));
+    let told = stands.clone();
+    let replica = Answering::new(move |sql| match sql.contains("c=order-write") {
+        true => [frame(b'E', b"SERROR\0C25006\0\0"), frame(b'Z', b"I")].concat(),
+        false => at(b"replica", "reader", told.load(std::sync::atomic::Ordering::SeqCst)),
+    });
+    let primary = Answering::new(|_| served(b"primary", "writer"));
+    let known = list(41, true, &[replica.line("s-1", "here"), primary.line("s-2", "there")]);
+    let marks = (r#""writeMarks":"remembered""#, &*format!(r#""writeMarks":"{marks}""#));
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[marks]);
+    let mut client = client(&pooler);
+    // A write of another session shows who the primary is, and a read where the replica stands.
+    client.send(&query(&ask("w", "order-write").replace("7f3a", "other")));
+    assert!(client.answer()[1].1.ends_with(b"primary"));
+    // What was written before the pooler's start is behind it by now, to the millisecond.
+    std::thread::sleep(std::time::Duration::from_millis(2));
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let position = now.as_millis() as u64;
+    stands.store(position, std::sync::atomic::Ordering::SeqCst);
+    client.send(&query(&ask("r", "reports")));
+    assert!(client.answer()[1].1.ends_with(b"replica"));
+    for (id, must_see, by) in [
+        ("1", position, "replica"),
+        ("2", position + 1, "primary"),
+        // No clock is so far ahead: whoever says so is answered from the present all the same.
+        ("3", position + 3_600_000, "primary"),
+        ("4", 0, "replica"),
+    ] {
+        client.send(&after(id, &must_see.to_string()));
+        let answer = client.answer();
+        assert!(answer[1].1.ends_with(by.as_bytes()), "{id}: {answer:?}");
+    }
+    let asked = (replica.count(), primary.count());
+    for wrong in ["-5", "soon", "1e3", "12.5", "99999999999999999999"] {
+        client.send(&after("5", wrong));
+        assert_eq!(client.error().0, "42601", "{wrong}");
+    }
+    assert_eq!((replica.count(), primary.count()), asked, "went nowhere");
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -55,6 +55,8 @@
     pub keyed: bool,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// The position that the answer must see, where the client says which (Unix seconds).
+    pub after: Option<f64>,
     /// The quoted key, where there is one: names the session.
     pub key: Option<String>,
     /// What is to be carried out.
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -17,7 +17,7 @@
 /// Longest startup message: it holds a handful of names.
 const LONGEST_STARTUP: usize = 10_000;
 /// Most digits of a number in a statement's comment; keeps it far inside what a float holds exactly.
-const MOST_DIGITS: usize = 12;
+const MOST_DIGITS: usize = 15;
 
 pub const PROTOCOL: u32 = 3 << 16;
 const SSL_REQUEST: u32 = 80_877_103;
@@ -316,7 +316,7 @@
         return Err("no statement behind the comment");
     }
     let (mut id, mut class, mut tenant, mut group, mut patience) = (None, None, None, None, None);
-    let (mut keyed, mut repeat) = (None, None);
+    let (mut keyed, mut repeat, mut after) = (None, None, None);
     let mut at = start + 2;
     for pair in sql[start + 2..end].split(',') {
         let (name, value) = pair.split_once('=').ok_or("the comment is not made of names and values")?;
@@ -333,6 +333,7 @@
             "d" => &mut patience,
             "k" => &mut keyed,
             "r" => &mut repeat,
+            "after" => &mut after,
             _ => continue,
         };
         if value.is_empty() || slot.replace((value, place)).is_some() {
@@ -341,17 +342,27 @@
     }
     let need = |value: Option<(&str, Range<usize>)>| value.map(|(value, _)| value.to_string());
     let (patience, place) = patience.ok_or("no d in the comment")?;
-    let millis = Some(patience).filter(|d| d.len() <= MOST_DIGITS && d.bytes().all(|b| b.is_ascii_digit()));
-    let millis = millis.and_then(|d| d.parse::<u64>().ok()).filter(|d| *d > 0);
+    let millis = |text: &str| {
+        let text = Some(text).filter(|d| d.len() <= MOST_DIGITS && d.bytes().all(|b| b.is_ascii_digit()));
+        text.and_then(|digits| digits.parse::<u64>().ok()).map(|millis| millis as f64 / 1000.0)
+    };
+    // One that cannot be read must not pass for none: the read would be answered from behind its own write.
+    let after = match after {
+        Some((position, _)) => Some(millis(position).ok_or("after is not a position in milliseconds")?),
+        None => None,
+    };
     let group = group.and_then(|(group, _)| group.parse().ok()).ok_or("no group number in the comment")?;
     Ok(Asked::Query(Box::new(Query {
         id: need(id).ok_or("no id in the comment")?,
         class: need(class).ok_or("no class in the comment")?,
         tenant: need(tenant).unwrap_or_default(),
         group,
-        patience: millis.ok_or("d is not a number of milliseconds above 0")? as f64 / 1000.0,
+        patience: millis(patience)
+            .filter(|seconds| *seconds > 0.0)
+            .ok_or("d is not a number of milliseconds above 0")?,
         keyed: keyed.is_some(),
         repeat: repeat.is_some_and(|(value, _)| value == "1"),
+        after,
         key: rest.split('\'').nth(1).filter(|_| rest.matches('\'').count() >= 2).map(String::from),
         statement: Statement::new(sql.into(), place),
     })))
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -263,8 +263,8 @@
     pub group: u32,
     /// Time until the client gives up (seconds).
     pub left: f64,
-    /// Age of the session's last write (seconds), where carried.
-    pub token_age: Option<f64>,
+    /// The position that its answer must see, where the request says which.
+    pub token: Option<f64>,
     /// The session.
     pub session: Option<Arc<str>>,
     /// The tenant.
@@ -346,7 +346,7 @@
             class,
             group,
             left,
-            token_age: None,
+            token: None,
             session: None,
             tenant: 0,
             predicted: None,
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -374,17 +374,15 @@
     }
 
     fn arrival(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
-        let Arrival { id, class, group, left, token_age, session, tenant, predicted, .. } = arrival;
+        let Arrival { id, class, group, left, token, session, tenant, predicted, .. } = arrival;
         let now = self.now;
         let c = &self.settings.classes[class];
-        let token = match (c.consistency, token_age) {
-            (Consistency::Session, Some(age)) if self.settings.tokens_carried => now - age,
-            (Consistency::Session, _) if !self.settings.tokens_carried => {
-                let known = session.as_ref().and_then(|s| self.sessions.get(s));
-                known.copied().unwrap_or(self.forgotten)
-            }
-            _ => f64::NEG_INFINITY,
-        };
+        // What the request says it must see holds on every site; what is remembered adds to it.
+        let mut token = token.unwrap_or(f64::NEG_INFINITY);
+        if c.consistency == Consistency::Session && !self.settings.tokens_carried {
+            let known = session.as_ref().and_then(|s| self.sessions.get(s));
+            token = token.max(known.copied().unwrap_or(self.forgotten));
+        }
         // Nobody waits longer than a class's clients do; guards against a request that says it would.
         let left = left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
@@ -540,9 +538,8 @@
     /// The position a read needs of a replica.
     fn needed(&self, request: &Request) -> f64 {
         match self.settings.classes[request.class].consistency {
-            Consistency::Bounded(bound) => self.now - bound,
-            Consistency::Any => f64::NEG_INFINITY,
-            Consistency::Session => request.token,
+            Consistency::Bounded(bound) => request.token.max(self.now - bound),
+            Consistency::Any | Consistency::Session => request.token,
             Consistency::Write | Consistency::Fresh => f64::INFINITY,
         }
     }
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -77,9 +77,10 @@
     let mut d = Drive::new(Settings { when_behind: WhenBehind::Silent, ..settings() });
     d.freshen("r");
     d.now += 0.2;
+    let now = d.now;
     let read = |id: &str, age: f64| {
         let Event::Arrival(mut a) = Event::arrival(id, 2, 0, 1.0) else { unreachable!() };
-        a.token_age = Some(age);
+        a.token = Some(now - age);
         Event::Arrival(a)
     };
     assert_eq!(sent(&d.feed(read("old", 0.3))), ["r"]);
