Replicas that nobody heard of are asked when reads find none; silence is what is owed together

At fault: policy.rs, seek, where only members at home were probed; with three zones a zone often has none. Ruled out: lag (their positions were fresh once asked) and load (0.15 s to answer).

knowledge.rs: while reads find nobody, those elsewhere are asked too, and a read that nobody takes waits for what is being asked; release no longer paces reads by the primary's writes. silence.rs: all that a member owes counts together, and not before a connection would have failed; alone it took over 1 s to tell, past the aim.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the pooler reads at its start: the configuration file, and in it the settings that the policy is
 //! handed. The adapter decodes its settings here too.
 
+mod meaning;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -9,6 +11,8 @@
 use listing::News;
 use routing::interface::{Class, Consistency, Dedup, Effect, Settings, WhenBehind};
 
+pub use meaning::{Facts, Meaning, Reports};
+
 /// Why a configuration cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError(String);
@@ -161,6 +165,8 @@
     pub settings: Settings,
     /// How the list comes.
     pub source: ListSource,
+    /// What else the platform says of the deployment.
+    pub facts: Facts,
     /// Names of the classes, in the order of the settings.
     pub classes: Vec<String>,
     /// Names of the tenants, in the order of the settings.
@@ -214,6 +220,7 @@
             memory: (number_or(root.at("limits"), "memory_mb", 192.0)? * 1e6) as usize,
             settings,
             source: ListSource::of(info)?,
+            facts: Facts::of(info),
             classes: names("classes")?,
             tenants: names("customers")?,
             zones: names("zones")?,
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -11,7 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use ::config::Config;
+use ::config::{Config, Meaning};
 use argh::FromArgs;
 
 use crate::net::Operator;
@@ -82,7 +82,8 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-/// Read the platform's configuration, and the operator's file where given, and say whether they can be used.
+/// Read the platform's configuration, and the operator's file where given; say whether they can be used and what
+/// they mean.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
 struct CheckConfig {
@@ -92,6 +93,9 @@
     /// the operator's file
     #[argh(option)]
     operator: Option<PathBuf>,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Runs the program as its command line says.
@@ -127,18 +131,12 @@
             println!("dewferry {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(CheckConfig { config, operator: Some(file) }) => {
-            return config::check(&file, config, false);
+        Command::CheckConfig(CheckConfig { config, operator: Some(file), json }) => {
+            return config::check(&file, config, json);
+        }
+        Command::CheckConfig(CheckConfig { config, operator: None, json }) => {
+            load(config).and_then(|(_, config)| meant(&config, json))
         }
-        Command::CheckConfig(CheckConfig { config, operator: None }) => load(config).map(|(_, config)| {
-            println!(
-                "usable: {} listens on {} for {} classes of requests, discovery at {}",
-                config.name,
-                config.listen,
-                config.classes.len(),
-                config.discovery
-            );
-        }),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -146,6 +144,32 @@
     }
 }
 
+/// Says what a platform's configuration means; the fault where something in it can't be honoured.
+fn meant(config: &Config, json: bool) -> Result<(), String> {
+    let meaning = Meaning::of(config);
+    let usable = meaning.faults.is_empty();
+    let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
+    if json {
+        let told = serde_json::json!({
+            "usable": usable,
+            "name": name,
+            "listen": listen.to_string(),
+            "meaning": meaning.lines.iter().cloned().collect::<std::collections::BTreeMap<_, _>>(),
+            "doubts": meaning.doubts,
+            "faults": meaning.faults,
+        });
+        println!("{told}");
+    } else {
+        let verdict = if usable { "usable" } else { "not usable" };
+        print!("{verdict}: {name} listens on {listen} for {classes} classes of requests\n{meaning}");
+    }
+    if usable {
+        Ok(())
+    } else {
+        Err(meaning.faults.join("; "))
+    }
+}
+
 /// Says why nothing was done.
 fn fail(message: &str) -> ExitCode {
     eprintln!("dewferry: {message}");
--- a/crates/daemon/tests/cli.rs
+++ b/crates/daemon/tests/cli.rs
@@ -43,3 +43,79 @@
     assert!(!output.status.success());
     assert!(String::from_utf8(output.stderr).unwrap().contains("LB_CONFIG"));
 }
+
+/// The platform's file of a deployment whose list is pushed and whose writes must never run twice.
+const PUSHED: &str = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7f","settings":{
+    "registryMode":"automatic","domainType":"replicas","fleetSize":4,
+    "classes":[{"name":"tiles","aim":0.75,"deadline":3,"effect":"read_like"},
+               {"name":"export","aim":1.2,"deadline":5,"effect":"non_idempotent"}],
+    "limits":{"probes":true,"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxRetryAfter":0.5,"maxAttempts":6},
+    "loadInfo":{"how":"piggyback","fields":["x0","x1"]},
+    "specifics":{"consistency":["bounded","write"],"stalenessBound":[1.5,0],"tellsPosition":true,"writeMarks":"carried"},
+    "invariants":{"tipMultiple":2.5,"drainGrace":1,"fall":1.5,"coldFrom":0.26,"warmUp":16}}}"#;
+
+/// Runs check-config on a platform's file in which one thing is another.
+fn check(from: &str, to: &str, json: bool) -> (Option<i32>, String) {
+    let name = format!("dewferry-meaning-{}-{}.json", std::process::id(), to.len() + from.len() * 1000);
+    let file = std::env::temp_dir().join(name);
+    assert!(PUSHED.contains(from));
+    std::fs::write(&file, PUSHED.replacen(from, to, 1)).unwrap();
+    let mut args = vec!["check-config", "--config", file.to_str().unwrap()];
+    args.extend(json.then_some("--json"));
+    let output = run(&args);
+    std::fs::remove_file(&file).unwrap();
+    (output.status.code(), String::from_utf8([output.stdout, output.stderr].concat()).unwrap())
+}
+
+#[test]
+fn a_platforms_file_is_told_in_words() {
+    let (code, words) = check("", "", false);
+    assert_eq!(code, Some(0), "{words}");
+    for part in [
+        "pushed: the agent at 127.0.0.1:2",
+        "the grace is 1 s",
+        "answers tell role and position, and carry load reports; a member that nobody sends to is probed",
+        "the one that loses is withdrawn",
+        "repeated freely        tiles\n",
+        "repeated under a key   none\n",
+        "never sent twice       export\n",
+        "0.5 s at most; 6 attempts",
+        "4 poolers together stay under 2.5 times",
+    ] {
+        assert!(words.contains(part), "'{part}' is not in: {words}");
+    }
+    assert!(!words.contains("look at"), "{words}");
+    let (code, json) = check("", "", true);
+    let told: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(
+        (code, &told["usable"], &told["meaning"]["never sent twice"]),
+        (Some(0), &true.into(), &"export".into())
+    );
+}
+
+#[test]
+fn what_a_platforms_file_says_in_words_not_known_is_pointed_out_and_what_cannot_be_honoured_turned_away() {
+    for (from, to, fault, part) in [
+        (r#""replicas""#, r#""shards""#, true, "domainType is \"shards\"; accepted: \"replicas\""),
+        (r#""automatic""#, r#""gossip""#, true, "accepted: \"subscribe\""),
+        (
+            r#""non_idempotent""#,
+            r#""odd""#,
+            false,
+            "classes[1].effect is \"odd\", which is not known; taken as: never sent twice",
+        ),
+        (
+            r#""bounded""#,
+            r#""lucky""#,
+            false,
+            "consistency[0] is \"lucky\", which is not known; taken as: only the primary",
+        ),
+        (r#"[1.5,0]"#, r#"[0,0]"#, false, "class tiles: a bound of 0 s"),
+        (r#""probes":true"#, r#""probes":false"#, false, "probes are not allowed"),
+        (r#""aim":1.2"#, r#""aim":6"#, false, "class export: its aim of 6 s is past its deadline"),
+    ] {
+        let (code, words) = check(from, to, false);
+        assert_eq!(code, Some(if fault { 2 } else { 0 }), "{words}");
+        assert!(words.contains(part), "'{part}' is not in: {words}");
+    }
+}
--- a/crates/daemon/tests/deployments.rs
+++ b/crates/daemon/tests/deployments.rs
@@ -253,3 +253,91 @@
     }
     assert_eq!((replica.count(), primary.count()), asked, "went nowhere");
 }
+
+/// What writes must never run twice.
+const NEVER_TWICE: (&str, &str) =
+    (r#""effect":"idempotency_key","group":"cell","dedupWindow":2"#, r#""effect":"non_idempotent""#);
+
+/// A machine that has shown that it is the primary, whose connection from then is closed.
+fn primary(db: &Db, client: &mut Wire) {
+    client.send(&query(&ask("0", "order-write")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    wire.send(&served(VALUE, "writer"));
+    assert_eq!(client.answer()[0].0, b'T');
+}
+
+#[rstest]
+#[case::before_its_first_byte(0)]
+#[case::amid(1)]
+#[case::after_its_last_byte(2)]
+fn a_write_that_must_never_run_twice_goes_on_only_where_it_cannot_have_run(#[case] moment: u8) {
+    let db = Db::narrow();
+    let (discovery, known) = (Discovery::listen(), list(41, true, &[db.line("s-1", "here")]));
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[NEVER_TWICE]);
+    let mut client = client(&pooler);
+    primary(&db, &mut client);
+    // Far more than the machine has room for.
+    let long = format!("{} AND doc = '\\x{}'", ask("1", "order-write"), "9f".repeat(70 * 1024));
+    client.send(&query(&long));
+    match moment {
+        0 => drop(db.connection()),
+        1 => {
+            let wire = db.accept();
+            // Some of it is there: it has begun to be written, and its end does not fit.
+            wire.0.peek(&mut [0]).unwrap();
+            drop(wire);
+        }
+        _ => {
+            let mut wire = db.accept();
+            assert!(asked(&mut wire).contains("id=1,"));
+        }
+    }
+    if moment < 2 {
+        let mut wire = db.accept();
+        assert!(asked(&mut wire).contains("id=1,"));
+        wire.send(&served(VALUE, "writer"));
+        assert_eq!(client.answer()[0].0, b'T');
+    } else {
+        assert_eq!(client.error(), ("58000".to_string(), None));
+        // What the machine gets next is another request.
+        client.send(&query(&ask("2", "order-write")));
+        assert!(asked(&mut db.accept()).contains("id=2,"));
+    }
+}
+
+#[test]
+fn a_request_of_no_tenant_is_served_where_there_are_none_and_where_there_are() {
+    for customers in [r#""customers":[{"name":"acme","quotaPerS":1000}],"#, ""] {
+        let db = Answering::new(|_| served(VALUE, "reader"));
+        let (discovery, known) = (Discovery::listen(), list(41, true, &[db.line("s-1", "here")]));
+        let edit = (r#""customers":[{"name":"acme","quotaPerS":1000}],"#, customers);
+        let pooler = Pooler::start(PROGRAM, &known, &discovery, &[edit]);
+        let mut client = client(&pooler);
+        client.send(&query(&ask("1", "reports").replace(",t=acme", "")));
+        assert_eq!(client.answer()[0].0, b'T');
+    }
+}
+
+#[test]
+fn a_drain_told_while_a_read_waits_for_its_turn_is_kept() {
+    let (drained, other) = (Db::listen(), Db::listen());
+    let agent = Discovery::listen();
+    let known = list(41, true, &[drained.line("s-1", "here"), other.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &agent, &[PUSHED]);
+    let mut watch = agent.call().0;
+    let mut client = client(&pooler);
+    // The connection to the choice is being made when the drain is told; what was sent there may end there, and
+    // when it fails nothing goes there again.
+    client.send(&query(&ask("1", "reports")));
+    let connecting = drained.connection();
+    tell(&mut watch, true, &list(42, false, &[drained.line("s-1", "here").replace("SERVING", "DRAINING")]));
+    while !pooler.counters().contains(" lists=2") {}
+    drop(connecting);
+    let mut wire = other.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    client.send(&query(&ask("2", "reports")));
+    assert!(asked(&mut wire).contains("id=2,"));
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,9 +16,12 @@
 
 mod check;
 pub mod interface;
+mod knowledge;
+mod latency;
 mod learned;
 mod policy;
 mod reconfigure;
+mod silence;
 mod state;
 
 pub use check::{check, SettingsError};
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -5,6 +5,8 @@
 
 use crate::check::{check, SettingsError};
 use crate::interface::*;
+use crate::knowledge;
+use crate::latency::{Latency, SAMPLE};
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, Terms};
 use std::collections::VecDeque;
@@ -16,16 +18,10 @@
 const EXIT_MULTIPLE: u32 = 2;
 /// ... and at least so many more (design).
 const EXIT_MARGIN: u32 = 3;
-/// Weight of a new sample in the running means: about ten answers, so that they follow a change quickly.
-const SAMPLE: f64 = 0.1;
-/// First guess of a class's latency as a share of its aim, until answers tell.
-const LATENCY_GUESS: f64 = 0.25;
 /// An attempt is overdue at this many mean deviations over the mean ...
 const OVERDUE_DEVIATIONS: f64 = 4.0;
 /// ... or at this share of its aim, which leaves time for another within it.
 const OVERDUE_AIM: f64 = 0.6;
-/// One that has had no answer counts as late at so many deviations.
-const LATE_DEVIATIONS: f64 = 2.0;
 /// A member without any answer since an attempt was sent counts as silent at this many deviations.
 const SILENT_DEVIATIONS: f64 = 6.0;
 /// Suspicion at which a member is ejected: two plain failures or one broken connection.
@@ -39,14 +35,11 @@
 /// First ejection, in multiples of the connect time-out; doubles with each failed trial ...
 const EJECT_FIRST: f64 = 2.0;
 /// ... up to this multiple, so that a member that is back is found within a few seconds.
-const EJECT_MOST: f64 = 12.0;
+pub(crate) const EJECT_MOST: f64 = 12.0;
 /// Further attempts allowed for each request: a tenth cannot amplify an overload.
 const RETRY_SHARE: f64 = 0.1;
 /// Saved-up further attempts at most: enough for the work one dead member held.
 const RETRY_MOST: f64 = 20.0;
-/// Probes allowed for each request, and saved up at most.
-const PROBE_SHARE: f64 = 0.3;
-const PROBE_MOST: f64 = 20.0;
 /// Lateness assumed of a list's roles, as a share of `ask_within`: first-hand news is dated exactly.
 const LIST_LATE: f64 = 0.5;
 /// While a primary is sought, time between probe rounds or scouts, in multiples of the connect time-out.
@@ -63,7 +56,7 @@
 /// much time again to try elsewhere.
 const HOLD_SHARE: f64 = 0.5;
 /// Share of the aim that predicted waiting may take at the least and the most worthwhile class.
-const SHED_LEAST: f64 = 0.45;
+const SHED_LEAST: f64 = 0.35;
 const SHED_MOST: f64 = 0.75;
 /// Requests in flight at a member, from all proxies together, that admission lets through in any case.
 const TRICKLE: f64 = 8.0;
@@ -88,16 +81,14 @@
         check(&settings)?;
         let mut policy = Policy::blank(settings, fastrand::Rng::with_seed(seed));
         policy.derive();
-        (policy.retries, policy.probes) = (RETRY_MOST / 2.0, PROBE_MOST);
+        (policy.retries, policy.probes) = (RETRY_MOST / 2.0, knowledge::PROBE_MOST);
         Ok(policy)
     }
 
     /// Derives from the settings what goes with them. What is known of classes and tenants already stays.
     pub(crate) fn derive(&mut self) {
         let classes = &self.settings.classes;
-        let guesses =
-            classes.iter().skip(self.latency.len()).map(|c| (c.aim * LATENCY_GUESS, c.aim * LATENCY_GUESS));
-        self.latency.extend(guesses);
+        self.latency.extend(classes.iter().skip(self.latency.len()).map(|c| Latency::guess(c.aim)));
         self.tenants.resize(self.settings.tenant_quota.len(), (TENANT_LEAST, self.now));
         let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { 1.0 };
         self.bound = classes.iter().map(bound).fold(1.0, f64::min);
@@ -242,7 +233,7 @@
     }
 
     /// Whether anything new may go to a member at all (drains are kept from the moment they are told).
-    fn usable(&self, m: usize) -> bool {
+    pub(crate) fn usable(&self, m: usize) -> bool {
         let member = &self.members[m];
         match member.phase {
             Phase::Active => true,
@@ -352,7 +343,7 @@
     fn predicted(&self, m: usize, class: usize) -> f64 {
         let member = &self.members[m];
         let crowd = (f64::from(self.load(m)) + 1.0) / (member.usual_load + 1.0);
-        self.latency[class].0 * member.ratio.max(0.5) * crowd.max(1.0)
+        self.latency[class].mean * member.ratio.max(0.5) * crowd.max(1.0)
     }
 
     pub(crate) fn warmth(&self, m: usize) -> f64 {
@@ -387,7 +378,7 @@
         let left = left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
-        self.probes = (self.probes + PROBE_SHARE).min(PROBE_MOST);
+        self.earn_probes();
         let mut over_share = false;
         if let Some((tokens, at)) = self.tenants.get_mut(tenant) {
             let quota = self.settings.tenant_quota[tenant] / f64::from(self.settings.fleet_size);
@@ -473,17 +464,19 @@
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
         let waited = self.now >= request.hold_until && request.untried();
         let choice = if bound { self.pick_primary(n) } else { self.pick_read(n) };
+        let asked = !bound && !matches!(choice, Choice::To(_)) && self.asks_for(group, out);
         match choice {
-            Choice::To(m) => self.send(n, m, out),
-            Choice::Hold if waited => self.conclude(n, out),
-            Choice::Hold => {
-                let (Some(r), Some(g)) = (self.requests.get_mut(&n), self.groups.get_mut(&group)) else {
-                    return;
-                };
-                if !std::mem::replace(&mut r.held, true) {
-                    g.held.push_back(n);
+            Choice::To(m) => {
+                // A read that goes to the primary found no replica for it.
+                if let Some(g) = self.groups.get_mut(&group).filter(|g| !bound && g.primary == Some(m)) {
+                    g.short_at = self.now;
                 }
+                self.send(n, m, out);
             }
+            // Who might serve it is being asked: it waits for what they say, which comes at once.
+            Choice::Refuse if asked && !waited => self.hold(n, group),
+            Choice::Hold if waited => self.conclude(n, out),
+            Choice::Hold => self.hold(n, group),
             Choice::Refuse => {
                 if self.now >= self.refusing_until {
                     out.push(Action::Log("refusing: members cannot answer in time".into()));
@@ -494,6 +487,13 @@
         }
     }
 
+    fn hold(&mut self, n: u64, group: u32) {
+        let (Some(r), Some(g)) = (self.requests.get_mut(&n), self.groups.get_mut(&group)) else { return };
+        if !std::mem::replace(&mut r.held, true) {
+            g.held.push_back(n);
+        }
+    }
+
     /// Where a request that needs the primary goes.
     fn pick_primary(&self, n: u64) -> Choice {
         let Some(request) = self.requests.get(&n) else { return Choice::Refuse };
@@ -516,7 +516,7 @@
         let class = &self.settings.classes[request.class];
         // Worth counts by the time its class takes, by the root: of two worth the same the quick one goes
         // first, and the long one is not starved.
-        let dear = |(c, l): (&Class, &(f64, f64))| c.value / l.0.max(1e-3).sqrt();
+        let dear = |(c, l): (&Class, &Latency)| c.value / l.mean.max(1e-3).sqrt();
         let most = self.settings.classes.iter().zip(&self.latency).map(dear).fold(1e-9, f64::max);
         let worth = dear((class, &self.latency[request.class])) / most;
         let worth = worth * if request.over_share { self.settings.over_share_worth } else { 1.0 };
@@ -529,7 +529,8 @@
         let each = TRICKLE / f64::from(self.settings.fleet_size);
         let few =
             f64::from(self.load(m) + 1) <= each || self.now - self.members[m].sent_at > predicted / each;
-        if predicted > limit && !few {
+        // Nothing is refused on a guess.
+        if predicted > limit && !few && self.latency[request.class].answers > 0 {
             return Choice::Refuse;
         }
         Choice::To(m)
@@ -583,7 +584,7 @@
         // are kept for reads that need them. One so long that it could put its replica behind by itself,
         // should it hold up the log there, goes to the one most behind of the group, so that few are held up.
         let behind = |m: &usize| self.members[*m].position < self.now - self.bound;
-        if any && self.latency[class].0 > self.bound && fresh.iter().any(behind) {
+        if any && self.latency[class].mean > self.bound && fresh.iter().any(behind) {
             let place =
                 |a: &&usize, b: &&usize| self.members[**a].position.total_cmp(&self.members[**b].position);
             local = fresh.iter().min_by(place).copied().into_iter().collect();
@@ -689,7 +690,7 @@
             request.risky = Some((sent, m));
         }
         let session = request.session.clone().filter(|_| write && outcome == Outcome::Ok);
-        let (mean, deviation) = self.latency[class];
+        let Latency { mean, deviation, .. } = self.latency[class];
         let member = &mut self.members[m];
         member.in_flight = member.in_flight.saturating_sub(1);
         member.ghosts.retain(|until| *until > self.now);
@@ -700,9 +701,7 @@
         match outcome {
             Outcome::Ok => {
                 member.ratio += SAMPLE * ((elapsed / mean).min(10.0) - member.ratio);
-                let (mean, deviation) = &mut self.latency[class];
-                *deviation += SAMPLE * ((elapsed - *mean).abs() - *deviation);
-                *mean += SAMPLE * (elapsed - *mean);
+                self.latency[class].take(elapsed);
                 self.absolve(m, out);
             }
             // Turned away untouched by a live member: no fault of its health.
@@ -800,9 +799,10 @@
         let mut waiting = VecDeque::new();
         for n in held {
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
-            if primary.is_some_and(|m| self.members[m].in_flight >= RELEASE_UP_TO)
-                && request.aim_at > self.now
-            {
+            let consistency = self.settings.classes[request.class].consistency;
+            let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
+            let crowd = primary.is_some_and(|m| self.members[m].in_flight >= RELEASE_UP_TO);
+            if bound && crowd && request.aim_at > self.now {
                 waiting.push_back(n);
                 continue;
             }
@@ -824,22 +824,25 @@
             self.listen_again = self.now + settings.ask_within * 0.5;
             out.push(Action::Listen);
         }
+        let silence = self.silence();
         let mut overdue = Vec::new();
-        // Attempts out to each member that are late and have heard nothing from it.
-        let mut waiting = vec![0; self.members.len()];
         for (&n, request) in &self.requests {
             let class = &settings.classes[request.class];
-            let (mean, deviation) = self.latency[request.class];
+            let Latency { mean, deviation, .. } = self.latency[request.class];
             let limit = (mean + OVERDUE_DEVIATIONS * deviation).min(class.aim * OVERDUE_AIM);
             for (index, attempt) in request.attempts.iter().enumerate() {
-                let age = self.now - attempt.sent;
-                let unheard = self.members[attempt.member].heard < attempt.sent;
-                if attempt.open && unheard && age > mean + LATE_DEVIATIONS * deviation {
-                    waiting[attempt.member] += 1;
+                let (age, m) = (self.now - attempt.sent, attempt.member);
+                if !attempt.open || attempt.overdue {
+                    continue;
                 }
-                if attempt.open && !attempt.overdue && age > limit {
-                    let silent = unheard && age > mean + SILENT_DEVIATIONS * deviation;
-                    overdue.push((n, index, attempt.member, silent));
+                let unheard = self.members[m].heard < attempt.sent;
+                // Many that wait together prove it sooner, though not before a connection would have failed:
+                // where answers take milliseconds, any pause of a machine is long by them.
+                let long = age > mean + SILENT_DEVIATIONS * deviation;
+                let proven = silence[m].proves() && age > mean.max(settings.connect_timeout);
+                let silent = unheard && (long || proven);
+                if silent || age > limit {
+                    overdue.push((n, index, m, silent));
                 }
             }
         }
@@ -849,18 +852,19 @@
             // connection can fall silent by itself.
             if silent {
                 let primary = self.groups.get(&self.members[m].group).and_then(|g| g.primary);
-                let lone = primary == Some(m) && waiting[m] < 2;
+                let lone = primary == Some(m) && silence[m].late < 2;
                 self.suspect(m, if lone { CUT_OFF } else { EJECT_AT }, out);
             }
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
             request.attempts[index].overdue |= silent;
             let class = &self.settings.classes[request.class];
-            let time = request.aim_at - self.now > self.latency[request.class].0;
+            let time = request.aim_at - self.now > self.latency[request.class].mean;
             let safe = class.effect == Effect::Safe && request.attempts.len() == index + 1;
             if !safe || !time || self.retries < 1.0 || index > 2 {
                 continue;
             }
-            if self.settings.may_duplicate && class.consistency != Consistency::Fresh {
+            let unheard = self.members[m].heard < request.attempts[index].sent;
+            if self.settings.may_duplicate && unheard && class.consistency != Consistency::Fresh {
                 if let Choice::To(other) = self.pick_read(n) {
                     self.retries -= 1.0;
                     self.send(n, other, out);
@@ -891,25 +895,10 @@
         if seeking {
             state.seek_at = self.now + every * (0.5 + self.rng.f64());
         }
-        let wanted = self.now - state.wanted_at < self.settings.connect_timeout * EJECT_MOST;
         let seeking = seeking && !state.held.is_empty();
         let members = state.members.clone();
         if self.settings.probes {
-            // Each probe draws on an allowance that requests earn: guards against storms, since every proxy
-            // seeks at the same moment. Where members check reads, a read on hope asks at less cost.
-            let checked = self.settings.when_behind != WhenBehind::Silent;
-            for m in members {
-                let member = &self.members[m];
-                let unheard = !checked && wanted && member.position == f64::NEG_INFINITY;
-                let home = member.zone == self.settings.zone;
-                let stale = wanted && home && self.now - member.position_at > self.bound * 0.7;
-                let stale = (stale || unheard) && self.now - member.probed_at > self.bound;
-                if self.probes >= 1.0 && self.usable(m) && !member.probing && (seeking || stale) {
-                    self.probes -= 1.0;
-                    (self.members[m].probing, self.members[m].probed_at) = (true, self.now);
-                    out.push(Action::Probe { member: self.members[m].id.clone() });
-                }
-            }
+            self.ask_about(group, seeking, out);
         } else if seeking {
             // Without probes one held write goes out as a scout: a miss proves that nothing ran.
             let out_now = |n: &u64| self.requests.get(n).is_some_and(|r| r.attempts.iter().any(|a| a.open));
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,6 +1,7 @@
 //! What the policy keeps of members, groups and requests: plain data, no decision.
 
 use crate::interface::{MemberId, Phase, RequestId, Settings};
+use crate::latency::Latency;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -84,6 +85,8 @@
     pub seeking_since: Option<f64>,
     pub scout: Option<u64>,
     pub wanted_at: f64,
+    /// When a read last found nobody who could take it.
+    pub short_at: f64,
 }
 
 /// One attempt of a request.
@@ -194,7 +197,8 @@
     pub(crate) requests: BTreeMap<u64, Request>,
     pub(crate) numbers: HashMap<RequestId, u64>,
     pub(crate) next: u64,
-    pub(crate) latency: Vec<(f64, f64)>,
+    /// What each class usually takes.
+    pub(crate) latency: Vec<Latency>,
     /// Until then members are taken to have no room for idle connections.
     pub(crate) crowded_until: f64,
     pub(crate) retries: f64,
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -69,3 +69,16 @@
     }
     assert_eq!(sent(&d.pass(0.45)), [] as [&str; 0]);
 }
+
+/// Guards against work done twice for nothing: of one request both copies take about as long.
+#[test]
+fn no_second_copy_while_the_member_answers_others() {
+    let mut d = Drive::new(copies());
+    d.ask("long", 3);
+    d.pass(0.1);
+    // Sent later, answered before: the member works.
+    d.ask("short", 3);
+    d.pass(0.1);
+    d.answer("short", "r", 0, Outcome::Ok);
+    assert_eq!(sent(&d.pass(0.2)), [] as [&str; 0]);
+}
