Reads overflow to a replica with less in flight; reports that come with answers are read

The spare must now have less of this router's in flight than the choice.

net/servers.rs passed over the load report that comes with answers ('usage'), which the second site says it sends; it is read as that of a probe is.

--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -187,7 +187,8 @@
         let terms = life::terms(opening.as_ref().map(|_| &effective.document.daemon));
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
-        // A client has at most one attempt out, so half the sockets are enough for the db machines' side.
+        // Most clients have one attempt out, so half the sockets are enough for the db machines' side. Where second
+        // copies are allowed these may be short; then one ends as never sent, which costs nothing but itself.
         // Half the memory is for buffers, statements and values, whoever needs them at the time.
         let sockets = effective.sockets.saturating_sub(SPARES + pooled(&effective));
         let clients = sockets / 2;
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -20,6 +20,8 @@
 const ASK_LOAD: &[u8] = b"SHOW usage";
 const POSITION: &str = "commit_clock";
 const ROLE: &str = "server_role";
+/// The load report that comes with answers where the settings say so.
+const REPORT: &str = "usage";
 const PRIMARY: &str = "writer";
 const REPLICA: &str = "reader";
 /// The fields of a load report.
@@ -61,6 +63,8 @@
     position: Option<f64>,
     primary: Option<bool>,
     report: Option<Report>,
+    /// A report came that cannot be read.
+    odd: bool,
 }
 
 impl Reply {
@@ -220,6 +224,10 @@
                 }
                 Some((ROLE, PRIMARY)) => self.reply.primary = Some(true),
                 Some((ROLE, REPLICA)) => self.reply.primary = Some(false),
+                Some((REPORT, fields)) => {
+                    self.reply.report = report(fields.as_bytes());
+                    self.reply.odd |= self.reply.report.is_none();
+                }
                 _ => {}
             },
             (Stage::Busy, kind @ (b'T' | b'D' | b'C')) => {
@@ -524,7 +532,7 @@
 /// Tells of the end of a job.
 fn ended(job: Job, member: &MemberId, outcome: Outcome, reply: Reply, context: &mut Context) {
     let unreadable = matches!(job.task, Task::Probe) && outcome == Outcome::Ok && reply.report.is_none();
-    context.counters.unreadable += u64::from(unreadable);
+    context.counters.unreadable += u64::from(unreadable || reply.odd);
     context.events.push_back(Event::Ended(Box::new(Ended {
         task: job.task,
         member: member.clone(),
@@ -552,3 +560,67 @@
     }
     Some(report)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Read;
+    use std::rc::Rc;
+
+    use exchange::Statement;
+
+    use super::*;
+
+    /// A connection that has begun to write a statement to a machine that has next to no room for it, and the
+    /// machine's end.
+    fn writing(bytes: usize) -> (Conn, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        socket2::SockRef::from(&listener).set_recv_buffer_size(2048).unwrap();
+        let stream = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        socket2::SockRef::from(&stream).set_send_buffer_size(4096).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let budget = Budget::new(1 << 20);
+        let text = format!("/* d=10 */ {}", "x".repeat(bytes));
+        let task = Task::Attempt("1".into(), 0, Rc::new(Statement::new(text.into(), 5..7)));
+        let mut conn = Conn {
+            member: "s-1".into(),
+            address: listener.local_addr().unwrap(),
+            stream: TcpStream::from_std(stream),
+            inbox: Ring::new(&budget),
+            outbox: Ring::new(&budget),
+            stage: Stage::Idle,
+            job: Some(Job { task, sent: 0.0, give_up: 10.0 }),
+            reply: Reply::default(),
+            held: budget.charge(),
+            spoilt: false,
+            begun: false,
+            until: 10.0,
+        };
+        assert!(conn.ask(0.0));
+        assert!(matches!(conn.turn(0.0, 1.0), Step::Waiting));
+        (conn, listener.accept().unwrap().0)
+    }
+
+    /// Takes in how the connection ended.
+    fn end(mut conn: Conn) -> Outcome {
+        loop {
+            match conn.turn(0.0, 1.0) {
+                Step::Broken(outcome) => return outcome,
+                _ => std::thread::yield_now(),
+            }
+        }
+    }
+
+    /// Guards a request that must never run twice: only what a machine had whole may have run there.
+    #[test]
+    fn a_request_of_which_the_last_byte_was_not_written_cannot_have_run() {
+        let (conn, mut machine) = writing(140 * 1024);
+        assert!(!conn.outbox.is_empty(), "some of it is still here");
+        machine.read_exact(&mut [0; 100]).unwrap();
+        drop(machine);
+        assert_eq!(end(conn), Outcome::ConnectFailed);
+        let (conn, machine) = writing(100);
+        assert!(conn.outbox.is_empty());
+        drop(machine);
+        assert_eq!(end(conn), Outcome::Reset);
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -363,13 +363,6 @@
         line(self.0.local_addr().unwrap(), name, zone, "SERVING")
     }
 
-    /// The same, with next to no room for what is sent to it and not read.
-    pub fn narrow() -> Db {
-        let db = Db::listen();
-        socket2::SockRef::from(&db.0).set_recv_buffer_size(2048).unwrap();
-        db
-    }
-
     /// The next connection, before its startup.
     pub fn connection(&self) -> Wire {
         Wire::over(self.0.accept().expect("the pooler connects").0)
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -600,9 +600,11 @@
             Some(home) => idlest.filter(|&away| self.exits(home, away)).or(Some(home)),
             None => (!remote.is_empty()).then(|| drawn(&remote)),
         };
-        // Where the choice could not answer in time, the one of all the fresh that would be soonest may.
+        // Where the choice could not answer in time, the one of all the fresh that would be soonest may,
+        // if less of this router's is there.
         let soonest = |a: &usize, b: &usize| self.predicted(*a, class).total_cmp(&self.predicted(*b, class));
-        let spare = choice.and_then(|_| fresh.iter().copied().min_by(soonest));
+        let spare = fresh.iter().copied().min_by(soonest);
+        let spare = spare.filter(|&m| choice.is_some_and(|home| self.load(home) > self.load(m)));
         let mut verdict = Choice::Hold;
         for m in choice.into_iter().chain(spare) {
             verdict = self.admit(request, m, 1.0);
