--- a/crates/daemon/src/net/proxy/life.rs
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -270,7 +270,9 @@
         }
         for id in waiting {
             let backoff = self.retry_after * (0.5 + 0.5 * self.life.rng.f64());
-            self.answer(&id, Answer::Refused(backoff), context);
+            // One that waits for its repeat may have run: to say that another try is harmless would be wrong.
+            let harmless = self.policy.may_refuse(&id);
+            self.answer(&id, if harmless { Answer::Refused(backoff) } else { Answer::Failed }, context);
             self.tell(interface::Event::Gone { id }, context);
         }
     }
--- a/crates/daemon/tests/life.rs
+++ b/crates/daemon/tests/life.rs
@@ -49,6 +49,31 @@
     assert!(pooler.logged(" ends: ").contains("refused=300"));
 }
 
+/// Guards the rule on repeats at the end: who waits for a repeat is not told that another try is harmless.
+#[test]
+fn a_write_that_may_have_run_and_waits_for_its_repeat_is_not_sent_away_as_refused() {
+    let db = Db::listen();
+    let (mut pooler, _discovery, _operator) = operated(&db.line("s-1", "here"), "life-repeat", "");
+    let mut writer = client(&pooler);
+    writer.send(&query(&ask("0", "order-write")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    wire.send(&served(b"\x9f", "writer"));
+    writer.answer();
+    writer.send(&query(&ask("1", "order-write")));
+    assert!(asked(&mut wire).contains("id=1,"));
+    // Its connection breaks after the last byte, and no other can be made: it waits.
+    drop((wire, db));
+    while !pooler.counters().contains(" reset=1 ") {}
+    let mut other = client(&pooler);
+    other.send(&query(&ask("2", "order-write")));
+    while !pooler.counters().contains("taken=3 ") {}
+    pooler.signal("TERM");
+    assert_eq!(writer.error(), ("58000".to_string(), None));
+    assert_eq!(other.error().0, "53300");
+    assert_eq!(pooler.ended().code(), Some(0));
+}
+
 #[test]
 fn what_outlasts_the_time_to_drain_is_answered_and_logged() {
     let db = Db::listen();
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -422,16 +422,20 @@
         }
     }
 
+    /// Whether another try of a request by its client could do no harm.
+    pub(crate) fn harmless(&self, request: &Request) -> bool {
+        let class = &self.settings.classes[request.class];
+        let untouched = request.risky.is_none() && request.attempts.iter().all(|a| !a.open);
+        let dropped = class.effect == Effect::Keyed && class.dedup == Dedup::All;
+        class.effect == Effect::Safe || untouched || dropped
+    }
+
     /// The final answer of a request that is given up: a refusal where another try is harmless.
     fn conclude(&mut self, n: u64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&n) else { return };
         let class = &self.settings.classes[request.class];
-        let outstanding = request.attempts.iter().any(|a| a.open);
-        let untouched = request.risky.is_none() && !outstanding;
-        let dropped = class.effect == Effect::Keyed && class.dedup == Dedup::All;
-        let harmless = class.effect == Effect::Safe || untouched || dropped;
         let id = request.id.clone();
-        if harmless {
+        if self.harmless(request) {
             let late = class.late_worth == 0.0 && self.now >= request.aim_at - self.settings.tick;
             let wait = if late { class.deadline } else { class.aim * BACKOFF_AIM };
             let backoff = (wait * (0.5 + self.rng.f64())).min(request.terms.backoff);
