--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -849,3 +849,15 @@
     }
     attempt
 }
+
+/// Guards against work for an answer that earns nothing any more, and for giving up one that still does.
+#[test]
+fn only_what_still_earns_something_goes_on_past_its_aim() {
+    for (class, first, then) in [(3, "r", vec![]), (0, "p", vec!["p"])] {
+        let mut d = Drive::new(settings());
+        assert_eq!(sent(&d.ask("x", class)), [first]);
+        d.pass(0.55);
+        let next = d.answer("x", first, 0, Outcome::Error);
+        assert_eq!((sent(&next), finals(&next)), (then.clone(), usize::from(then.is_empty())), "{next:?}");
+    }
+}
