A story of writes that never run twice waits for the end of the connection that it closes

Cause: `deployments.rs` `primary` closed a server connection and asked at once; a request written before the pooler had seen the end was lost by the test's own doing.

Change: the story shuts its side down and waits for the pooler's end of that connection.

--- a/crates/daemon/tests/deployments.rs
+++ b/crates/daemon/tests/deployments.rs
@@ -265,6 +265,9 @@
     asked(&mut wire);
     wire.send(&served(VALUE, "writer"));
     assert_eq!(client.answer()[0].0, b'T');
+    // The pooler has seen the end of the connection: what is asked next cannot be written to it.
+    wire.0.shutdown(std::net::Shutdown::Write).unwrap();
+    wire.ends();
 }
 
 #[rstest]
