A hundred poolers: load judged by the part seen, writes scout, reads ask when they need to

Change: a member's load counts as the part that one of `fleetSize` poolers sees and the limit makes room for few answers; held writes try members of unheard role, one at a time; reads that find no fresh replica ask one, quiet replicas are asked at a rate that all poolers share, suspects as often as they may be tried; a repeat draws no second lot for a cold machine; waiting ends shortly before half of a request's time.

--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -1,17 +1,18 @@
 //! What is known of how recent members' data are, and whom to ask about it. A member tells where it stands
 //! with each answer; one that nobody sends to is asked by a probe, which costs it work and the site points.
 
-use crate::interface::{Action, WhenBehind};
-use crate::policy::EJECT_MOST;
+use crate::interface::Action;
+use crate::policy::{EJECT_MOST, SEEK_EVERY};
 use crate::state::Policy;
 
 /// Probes allowed for each request ...
 const PROBE_SHARE: f64 = 0.3;
 /// ... and saved up at most.
 pub(crate) const PROBE_MOST: f64 = 20.0;
-/// Share of the shortest staleness bound after which what was heard of a member's position is asked for anew:
-/// early enough for the answer to come before what is known has grown too old to use.
-const STALE: f64 = 0.7;
+/// Share of the shortest staleness bound that lies between two askings of a member at the least.
+const AGAIN: f64 = 0.2;
+/// Members of a group that all proxies together ask at a time for one read.
+const ASKED_AT_ONCE: f64 = 16.0;
 
 impl Policy {
     /// A request has come: it pays for its part of a probe.
@@ -19,41 +20,85 @@
         self.probes = (self.probes + PROBE_SHARE).min(PROBE_MOST);
     }
 
-    /// Asks those of a group's members whose position is not known well enough: all of them while its primary
-    /// is sought; those at home while there are requests for the group; and the others as well while reads find
-    /// nobody who could take them. Each probe draws on an allowance that requests earn: guards against
-    /// storms, since every proxy seeks at the same moment.
-    pub(crate) fn ask_about(&mut self, group: u32, seeking: bool, out: &mut Vec<Action>) {
-        let Some(state) = self.groups.get(&group) else { return };
-        let wanted = self.now - state.wanted_at < self.settings.connect_timeout * EJECT_MOST;
-        let short = self.now - state.short_at < self.bound;
-        // Where members check reads, a read on hope asks at less cost.
-        let checked = self.settings.when_behind != WhenBehind::Silent;
-        for m in state.members.clone() {
-            let member = &self.members[m];
-            let unheard = !checked && wanted && member.position == f64::NEG_INFINITY;
-            let near = member.zone == self.settings.zone || short && !checked;
-            let stale = wanted && near && self.now - member.position_at > self.bound * STALE;
-            let stale = (stale || unheard) && self.now - member.probed_at > self.bound;
-            if self.probes >= 1.0 && self.usable(m) && !member.probing && (seeking || stale) {
-                self.probes -= 1.0;
-                (self.members[m].probing, self.members[m].probed_at) = (true, self.now);
-                out.push(Action::Probe { member: self.members[m].id.clone() });
-            }
-        }
+    /// A read finds no replica that is known to be fresh enough: one that may be is asked, at home before elsewhere, and
+    /// the one that this proxy heard of last, to which a connection is open. Not one that was asked within `rest`
+    /// (seconds); where that is above 0, nobody waits and only those at home are asked. Whether an answer is still to come.
+    pub(crate) fn asks_for(&mut self, n: u64, rest: f64, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&n).filter(|_| self.settings.probes) else { return false };
+        let Some(state) = self.groups.get(&request.group) else { return false };
+        let needed = self.needed(request);
+        let able = |m: &usize| {
+            let near = rest == 0.0 || self.members[*m].zone == self.settings.zone;
+            Some(*m) != state.primary && self.usable(*m) && !request.tried(*m) && near && self.may_ask(*m)
+        };
+        // One that has just said that it is behind is left to catch up first.
+        let worth = |m: &usize| {
+            let member = &self.members[*m];
+            let behind = needed - member.position;
+            let pause = if behind.is_finite() { behind } else { 0.0 };
+            !member.probing
+                && behind > 0.0
+                && self.now - member.probed_at >= pause.clamp(self.bound * AGAIN, self.bound).max(rest)
+        };
+        let mut able: Vec<usize> = state.members.iter().copied().filter(able).collect();
+        let place = |m: &usize| {
+            let member = &self.members[*m];
+            (!member.ejected, member.zone == self.settings.zone, member.heard)
+        };
+        let order = |a: &usize, b: &usize| {
+            let (a, b) = (place(a), place(b));
+            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+        };
+        // Of those never heard of each proxy asks another first.
+        let turn = self.rng.usize(..able.len().max(1));
+        able.rotate_left(turn);
+        let mut worth: Vec<usize> = able.iter().copied().filter(worth).collect();
+        worth.sort_by(|a, b| order(b, a));
+        self.ask_some(&able, worth, out)
     }
 
-    /// Reads of a group find nobody who could take them: those of its members not known to be fresh are asked.
-    /// Whether an answer of one is still to come.
-    pub(crate) fn asks_for(&mut self, group: u32, out: &mut Vec<Action>) -> bool {
-        if !self.settings.probes {
-            return false;
-        }
-        if let Some(state) = self.groups.get_mut(&group) {
-            state.short_at = self.now;
+    /// A request needs the primary of its group, and nobody knows who it is: the member of which it is least known that
+    /// it is none is asked.
+    pub(crate) fn asks_for_primary(&mut self, group: u32, out: &mut Vec<Action>) {
+        let Some(state) = self.groups.get(&group).filter(|_| self.settings.probes) else { return };
+        let able = |m: &usize| self.usable(*m) && self.may_ask(*m);
+        let mut able: Vec<usize> = state.members.iter().copied().filter(able).collect();
+        let every = self.settings.connect_timeout * SEEK_EVERY;
+        let due = |m: &usize| !self.members[*m].probing && self.now - self.members[*m].probed_at >= every;
+        let known = |m: usize| self.members[m].role.map_or(f64::NEG_INFINITY, |(_, at)| at);
+        let turn = self.rng.usize(..able.len().max(1));
+        able.rotate_left(turn);
+        let mut due: Vec<usize> = able.iter().copied().filter(due).collect();
+        due.sort_by(|a, b| known(*a).total_cmp(&known(*b)));
+        self.ask_some(&able, due, out);
+    }
+
+    /// Asks the first of these, as far as not enough of the group's are being asked already: few at a time, since what
+    /// each of many proxies asks in turn all of them ask at once. Whether an answer is still to come.
+    fn ask_some(&mut self, able: &[usize], mut who: Vec<usize>, out: &mut Vec<Action>) -> bool {
+        let asking = able.iter().filter(|&&m| self.members[m].probing).count();
+        let most = (ASKED_AT_ONCE / f64::from(self.settings.fleet_size)).max(1.0) as usize;
+        who.truncate(most.saturating_sub(asking));
+        who.into_iter().for_each(|m| self.ask(m, out));
+        // Nobody waits for a suspect.
+        able.iter().any(|&m| self.members[m].probing && !self.members[m].ejected)
+    }
+
+    /// Whether a member may be asked: a suspect as often as it may be tried, for its role and position are how a
+    /// member that was away comes back.
+    fn may_ask(&self, m: usize) -> bool {
+        let member = &self.members[m];
+        let due = member.probed_at + self.settings.connect_timeout * EJECT_MOST;
+        !member.ejected || self.now >= member.out_until.max(due)
+    }
+
+    /// Asks a member, if the allowance goes so far: requests earn it, which guards against storms, since
+    /// every proxy seeks at the same moment.
+    fn ask(&mut self, m: usize, out: &mut Vec<Action>) {
+        if self.probes >= 1.0 {
+            self.probes -= 1.0;
+            (self.members[m].probing, self.members[m].probed_at) = (true, self.now);
+            out.push(Action::Probe { member: self.members[m].id.clone() });
         }
-        self.ask_about(group, false, out);
-        let Some(state) = self.groups.get(&group) else { return false };
-        state.members.iter().any(|&m| self.members[m].probing && !self.members[m].ejected)
     }
 }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -43,23 +43,29 @@
 /// Lateness assumed of a list's roles, as a share of `ask_within`: first-hand news is dated exactly.
 const LIST_LATE: f64 = 0.5;
 /// While a primary is sought, time between probe rounds or scouts, in multiples of the connect time-out.
-const SEEK_EVERY: f64 = 0.8;
+pub(crate) const SEEK_EVERY: f64 = 0.8;
 /// A member takes so many connections at least: fleets of fewer proxies cannot fill it with idle ones.
 const TABLE_LEAST: u32 = 200;
 /// In flight at a primary up to which held requests are released: paced, so they come as it can take them.
 const RELEASE_UP_TO: u32 = 6;
 /// Share of the reads open to a cold member, in multiples of its present capacity.
 const COLD_READS: f64 = 1.0;
+/// Share of the scouts open to a cold member, in multiples of its present capacity.
+const COLD_SCOUTS: f64 = 0.5;
 /// Share of the tipping multiple that work bound to a cold primary may use.
 const COLD_BOUND: f64 = 0.5;
 /// Share of its time that a request may wait without reaching any member: given up then, its client has as
 /// much time again to try elsewhere.
-const HOLD_SHARE: f64 = 0.5;
+const HOLD_SHARE: f64 = 0.45;
 /// Share of the aim that predicted waiting may take at the least and the most worthwhile class.
 const SHED_LEAST: f64 = 0.35;
 const SHED_MOST: f64 = 0.75;
+/// Error of a prediction of which as much is seen as at few proxies, as a share of it: ten answers' mean.
+const DOUBT: f64 = 0.3;
 /// Requests in flight at a member, from all proxies together, that admission lets through in any case.
 const TRICKLE: f64 = 8.0;
+/// Multiple of what its class usually takes up to which a read overflows onto the primary.
+const CROWDED: f64 = 1.5;
 /// Share of its aim up to which a read may overflow onto the primary, whose own work comes first.
 const OVERFLOW_AIM: f64 = 0.35;
 /// Back-off told with a refusal, as a share of the aim: short, so that the next try still falls within it.
@@ -72,6 +78,8 @@
 const SESSIONS: usize = 20_000;
 /// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
 const SESSION_AGE: f64 = 60.0;
+/// Times in the shortest staleness bound that all proxies together ask a replica that they do not send to.
+const REFRESHED: f64 = 4.0;
 /// Cookie of the housekeeping timer; requests use their own number, from 1.
 const HOUSEKEEPING: u64 = 0;
 
@@ -339,11 +347,23 @@
         member.in_flight + member.ghosts.iter().filter(|until| **until > self.now).count() as u32
     }
 
+    /// How many times more requests of the fleet are at a member than this proxy can judge it by: at TRICKLE
+    /// proxies or fewer each sees enough of them, at a hundred hardly one.
+    fn unseen(&self) -> f64 {
+        (f64::from(self.settings.fleet_size) / TRICKLE).max(1.0)
+    }
+
     /// Latency to expect of one more request at a member, from what its like took lately and its load.
     fn predicted(&self, m: usize, class: usize) -> f64 {
         let member = &self.members[m];
-        let crowd = (f64::from(self.load(m)) + 1.0) / (member.usual_load + 1.0);
-        self.latency[class].mean * member.ratio.max(0.5) * crowd.max(1.0)
+        // Of a member's load this proxy sees its own part only: at many proxies one request more or less says
+        // next to nothing of the whole.
+        let unseen = self.unseen();
+        let crowd = (f64::from(self.load(m)) + unseen) / (member.usual_load + unseen);
+        // What was slow a while ago may not be now.
+        let age = (self.now - member.heard) / (self.settings.connect_timeout * SUSPICION_HALVES);
+        let ratio = 1.0 + (member.ratio - 1.0) * 0.5f64.powf(age.max(0.0));
+        self.latency[class].mean * ratio.max(0.5) * crowd.max(1.0)
     }
 
     pub(crate) fn warmth(&self, m: usize) -> f64 {
@@ -360,12 +380,11 @@
     /// request now and then keep to it together. It is sent there once: work turned away weighs as well.
     fn cold_room(&self, request: &Request, m: usize, multiple: f64) -> bool {
         let warmth = self.warmth(m);
-        let tried = request.attempts.iter().any(|a| a.member == m);
-        warmth >= 1.0 || request.lot < multiple * warmth && !tried
+        warmth >= 1.0 || request.lot < multiple * warmth && !request.tried(m)
     }
 
     fn arrival(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
-        let Arrival { id, class, group, left, token, session, tenant, predicted, .. } = arrival;
+        let Arrival { id, class, group, left, token, session, tenant, predicted, repeat } = arrival;
         let now = self.now;
         let c = &self.settings.classes[class];
         // What the request says it must see holds on every site; what is remembered adds to it.
@@ -392,16 +411,14 @@
         self.numbers.insert(id.clone(), n);
         let times = (now + aim, now + left);
         let terms = Terms::of(&self.settings);
-        let request =
-            Request { lot: self.rng.f64(), session, terms, ..Request::new(id, (class, group), times) };
+        // A client's repeat has had its lot: many refusals would add up to all there is.
+        let lot = if repeat { 1.0 } else { self.rng.f64() };
+        let request = Request { lot, session, terms, ..Request::new(id, (class, group), times) };
         let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
         self.requests.insert(n, Request { token, over_share, hold_until, ..request });
         out.push(Action::Timer { at: hold_until, cookie: n });
         // Every request has a timer that ends it just inside its deadline, whatever else happens.
         out.push(Action::Timer { at: (now + left - self.settings.tick).max(now), cookie: n });
-        if let Some(state) = self.groups.get_mut(&group) {
-            state.wanted_at = now;
-        }
         self.advance(n, out);
     }
 
@@ -468,12 +485,29 @@
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
         let waited = self.now >= request.hold_until && request.untried();
         let choice = if bound { self.pick_primary(n) } else { self.pick_read(n) };
-        let asked = !bound && !matches!(choice, Choice::To(_)) && self.asks_for(group, out);
+        let asked = match choice {
+            Choice::To(_) => false,
+            Choice::Hold if bound => {
+                self.asks_for_primary(group, out);
+                false
+            }
+            _ => !bound && self.asks_for(n, 0.0, out),
+        };
         match choice {
             Choice::To(m) => {
-                // A read that goes to the primary found no replica for it.
-                if let Some(g) = self.groups.get_mut(&group).filter(|g| !bound && g.primary == Some(m)) {
-                    g.short_at = self.now;
+                let Some(g) = self.groups.get_mut(&group) else { return };
+                let scout = bound && g.primary.is_none();
+                let short = g.primary == Some(m);
+                if scout {
+                    g.scout = Some(n);
+                }
+                // A read that goes to the primary found no replica for it: those to come may find
+                // one. What a session has just written only this read needs.
+                let lasting = |r: &Request| self.needed(r) <= self.now - self.bound;
+                if !bound {
+                    let wanted = short && self.requests.get(&n).is_some_and(lasting);
+                    let quiet = self.bound * f64::from(self.settings.fleet_size) / REFRESHED;
+                    self.asks_for(n, if wanted { 0.0 } else { quiet }, out);
                 }
                 self.send(n, m, out);
             }
@@ -499,13 +533,15 @@
     }
 
     /// Where a request that needs the primary goes.
-    fn pick_primary(&self, n: u64) -> Choice {
+    fn pick_primary(&mut self, n: u64) -> Choice {
         let Some(request) = self.requests.get(&n) else { return Choice::Refuse };
         let Some(state) = self.groups.get(&request.group) else { return Choice::Refuse };
         if state.members.is_empty() {
             return Choice::Refuse;
         }
-        let Some(m) = state.primary else { return Choice::Hold };
+        let Some(m) = state.primary else {
+            return self.scout(n, false).map_or(Choice::Hold, Choice::To);
+        };
         if !self.healthy(m) {
             return if self.trial_due(m) { Choice::To(m) } else { Choice::Hold };
         }
@@ -515,6 +551,33 @@
         self.admit(request, m, 1.0)
     }
 
+    /// Who is tried with a write while nobody knows the primary, one write at a time: a miss proves that
+    /// nothing ran, and costs less than a probe. At once only members of which the role was never heard; in
+    /// rounds the one that has most of the log, for that one takes over.
+    fn scout(&mut self, n: u64, round: bool) -> Option<usize> {
+        let turn = self.rng.usize(..);
+        let request = self.requests.get(&n)?;
+        let state = self.groups.get(&request.group)?;
+        let out_now = |n: &u64| self.requests.get(n).is_some_and(|r| r.attempts.iter().any(|a| a.open));
+        let write = self.settings.classes[request.class].consistency == Consistency::Write;
+        if !write || request.risky.is_some() || state.scout.as_ref().is_some_and(out_now) {
+            return None;
+        }
+        // A cold one has hardly taken over; a scout weighs on it like any work.
+        let cold = if round { COLD_SCOUTS } else { 0.0 };
+        let open = |m: &usize| {
+            let able = self.usable(*m) && self.healthy(*m) && self.cold_room(request, *m, cold);
+            able && !request.tried(*m) && (round || self.members[*m].role.is_none())
+        };
+        let open: Vec<usize> = state.members.iter().copied().filter(open).collect();
+        if round {
+            let place =
+                |a: &usize, b: &usize| self.members[*a].position.total_cmp(&self.members[*b].position);
+            return open.into_iter().max_by(place);
+        }
+        open.get(turn % open.len().max(1)).copied()
+    }
+
     /// Refuses early what cannot be answered in time: the least worth first, over-share tenants before all.
     fn admit(&self, request: &Request, m: usize, share: f64) -> Choice {
         let class = &self.settings.classes[request.class];
@@ -526,7 +589,12 @@
         let worth = worth * if request.over_share { self.settings.over_share_worth } else { 1.0 };
         // What is late already waits in no longer a queue: it would make the timely ones late too.
         let left = if self.now < request.aim_at { request.aim_at } else { request.deadline } - self.now;
-        let limit = left.min(class.aim) * share * (SHED_LEAST + (SHED_MOST - SHED_LEAST) * worth);
+        // What is predicted from few answers errs by the root of their number: the limit makes room for it.
+        let doubt = 1.0 + DOUBT * (self.unseen().sqrt() - 1.0);
+        let limit = left.min(class.aim) * share * (SHED_LEAST + (SHED_MOST - SHED_LEAST) * worth) * doubt;
+        // Guards reads of a class that takes much of its aim by itself: they would never overflow.
+        let usual = if share < 1.0 { self.latency[request.class].base * CROWDED } else { 0.0 };
+        let limit = limit.max(usual);
         let predicted = self.predicted(m, request.class);
         // A trickle goes on whatever is predicted, or the prediction would never hear of better times. It is
         // paced by the size of the fleet: many proxies that each let a little through would jam a member.
@@ -541,7 +609,7 @@
     }
 
     /// The position a read needs of a replica.
-    fn needed(&self, request: &Request) -> f64 {
+    pub(crate) fn needed(&self, request: &Request) -> f64 {
         match self.settings.classes[request.class].consistency {
             Consistency::Bounded(bound) => request.token.max(self.now - bound),
             Consistency::Any | Consistency::Session => request.token,
@@ -558,9 +626,8 @@
         let primary = state.primary;
         let needed = self.needed(request);
         let any = self.settings.classes[class].consistency == Consistency::Any;
-        let tried = |m: usize| request.attempts.iter().any(|a| a.member == m);
         let all: Vec<usize> =
-            state.members.iter().copied().filter(|&m| self.usable(m) && !tried(m)).collect();
+            state.members.iter().copied().filter(|&m| self.usable(m) && !request.tried(m)).collect();
         let replicas: Vec<usize> = all.iter().copied().filter(|&m| Some(m) != primary).collect();
         let fit =
             |m: &usize| (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, COLD_READS);
@@ -892,43 +959,28 @@
         }
     }
 
-    /// Keeps knowledge of a group alive: finds a lost primary, and hears from members that were silent.
+    /// Looks for the primary of a group in rounds, while requests wait for it.
     fn seek(&mut self, group: u32, out: &mut Vec<Action>) {
         let every = self.settings.connect_timeout * SEEK_EVERY;
-        let bound_share = self.settings.tip_multiple * COLD_BOUND;
         let Some(state) = self.groups.get_mut(&group) else { return };
-        let seeking = state.seeking_since.is_some() && self.now >= state.seek_at;
-        if seeking {
-            state.seek_at = self.now + every * (0.5 + self.rng.f64());
-        }
-        let seeking = seeking && !state.held.is_empty();
-        let members = state.members.clone();
-        if self.settings.probes {
-            self.ask_about(group, seeking, out);
-        } else if seeking {
-            // Without probes one held write goes out as a scout: a miss proves that nothing ran.
-            let out_now = |n: &u64| self.requests.get(n).is_some_and(|r| r.attempts.iter().any(|a| a.open));
-            let busy = state.scout.as_ref().is_some_and(out_now);
-            let fits = |r: &Request| {
-                let write = self.settings.classes[r.class].consistency == Consistency::Write;
-                let spent = r.attempts.len() as u32 >= r.terms.attempts || self.now >= r.deadline;
-                write && !spent && !r.done && r.risky.is_none()
-            };
-            let mut held = state.held.iter().copied();
-            let Some(n) = held.find(|n| !busy && self.requests.get(n).is_some_and(fits)) else { return };
-            let request = &self.requests[&n];
-            let open = |&m: &usize| {
-                let tried = request.attempts.iter().any(|a| a.member == m);
-                !tried && self.usable(m) && self.healthy(m) && self.cold_room(request, m, bound_share)
-            };
-            let place =
-                |a: &usize, b: &usize| self.members[*a].position.total_cmp(&self.members[*b].position);
-            if let Some(m) = members.into_iter().filter(open).max_by(place) {
+        if state.seeking_since.is_none() || self.now < state.seek_at || state.held.is_empty() {
+            return;
+        }
+        state.seek_at = self.now + every * (0.5 + self.rng.f64());
+        let fits = |n: &u64| {
+            let Some(r) = self.requests.get(n) else { return false };
+            let spent = r.attempts.len() as u32 >= r.terms.attempts || self.now >= r.deadline;
+            !spent && !r.done
+        };
+        let held: Vec<u64> = state.held.iter().copied().filter(fits).collect();
+        match held.into_iter().find_map(|n| self.scout(n, true).map(|m| (n, m))) {
+            Some((n, m)) => {
                 let Some(state) = self.groups.get_mut(&group) else { return };
                 state.held.retain(|&x| x != n);
                 state.scout = Some(n);
                 self.send(n, m, out);
             }
+            None => self.asks_for_primary(group, out),
         }
     }
 }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -84,9 +84,6 @@
     pub seek_at: f64,
     pub seeking_since: Option<f64>,
     pub scout: Option<u64>,
-    pub wanted_at: f64,
-    /// When a read last found nobody who could take it.
-    pub short_at: f64,
 }
 
 /// One attempt of a request.
@@ -171,6 +168,11 @@
         }
     }
 
+    /// Whether it has been sent to a member.
+    pub fn tried(&self, m: usize) -> bool {
+        self.attempts.iter().any(|a| a.member == m)
+    }
+
     /// Whether no member has got it, as far as is known.
     pub fn untried(&self) -> bool {
         self.attempts.iter().all(|a| a.unsent)
--- a/crates/routing/tests/drive/mod.rs
+++ b/crates/routing/tests/drive/mod.rs
@@ -112,6 +112,21 @@
         }))
     }
 
+    /// The primary's answer to a request that went out once, after so long (seconds).
+    pub fn served_after(&mut self, id: &str, member: &str, elapsed: f64) -> Vec<Action> {
+        self.feed(Event::Done(Done {
+            id: id.into(),
+            member: member.into(),
+            attempt: 0,
+            outcome: Outcome::Ok,
+            finished: true,
+            elapsed,
+            position: None,
+            primary: Some(true),
+            report: Report::default(),
+        }))
+    }
+
     /// Makes a replica known to be fresh as of now.
     pub fn freshen(&mut self, member: &str) {
         let report = Report { position: Some(self.now), primary: Some(false) };
