A successor takes its sockets' paths before it tells the old daemon that it stands

Its log, now printed by `Pooler::logged`: the third daemon found no hand-over socket at its path. `handover/src/taker.rs` said `Stands` before `Stand`: the old daemon ended at once, and its `Bound::drop` looked whose file stands at the path (its own), after which the successor renamed its own socket there, which the old one then removed. Ruled out: the refused connections in the same output, which only follow from the test's end.

Change: the successor stands first and tells it then; the old daemon's look finds the other file and leaves it.

--- a/crates/handover/src/taker.rs
+++ b/crates/handover/src/taker.rs
@@ -112,8 +112,10 @@
                     );
                 } else if now >= self.until {
                     self.stage = Stage::Standing;
-                    out.push(Do::Say(Say::Stands));
+                    // Told last: an old daemon at its end removes the paths that are still its own, and would remove
+                    // one that this daemon takes between its look and its removal.
                     out.push(Do::Stand);
+                    out.push(Do::Say(Say::Stands));
                 } else {
                     // Looked at more often than once: harm ends sooner.
                     out.push(Do::Timer(self.until.min(now + 0.1)));
--- a/crates/handover/tests/machines.rs
+++ b/crates/handover/tests/machines.rs
@@ -36,7 +36,7 @@
     assert_eq!(give(&mut giver, 0.1, Heard::Said(Say::Ready)), [Act::Pause, Act::Say(Say::Yours)]);
     assert_eq!(take(&mut taker, 0.2, Seen::Said(Say::Yours)), [Do::Accept]);
     assert_eq!(take(&mut taker, 1.0, Seen::Time(1_000, 500, 0)), [], "half of them may be bad");
-    assert_eq!(take(&mut taker, 3.2, Seen::Time(2_000, 500, 0)), [Do::Say(Say::Stands), Do::Stand]);
+    assert_eq!(take(&mut taker, 3.2, Seen::Time(2_000, 500, 0)), [Do::Stand, Do::Say(Say::Stands)]);
     assert_eq!(give(&mut giver, 3.2, Heard::Said(Say::Stands)), [Act::Succeeded]);
     assert_eq!(give(&mut giver, 3.3, Heard::Gone), []);
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -181,16 +181,14 @@
 
     /// Waits for a line of the log that holds `text`.
     pub fn logged(&self, text: &str) -> String {
+        let mut others = Vec::new();
         loop {
-            let line = self
-                .log
-                .lock()
-                .unwrap()
-                .recv_timeout(PATIENCE)
-                .unwrap_or_else(|_| panic!("'{text}' is not logged"));
+            let line = self.log.lock().unwrap().recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|end| panic!("'{text}' is not logged ({end}): {others:#?}"));
             if line.contains(text) {
                 return line;
             }
+            others.push(line);
         }
     }
 
