Cold replicas have lots of their own; tenants' shares go by the mix of what a pooler gets

`policy.rs` arrival gave a repeat no lot at all, pick_read drew among all fresh ones (a half or a third of a cold one's part), `knowledge.rs` asks_for asks whom this pooler heard of last, so nobody knew the new ones. And of 6,892 requests given up by the 20 busiest of 100 poolers, which get 55% of all, 6,423 were taken for more than their tenants' shares (683 of 3,437 at the others): arrival took the even part of the quota.

Change: `ramp.rs`: each cold replica has lots of its own, as wide as its warmth's part of its zone's reads; its fair part goes there before warm ones, and it is asked for those where it is not known; a repeat draws among twice as many lots. `share.rs`: a share is the quota's part of what this pooler gets, from the even part up to what one of so many may get.

--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -2,7 +2,7 @@
 //! with each answer; one that nobody sends to is asked by a probe, which costs it work and the site points.
 
 use crate::interface::Action;
-use crate::policy::{EJECT_MOST, SEEK_EVERY};
+use crate::policy::{COLD_READS, EJECT_MOST, SEEK_EVERY};
 use crate::state::Policy;
 
 /// Probes allowed for each request ...
@@ -57,6 +57,30 @@
         self.ask_some(&able, worth, out)
     }
 
+    /// A read has drawn the lot of a cold replica at home: that one is asked where it is not known to be fresh enough, though
+    /// others are. A new one is known to no proxy, and each goes on with those that it knows. Whether an answer
+    /// is still to come.
+    pub(crate) fn asks_cold(&mut self, n: u64, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&n).filter(|_| self.settings.probes) else { return false };
+        let Some(state) = self.groups.get(&request.group) else { return false };
+        let own = |m: &usize| {
+            let member = &self.members[*m];
+            let place = member.zone == self.settings.zone && Some(*m) != state.primary;
+            place && self.cold_first(request, *m, COLD_READS)
+        };
+        let able = |m: &usize| self.usable(*m) && !self.members[*m].ejected;
+        let Some(m) = state.members.iter().copied().filter(able).find(own) else { return false };
+        let behind = self.needed(request) - self.members[m].position;
+        if behind <= 0.0 || behind.is_nan() {
+            return false;
+        }
+        let pause = if behind.is_finite() { behind } else { 0.0 };
+        if self.now - self.members[m].probed_at >= pause.clamp(self.bound * AGAIN, self.bound) {
+            self.ask(m, out);
+        }
+        self.members[m].probing
+    }
+
     /// A request needs the primary of its group, and nobody knows who it is: the member of which it is least known that
     /// it is none is asked.
     pub(crate) fn asks_for_primary(&mut self, group: u32, out: &mut Vec<Action>) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,7 +20,9 @@
 mod latency;
 mod learned;
 mod policy;
+mod ramp;
 mod reconfigure;
+mod share;
 mod silence;
 mod state;
 
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::knowledge;
 use crate::latency::{Latency, SAMPLE};
+use crate::share::Share;
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, Terms};
 use std::collections::VecDeque;
@@ -49,7 +50,9 @@
 /// In flight at a primary up to which held requests are released: paced, so they come as it can take them.
 const RELEASE_UP_TO: u32 = 6;
 /// Share of the reads open to a cold member, in multiples of its present capacity.
-const COLD_READS: f64 = 1.0;
+pub(crate) const COLD_READS: f64 = 1.0;
+/// Lots among which a repeat draws, in multiples of those that there are.
+const REPEAT_LOTS: f64 = 2.0;
 /// Share of the scouts open to a cold member, in multiples of its present capacity.
 const COLD_SCOUTS: f64 = 0.5;
 /// Share of the tipping multiple that work bound to a cold primary may use.
@@ -72,8 +75,6 @@
 const BACKOFF_AIM: f64 = 0.12;
 /// A member that left is forgotten after this multiple of `ask_within`, far past every deadline.
 const FORGET_AFTER: f64 = 3.0;
-/// Requests that a tenant may save up at least: at many proxies a second's part of its share is under one.
-const TENANT_LEAST: f64 = 2.0;
 /// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
 const SESSIONS: usize = 20_000;
 /// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
@@ -97,7 +98,7 @@
     pub(crate) fn derive(&mut self) {
         let classes = &self.settings.classes;
         self.latency.extend(classes.iter().skip(self.latency.len()).map(|c| Latency::guess(c.aim)));
-        self.tenants.resize(self.settings.tenant_quota.len(), (TENANT_LEAST, self.now));
+        self.tenants.resize(self.settings.tenant_quota.len(), Share::new(self.now));
         let bound = |c: &Class| if let Consistency::Bounded(b) = c.consistency { b } else { 1.0 };
         self.bound = classes.iter().map(bound).fold(1.0, f64::min);
         self.tick = (classes.iter().map(|c| c.aim).fold(1.0, f64::min) * TICK_SHARE).clamp(0.01, 0.1);
@@ -349,7 +350,7 @@
 
     /// How many times more requests of the fleet are at a member than this proxy can judge it by: at TRICKLE
     /// proxies or fewer each sees enough of them, at a hundred hardly one.
-    fn unseen(&self) -> f64 {
+    pub(crate) fn unseen(&self) -> f64 {
         (f64::from(self.settings.fleet_size) / TRICKLE).max(1.0)
     }
 
@@ -366,23 +367,6 @@
         self.latency[class].mean * ratio.max(0.5) * crowd.max(1.0)
     }
 
-    pub(crate) fn warmth(&self, m: usize) -> f64 {
-        let s = &self.settings;
-        let age = self.now - self.members[m].cold_since;
-        if age >= s.warm_up {
-            return 1.0;
-        }
-        s.cold_from + (1.0 - s.cold_from) * (age / s.warm_up).max(0.0)
-    }
-
-    /// Whether a cold member may have this request. Guards against pushing over one that has just started:
-    /// each request's lot, drawn once, admits a share of all there is, so that hundreds of proxies with a
-    /// request now and then keep to it together. It is sent there once: work turned away weighs as well.
-    fn cold_room(&self, request: &Request, m: usize, multiple: f64) -> bool {
-        let warmth = self.warmth(m);
-        warmth >= 1.0 || request.lot < multiple * warmth && !request.tried(m)
-    }
-
     fn arrival(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
         let Arrival { id, class, group, left, token, session, tenant, predicted, repeat } = arrival;
         let now = self.now;
@@ -398,21 +382,14 @@
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_MOST);
         self.earn_probes();
-        let mut over_share = false;
-        if let Some((tokens, at)) = self.tenants.get_mut(tenant) {
-            let quota = self.settings.tenant_quota[tenant] / f64::from(self.settings.fleet_size);
-            *tokens = (*tokens + (now - *at).max(0.0) * quota).min(quota.max(TENANT_LEAST));
-            *at = now;
-            over_share = *tokens < 1.0;
-            *tokens = (*tokens - 1.0).max(0.0);
-        }
+        let over_share = self.over_share(tenant);
         let n = self.next;
         self.next += 1;
         self.numbers.insert(id.clone(), n);
         let times = (now + aim, now + left);
         let terms = Terms::of(&self.settings);
-        // A client's repeat has had its lot: many refusals would add up to all there is.
-        let lot = if repeat { 1.0 } else { self.rng.f64() };
+        // A client's repeat has had its lot: many refusals would add up to all there is. It draws among more.
+        let lot = self.rng.f64() * if repeat { REPEAT_LOTS } else { 1.0 };
         let request = Request { lot, session, terms, ..Request::new(id, (class, group), times) };
         let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
         self.requests.insert(n, Request { token, over_share, hold_until, ..request });
@@ -484,8 +461,14 @@
         }
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
         let waited = self.now >= request.hold_until && request.untried();
-        let choice = if bound { self.pick_primary(n) } else { self.pick_read(n) };
+        let cold = !bound && !waited && self.asks_cold(n, out);
+        let choice = match (bound, cold) {
+            (true, _) => self.pick_primary(n),
+            (_, true) => Choice::Refuse,
+            _ => self.pick_read(n),
+        };
         let asked = match choice {
+            _ if cold => true,
             Choice::To(_) => false,
             Choice::Hold if bound => {
                 self.asks_for_primary(group, out);
@@ -545,7 +528,7 @@
         if !self.healthy(m) {
             return if self.trial_due(m) { Choice::To(m) } else { Choice::Hold };
         }
-        if !self.cold_room(request, m, self.settings.tip_multiple * COLD_BOUND) {
+        if !self.cold_write(request, m, self.settings.tip_multiple * COLD_BOUND) {
             return Choice::Hold;
         }
         self.admit(request, m, 1.0)
@@ -666,6 +649,12 @@
             let (a, b) = (from[a], from[b.min(from.len() - 1)]);
             *[a, b].iter().min_by_key(|m| (self.load(**m), any && !behind(m))).unwrap_or(&a)
         };
+        // A cold one has its fair part before warm ones, and beyond it what they leave.
+        match local.iter().copied().find(|m| self.cold_first(request, *m, COLD_READS)) {
+            Some(cold) => local = vec![cold],
+            None if local.iter().any(|m| self.warmth(*m) >= 1.0) => local.retain(|m| self.warmth(*m) >= 1.0),
+            None => {}
+        }
         let idlest = remote.iter().copied().min_by_key(|&m| self.load(m));
         let choice = match (!local.is_empty()).then(|| drawn(&local)) {
             Some(home) => idlest.filter(|&away| self.exits(home, away)).or(Some(home)),
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{MemberId, Phase, RequestId, Settings};
 use crate::latency::Latency;
+use crate::share::{Demand, Share};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -205,7 +206,9 @@
     pub(crate) crowded_until: f64,
     pub(crate) retries: f64,
     pub(crate) probes: f64,
-    pub(crate) tenants: Vec<(f64, f64)>,
+    pub(crate) tenants: Vec<Share>,
+    /// Requests a second that this proxy gets.
+    pub(crate) demand: Demand,
     pub(crate) sessions: HashMap<Arc<str>, f64>,
     pub(crate) session_order: VecDeque<(Arc<str>, f64)>,
     pub(crate) forgotten: f64,
@@ -238,6 +241,7 @@
             retries: 0.0,
             probes: 0.0,
             tenants: Vec::new(),
+            demand: Demand::default(),
             sessions: HashMap::new(),
             session_order: VecDeque::new(),
             forgotten: f64::NEG_INFINITY,
