Members that answer with errors are tried on where nobody else is left; retries cost work

Change: a further attempt costs what the failed one took, in parts of what its class usually takes; a primary whose last fault was an error is asked on; a safe read goes back to one that erred where nobody else is left.

--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -313,6 +313,7 @@
         let now = self.now;
         let unit = self.settings.connect_timeout;
         let member = &mut self.members[m];
+        member.errs = false;
         let halves = (now - member.suspicion_at) / (unit * SUSPICION_HALVES);
         member.suspicion = member.suspicion * 0.5f64.powf(halves) + weight;
         member.suspicion_at = now;
@@ -522,7 +523,8 @@
         let Some(m) = state.primary else {
             return self.scout(n, false).map_or(Choice::Hold, Choice::To);
         };
-        if !self.healthy(m) {
+        // One that answers with errors is asked on: nobody stands in for it, and the next may be served.
+        if !self.healthy(m) && !self.members[m].errs {
             return if self.trial_due(m) { Choice::To(m) } else { Choice::Hold };
         }
         if !self.cold_write(request, m, self.settings.tip_multiple * COLD_BOUND) {
@@ -700,7 +702,13 @@
             suspect && able && ((alone && due) || answers) && self.cold_room(request, m, COLD_READS)
         });
         let key = |m: &usize| self.members[*m].out_until.max(self.now) + self.predicted(*m, class);
-        match floor.min_by(|a, b| key(a).total_cmp(&key(b))) {
+        // Where nobody else is left, one that answered with an error may serve the next try.
+        let again = state.members.iter().copied().filter(|&m| {
+            let able = self.members[m].position >= needed || Some(m) == primary;
+            able && self.usable(m) && self.members[m].errs && request.tried(m) && self.warmth(m) >= 1.0
+        });
+        let soonest = |a: &usize, b: &usize| key(a).total_cmp(&key(b));
+        match floor.min_by(soonest).or(again.min_by(soonest)) {
             Some(m) => self.admit(request, m, 1.0),
             None if all.is_empty() => Choice::Refuse,
             None => verdict,
@@ -771,7 +779,10 @@
             }
             // Full is load, for as long as one of its like takes: it would look idle for turning work away.
             Outcome::Full => member.ghosts.push(self.now + mean),
-            Outcome::Error => self.suspect(m, 1.0, out),
+            Outcome::Error => {
+                self.suspect(m, 1.0, out);
+                self.members[m].errs = true;
+            }
             Outcome::ConnectFailed => {
                 member.lost_at = self.now;
                 let quick = elapsed < self.settings.connect_timeout / 2.0;
@@ -820,10 +831,12 @@
         // A further attempt after work may have been done draws on the retry budget. A full primary has no
         // stand-in: trying it again would be the same crowd within milliseconds, up to the last attempt.
         let crowd = outcome == Outcome::Full && Some(m) == self.groups.get(&group).and_then(|g| g.primary);
-        if crowd || !outcome.proves_untouched() && self.retries < 1.0 {
+        // It is one of work: what failed after a tenth of the usual time has cost a tenth of an attempt.
+        let cost = if outcome.proves_untouched() { 0.0 } else { (elapsed / mean).min(1.0) };
+        if crowd || self.retries < cost {
             return self.conclude(n, out);
         }
-        self.retries -= if outcome.proves_untouched() { 0.0 } else { 1.0 };
+        self.retries -= cost;
         if outcome == Outcome::Miss && write {
             let group = self.members[m].group;
             self.settle(group, out);
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -33,6 +33,8 @@
     pub suspicion: f64,
     pub suspicion_at: f64,
     pub out_until: f64,
+    /// What spoke against it last was an answer: an error, which comes at once.
+    pub errs: bool,
     /// When a connection to it last failed.
     pub lost_at: f64,
     pub ejected: bool,
