--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -2,7 +2,7 @@
 //! with each answer; one that nobody sends to is asked by a probe, which costs it work and the site points.
 
 use crate::interface::Action;
-use crate::policy::{COLD_READS, EJECT_MOST, SEEK_EVERY};
+use crate::policy::{EJECT_MOST, SEEK_EVERY};
 use crate::state::Policy;
 
 /// Probes allowed for each request ...
@@ -66,7 +66,7 @@
         let own = |m: &usize| {
             let member = &self.members[*m];
             let place = member.zone == self.settings.zone && Some(*m) != state.primary;
-            place && self.cold_first(request, *m, COLD_READS)
+            place && self.cold_first(request, *m, self.cold_most())
         };
         let able = |m: &usize| self.usable(*m) && !self.members[*m].ejected;
         let Some(m) = state.members.iter().copied().filter(able).find(own) else { return false };
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -49,14 +49,10 @@
 const TABLE_LEAST: u32 = 200;
 /// In flight at a primary up to which held requests are released: paced, so they come as it can take them.
 const RELEASE_UP_TO: u32 = 6;
-/// Share of the reads open to a cold member, in multiples of its present capacity.
-pub(crate) const COLD_READS: f64 = 1.0;
 /// Lots among which a repeat draws, in multiples of those that there are.
 const REPEAT_LOTS: f64 = 2.0;
 /// Share of the scouts open to a cold member, in multiples of its present capacity.
 const COLD_SCOUTS: f64 = 0.5;
-/// Share of the tipping multiple that work bound to a cold primary may use.
-const COLD_BOUND: f64 = 0.5;
 /// Share of its time that a request may wait without reaching any member: given up then, its client has as
 /// much time again to try elsewhere.
 const HOLD_SHARE: f64 = 0.45;
@@ -527,7 +523,7 @@
         if !self.healthy(m) && !self.members[m].errs {
             return if self.trial_due(m) { Choice::To(m) } else { Choice::Hold };
         }
-        if !self.cold_write(request, m, self.settings.tip_multiple * COLD_BOUND) {
+        if !self.cold_write(request, m, self.cold_most()) {
             return Choice::Hold;
         }
         self.admit(request, m, 1.0)
@@ -611,8 +607,9 @@
         let all: Vec<usize> =
             state.members.iter().copied().filter(|&m| self.usable(m) && !request.tried(m)).collect();
         let replicas: Vec<usize> = all.iter().copied().filter(|&m| Some(m) != primary).collect();
-        let fit =
-            |m: &usize| (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, COLD_READS);
+        let fit = |m: &usize| {
+            (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, self.cold_most())
+        };
         let zone = self.settings.zone;
         let checked = self.settings.when_behind != WhenBehind::Silent;
         // Not known fresh, but may be: as little behind as when last heard, or left alone since for as long
@@ -649,7 +646,7 @@
             *[a, b].iter().min_by_key(|m| (self.load(**m), any && !behind(m))).unwrap_or(&a)
         };
         // A cold one has its fair part before warm ones, and beyond it what they leave.
-        match local.iter().copied().find(|m| self.cold_first(request, *m, COLD_READS)) {
+        match local.iter().copied().find(|m| self.cold_first(request, *m, self.cold_most())) {
             Some(cold) => local = vec![cold],
             None if local.iter().any(|m| self.warmth(*m) >= 1.0) => local.retain(|m| self.warmth(*m) >= 1.0),
             None => {}
@@ -699,7 +696,7 @@
             let member = &self.members[m];
             let answers = member.heard > lately.max(member.lost_at) && Some(m) != primary;
             let due = !member.trial && self.now - member.lost_at > self.settings.connect_timeout;
-            suspect && able && ((alone && due) || answers) && self.cold_room(request, m, COLD_READS)
+            suspect && able && ((alone && due) || answers) && self.cold_room(request, m, self.cold_most())
         });
         let key = |m: &usize| self.members[*m].out_until.max(self.now) + self.predicted(*m, class);
         // Where nobody else is left, one that answered with an error may serve the next try.
--- a/crates/routing/src/ramp.rs
+++ b/crates/routing/src/ramp.rs
@@ -8,7 +8,16 @@
 /// Part of a cold member's lots that another zone's proxies have.
 const ELSEWHERE: f64 = 0.5;
 
+/// Part of the tipping multiple that what is sent to a cold member may use: the rest is for a group that is asked for
+/// more than others, and for chance.
+const OF_TIPPING: f64 = 0.5;
+
 impl Policy {
+    /// Work open to a cold member, in multiples of what it can do now, were it all that there is for its zone.
+    pub(crate) fn cold_most(&self) -> f64 {
+        self.settings.tip_multiple * OF_TIPPING
+    }
+
     /// Share of its capacity that a member has at the least by now; 1 once it is warm.
     pub(crate) fn warmth(&self, m: usize) -> f64 {
         let s = &self.settings;
