One rule for asking a member that is behind; cold lots are looked at for cold members only

What is decided is the same, but for the second probe of a cold member whose first has had no answer yet, which is not sent.

--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -31,15 +31,6 @@
             let near = rest == 0.0 || self.members[*m].zone == self.settings.zone;
             Some(*m) != state.primary && self.usable(*m) && !request.tried(*m) && near && self.may_ask(*m)
         };
-        // One that has just said that it is behind is left to catch up first.
-        let worth = |m: &usize| {
-            let member = &self.members[*m];
-            let behind = needed - member.position;
-            let pause = if behind.is_finite() { behind } else { 0.0 };
-            !member.probing
-                && behind > 0.0
-                && self.now - member.probed_at >= pause.clamp(self.bound * AGAIN, self.bound).max(rest)
-        };
         let mut able: Vec<usize> = state.members.iter().copied().filter(able).collect();
         let place = |m: &usize| {
             let member = &self.members[*m];
@@ -52,6 +43,7 @@
         // Of those never heard of each proxy asks another first.
         let turn = self.rng.usize(..able.len().max(1));
         able.rotate_left(turn);
+        let worth = |m: &usize| self.may_have_caught_up(*m, needed, rest);
         let mut worth: Vec<usize> = able.iter().copied().filter(worth).collect();
         worth.sort_by(|a, b| order(b, a));
         self.ask_some(&able, worth, out)
@@ -66,16 +58,15 @@
         let own = |m: &usize| {
             let member = &self.members[*m];
             let place = member.zone == self.settings.zone && Some(*m) != state.primary;
-            place && self.cold_first(request, *m, self.cold_most())
+            place && self.cold_first(request, *m)
         };
         let able = |m: &usize| self.usable(*m) && !self.members[*m].ejected;
         let Some(m) = state.members.iter().copied().filter(able).find(own) else { return false };
-        let behind = self.needed(request) - self.members[m].position;
-        if behind <= 0.0 || behind.is_nan() {
+        let needed = self.needed(request);
+        if self.members[m].position >= needed {
             return false;
         }
-        let pause = if behind.is_finite() { behind } else { 0.0 };
-        if self.now - self.members[m].probed_at >= pause.clamp(self.bound * AGAIN, self.bound) {
+        if self.may_have_caught_up(m, needed, 0.0) {
             self.ask(m, out);
         }
         self.members[m].probing
@@ -108,6 +99,16 @@
         able.iter().any(|&m| self.members[m].probing && !self.members[m].ejected)
     }
 
+    /// Whether one that is behind a position, as far as is known, is worth asking anew, `rest` seconds after it was asked at
+    /// the least: one that has just said so is left to catch up first.
+    fn may_have_caught_up(&self, m: usize, needed: f64, rest: f64) -> bool {
+        let member = &self.members[m];
+        let behind = needed - member.position;
+        let pause = if behind.is_finite() { behind } else { 0.0 };
+        let pause = pause.clamp(self.bound * AGAIN, self.bound).max(rest);
+        !member.probing && behind > 0.0 && self.now - member.probed_at >= pause
+    }
+
     /// Whether a member may be asked: a suspect as often as it may be tried, for its role and position are how a
     /// member that was away comes back.
     fn may_ask(&self, m: usize) -> bool {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -646,7 +646,7 @@
             *[a, b].iter().min_by_key(|m| (self.load(**m), any && !behind(m))).unwrap_or(&a)
         };
         // A cold one has its fair part before warm ones, and beyond it what they leave.
-        match local.iter().copied().find(|m| self.cold_first(request, *m, self.cold_most())) {
+        match local.iter().copied().find(|m| self.cold_first(request, *m)) {
             Some(cold) => local = vec![cold],
             None if local.iter().any(|m| self.warmth(*m) >= 1.0) => local.retain(|m| self.warmth(*m) >= 1.0),
             None => {}
--- a/crates/routing/src/ramp.rs
+++ b/crates/routing/src/ramp.rs
@@ -49,22 +49,28 @@
     /// proxies with a request now and then keep to its part of all lots together, whoever else of the group is away. It
     /// is sent there once: work turned away weighs as well.
     pub(crate) fn cold_room(&self, request: &Request, m: usize, multiple: f64) -> bool {
+        if self.warmth(m) >= 1.0 {
+            return true;
+        }
         let (from, to) = self.lots(request.group, m, multiple);
-        self.warmth(m) >= 1.0 || (from..to).contains(&request.lot) && !request.tried(m)
+        (from..to).contains(&request.lot) && !request.tried(m)
     }
 
     /// Whether a read that may go to a cold replica at home does so before any warm one: as many as are its fair part
     /// among the replicas there.
-    pub(crate) fn cold_first(&self, request: &Request, m: usize, multiple: f64) -> bool {
+    pub(crate) fn cold_first(&self, request: &Request, m: usize) -> bool {
         let Some(state) = self.groups.get(&request.group) else { return false };
+        if self.warmth(m) >= 1.0 || request.tried(m) {
+            return false;
+        }
         let beside = |x: &usize| {
             let home = self.members[*x].zone == self.settings.zone && Some(*x) != state.primary;
             home && self.usable(*x) && !self.members[*x].ejected
         };
         let all: f64 = state.members.iter().copied().filter(beside).map(|x| self.warmth(x)).sum();
-        let (from, _) = self.lots(request.group, m, multiple);
+        let (from, to) = self.lots(request.group, m, self.cold_most());
         let fair = self.warmth(m) / all.max(f64::MIN_POSITIVE);
-        self.warmth(m) < 1.0 && self.cold_room(request, m, multiple) && request.lot < from + fair
+        (from..to.min(from + fair)).contains(&request.lot)
     }
 
     /// Whether a cold primary may have this write: only it can take it.
--- a/crates/routing/tests/drive/mod.rs
+++ b/crates/routing/tests/drive/mod.rs
@@ -117,21 +117,34 @@
         }))
     }
 
-    /// The primary's answer to a request that went out once, after so long (seconds).
-    pub fn served_after(&mut self, id: &str, member: &str, elapsed: f64) -> Vec<Action> {
+    /// The end of an attempt after so long (seconds); where it is an answer, it is the primary's.
+    pub fn ended_after(
+        &mut self,
+        id: &str,
+        member: &str,
+        attempt: usize,
+        outcome: Outcome,
+        elapsed: f64,
+    ) -> Vec<Action> {
+        let answered = outcome == Outcome::Ok;
         self.feed(Event::Done(Done {
             id: id.into(),
             member: member.into(),
-            attempt: 0,
-            outcome: Outcome::Ok,
-            finished: true,
+            attempt,
+            outcome,
+            finished: answered,
             elapsed,
             position: None,
-            primary: Some(true),
+            primary: answered.then_some(true),
             report: Report::default(),
         }))
     }
 
+    /// The primary's answer to a request that went out once, after so long (seconds).
+    pub fn served_after(&mut self, id: &str, member: &str, elapsed: f64) -> Vec<Action> {
+        self.ended_after(id, member, 0, Outcome::Ok, elapsed)
+    }
+
     /// Makes a replica known to be fresh as of now.
     pub fn freshen(&mut self, member: &str) {
         let report = Report { position: Some(self.now), primary: Some(false) };
--- a/crates/routing/tests/errors.rs
+++ b/crates/routing/tests/errors.rs
@@ -15,17 +15,7 @@
 
 /// The end of an attempt with an error after so long (seconds).
 fn failed(d: &mut Drive, id: &str, member: &str, attempt: usize, elapsed: f64) -> Vec<Action> {
-    d.feed(Event::Done(Done {
-        id: id.into(),
-        member: member.into(),
-        attempt,
-        outcome: Outcome::Error,
-        finished: false,
-        elapsed,
-        position: None,
-        primary: None,
-        report: Report::default(),
-    }))
+    d.ended_after(id, member, attempt, Outcome::Error, elapsed)
 }
 
 /// Two of a group were left, both with four errors in five answers: each read was given up after two tries.
