Replicas are asked in advance only where reads are to come; pauses begin at a random moment

`knowledge.rs` may_have_caught_up() took a member that was never asked for one whose pause is over, so that each of 300 poolers asked each home replica at its first read of the group, where all together are to ask it four times in the shortest bound; and `policy.rs` advance() asked a replica behind every read of the primary, whether or not a further read comes before the answer is too old.

Change: the pause of a member that nobody needs begins at a random part of it; a replica is asked behind a read where three reads of the group are to come within the bound, by the rate of requests here, or the primary is crowded; suspects as before.

--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -9,6 +9,10 @@
 const PROBE_SHARE: f64 = 0.3;
 /// ... and saved up at most.
 pub(crate) const PROBE_MOST: f64 = 20.0;
+/// Times in the shortest staleness bound that all proxies together ask a replica that they do not send to.
+const REFRESHED: f64 = 4.0;
+/// Requests of a group that a proxy expects within the shortest staleness bound, for which it asks in advance.
+const TO_COME: f64 = 3.0;
 /// Share of the shortest staleness bound that lies between two askings of a member at the least.
 const AGAIN: f64 = 0.2;
 /// Members of a group that all proxies together ask at a time for one read.
@@ -21,14 +25,16 @@
     }
 
     /// A read finds no replica that is known to be fresh enough: one that may be is asked, at home before elsewhere, and
-    /// the one that this proxy heard of last, to which a connection is open. Not one that was asked within `rest`
-    /// (seconds); where that is above 0, nobody waits and only those at home are asked. Whether an answer is still to come.
-    pub(crate) fn asks_for(&mut self, n: u64, rest: f64, out: &mut Vec<Action>) -> bool {
+    /// the one that this proxy heard of last, to which a connection is open. Where it is `quiet`, nobody needing it yet, only
+    /// suspects and those at home are asked, each after its pause. Whether an answer is still to come.
+    pub(crate) fn asks_for(&mut self, n: u64, quiet: bool, out: &mut Vec<Action>) -> bool {
         let Some(request) = self.requests.get(&n).filter(|_| self.settings.probes) else { return false };
         let Some(state) = self.groups.get(&request.group) else { return false };
         let needed = self.needed(request);
         let able = |m: &usize| {
-            let near = rest == 0.0 || self.members[*m].zone == self.settings.zone;
+            let member = &self.members[*m];
+            let due = member.zone == self.settings.zone && self.now >= member.quiet_until;
+            let near = !quiet || member.ejected || due;
             Some(*m) != state.primary && self.usable(*m) && !request.tried(*m) && near && self.may_ask(*m)
         };
         let mut able: Vec<usize> = state.members.iter().copied().filter(able).collect();
@@ -43,12 +49,22 @@
         // Of those never heard of each proxy asks another first.
         let turn = self.rng.usize(..able.len().max(1));
         able.rotate_left(turn);
-        let worth = |m: &usize| self.may_have_caught_up(*m, needed, rest);
+        let worth = |m: &usize| self.may_have_caught_up(*m, needed);
         let mut worth: Vec<usize> = able.iter().copied().filter(worth).collect();
         worth.sort_by(|a, b| order(b, a));
         self.ask_some(&able, worth, out)
     }
 
+    /// Whether a replica is asked behind a read that the primary takes, so that those to come find it: what a session has just
+    /// written only this read needs, and a proxy to which the next read comes after the answer is too old asks in
+    /// vain, unless the primary is crowded.
+    pub(crate) fn worth_asking(&self, n: u64, primary: usize) -> bool {
+        let Some(request) = self.requests.get(&n) else { return false };
+        let lasting = self.needed(request) <= self.now - self.bound;
+        let to_come = self.demand.rate(self.now) * self.bound / self.groups.len().max(1) as f64;
+        lasting && (to_come >= TO_COME || self.crowded(request, primary))
+    }
+
     /// A read has drawn the lot of a cold replica at home: that one is asked where it is not known to be fresh enough, though
     /// others are. A new one is known to no proxy, and each goes on with those that it knows. Whether an answer
     /// is still to come.
@@ -66,7 +82,7 @@
         if self.members[m].position >= needed {
             return false;
         }
-        if self.may_have_caught_up(m, needed, 0.0) {
+        if self.may_have_caught_up(m, needed) {
             self.ask(m, out);
         }
         self.members[m].probing
@@ -99,13 +115,13 @@
         able.iter().any(|&m| self.members[m].probing && !self.members[m].ejected)
     }
 
-    /// Whether one that is behind a position, as far as is known, is worth asking anew, `rest` seconds after it was asked at
-    /// the least: one that has just said so is left to catch up first.
-    fn may_have_caught_up(&self, m: usize, needed: f64, rest: f64) -> bool {
+    /// Whether one that is behind a position, as far as is known, is worth asking anew: one that has just said so is left to
+    /// catch up first.
+    fn may_have_caught_up(&self, m: usize, needed: f64) -> bool {
         let member = &self.members[m];
         let behind = needed - member.position;
         let pause = if behind.is_finite() { behind } else { 0.0 };
-        let pause = pause.clamp(self.bound * AGAIN, self.bound).max(rest);
+        let pause = pause.clamp(self.bound * AGAIN, self.bound);
         !member.probing && behind > 0.0 && self.now - member.probed_at >= pause
     }
 
@@ -117,12 +133,19 @@
         !member.ejected || self.now >= member.out_until.max(due)
     }
 
+    /// Time between two askings of a member that nobody needs to hear of (seconds): so many proxies keep to the rate together.
+    pub(crate) fn quiet(&self) -> f64 {
+        self.bound * f64::from(self.settings.fleet_size) / REFRESHED
+    }
+
     /// Asks a member, if the allowance goes so far: requests earn it, which guards against storms, since
     /// every proxy seeks at the same moment.
     fn ask(&mut self, m: usize, out: &mut Vec<Action>) {
         if self.probes >= 1.0 {
             self.probes -= 1.0;
-            (self.members[m].probing, self.members[m].probed_at) = (true, self.now);
+            let until = self.now + self.quiet();
+            let member = &mut self.members[m];
+            (member.probing, member.probed_at, member.quiet_until) = (true, self.now, until);
             out.push(Action::Probe { member: self.members[m].id.clone() });
         }
     }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -74,8 +74,6 @@
 const SESSIONS: usize = 20_000;
 /// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
 const SESSION_AGE: f64 = 60.0;
-/// Times in the shortest staleness bound that all proxies together ask a replica that they do not send to.
-const REFRESHED: f64 = 4.0;
 /// Cookie of the housekeeping timer; requests use their own number, from 1.
 const HOUSEKEEPING: u64 = 0;
 
@@ -165,6 +163,7 @@
         }
         let full = kind != ListKind::Incremental;
         let mut named = vec![!full; self.members.len()];
+        let quiet = self.quiet();
         for entry in entries {
             if entry.phase == Phase::Left && !self.by_id.contains_key(&entry.member) {
                 continue;
@@ -173,6 +172,7 @@
                 let m = self.free.pop().unwrap_or(self.members.len());
                 self.members.resize_with(self.members.len().max(m + 1), Member::default);
                 self.members[m] = Member::new(entry.member.clone(), entry.zone, entry.group);
+                self.members[m].quiet_until = self.now + quiet * self.rng.f64();
                 self.groups.entry(entry.group).or_default().members.push(m);
                 m
             });
@@ -443,7 +443,7 @@
                 self.asks_for_primary(group, out);
                 false
             }
-            _ => !bound && self.asks_for(n, 0.0, out),
+            _ => !bound && self.asks_for(n, false, out),
         };
         match choice {
             Choice::To(m) => {
@@ -453,13 +453,10 @@
                 if scout {
                     g.scout = Some(n);
                 }
-                // A read that goes to the primary found no replica for it: those to come may find
-                // one. What a session has just written only this read needs.
-                let lasting = |r: &Request| self.needed(r) <= self.now - self.bound;
+                // A read that goes to the primary found no replica for it: those to come may find one.
                 if !bound {
-                    let wanted = short && self.requests.get(&n).is_some_and(lasting);
-                    let quiet = self.bound * f64::from(self.settings.fleet_size) / REFRESHED;
-                    self.asks_for(n, if wanted { 0.0 } else { quiet }, out);
+                    let wanted = short && self.worth_asking(n, m);
+                    self.asks_for(n, !wanted, out);
                 }
                 self.send(n, m, out);
             }
--- a/crates/routing/src/share.rs
+++ b/crates/routing/src/share.rs
@@ -22,17 +22,25 @@
 }
 
 impl Demand {
-    /// A request has come; how many come in a second by now.
-    fn take(&mut self, now: f64) -> f64 {
+    /// A request has come.
+    fn take(&mut self, now: f64) {
         let begun = self.begun.unwrap_or(now);
-        let faded = |time: f64| 0.5f64.powf(time.max(0.0) / HALF_LIFE);
         *self = Demand { count: self.count * faded(now - self.at) + 1.0, at: now, begun: Some(begun) };
+    }
+
+    /// How many come in a second by now.
+    pub fn rate(&self, now: f64) -> f64 {
         // A proxy that has just started has counted for a short time only.
-        let counted = 1.0 - faded((now - begun).max(HALF_LIFE / 4.0));
-        self.count * std::f64::consts::LN_2 / HALF_LIFE / counted
+        let counted = 1.0 - faded((now - self.begun.unwrap_or(now)).max(HALF_LIFE / 4.0));
+        self.count * faded(now - self.at) * std::f64::consts::LN_2 / HALF_LIFE / counted
     }
 }
 
+/// What is left after a time (seconds) of what counted as 1.
+fn faded(time: f64) -> f64 {
+    0.5f64.powf(time.max(0.0) / HALF_LIFE)
+}
+
 /// What a tenant has saved up of its share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Share {
@@ -61,7 +69,8 @@
     /// quota, and at a proxy that gets more than others the quota's part of what it gets. A tenant that is not known
     /// has no share to exceed.
     pub(crate) fn over_share(&mut self, tenant: usize) -> bool {
-        let (own, uneven) = (self.demand.take(self.now), self.unseen());
+        self.demand.take(self.now);
+        let (own, uneven) = (self.demand.rate(self.now), self.unseen());
         let quotas = &self.settings.tenant_quota;
         let (Some(share), Some(&quota)) = (self.tenants.get_mut(tenant), quotas.get(tenant)) else {
             return false;
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -55,6 +55,8 @@
     pub cold_since: f64,
     pub probed_at: f64,
     pub probing: bool,
+    /// Not asked before then unless its answer is needed.
+    pub quiet_until: f64,
 }
 
 impl Member {
--- a/crates/routing/tests/knowledge.rs
+++ b/crates/routing/tests/knowledge.rs
@@ -31,6 +31,10 @@
 #[test]
 fn a_read_that_finds_no_fresh_replica_has_those_asked_that_were_not_heard_of() {
     let mut d = unheard();
+    // One read now and then is worth no question: the answer would be too old for the next.
+    for id in ["now", "then"] {
+        assert_eq!((sent(&d.ask(id, 1)), probed(&d.acts).len()), (vec!["p"], 0));
+    }
     // The primary has little to do and takes this one; the replica is asked for the sake of those to come.
     let first = d.ask("a", 1);
     assert_eq!((sent(&first), probed(&first)), (vec!["p"], vec!["far"]));
@@ -134,3 +138,27 @@
     }
     assert!(asked.contains(&"p".to_string()), "{asked:?}");
 }
+
+/// Each of hundreds asked every home replica of a group at its first read, though all of them together are to ask one that
+/// gets no reads four times in the shortest bound.
+#[test]
+fn home_replicas_that_nobody_needs_are_not_all_asked_at_the_start() {
+    let asked = |fleet_size: u32, seconds: u32| {
+        let mut asked = 0;
+        for seed in 0..100 {
+            let mut d = Drive::seeded(Settings { fleet_size, ..unchecked() }, seed);
+            d.list(ListKind::Full, ["p", "r", "s"].map(|m| entry(m, 0, m == "p")).to_vec());
+            for i in 0..seconds {
+                d.freshen("r");
+                assert_eq!(sent(&d.ask(&format!("a{i}"), 1)), ["r"]);
+                d.told(&format!("a{i}"), "r", 0, Outcome::Ok, Some(false), None);
+                d.pass(1.0);
+            }
+            asked += probed(&d.acts).len();
+        }
+        asked
+    };
+    // 0.5 s x 300 / 4 between two askings by one of 300: a home replica in 1 s by a hundred.
+    assert!(asked(300, 1) <= 20, "{}", asked(300, 1));
+    assert!(asked(3, 2) >= 50, "each of three asks within its pause: {}", asked(3, 2));
+}
