--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -628,8 +628,8 @@
             Some(home) => idlest.filter(|&away| self.exits(home, away)).or(Some(home)),
             None => (!remote.is_empty()).then(|| drawn(&remote)),
         };
-        // Where the choice could not answer in time, the one of all the fresh that would be soonest may: at once
-        // if its answers say so, or if less of this router's is there.
+        // Where the choice could not answer in time, the one of all the fresh that would be soonest may: at
+        // once if its answers say so, or if less of this router's is there.
         let soonest = |a: &usize, b: &usize| self.predicted(*a, class).total_cmp(&self.predicted(*b, class));
         let spare = fresh.iter().copied().min_by(soonest);
         let relief = spare.filter(|&m| choice.is_some_and(|home| self.relieves(request, home, m)));
