Probes by what a refused read costs; the circles of files in routing are taken apart

`knowledge.rs` PROBE_SHARE earned 0.3 a request, where a restart leaves some 30 groups of which nothing is known. A probe costs a tenth of a request and a refused read all of one.

Two circles stood in the package (`knowledge` and `policy` by EJECT_MOST and SEEK_EVERY, `share` and `state` by Demand and Share) and `pace.rs` had made a third with `state`.

Change: 0.6 a request; what is counted stands in `demand.rs` and `pace.rs`, what is judged by it in `share.rs` and `crowd.rs`.

--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -2,11 +2,15 @@
 //! with each answer; one that nobody sends to is asked by a probe, which costs it work and the site points.
 
 use crate::interface::Action;
-use crate::policy::{EJECT_MOST, SEEK_EVERY};
 use crate::state::Policy;
 
-/// Probes allowed for each request ...
-const PROBE_SHARE: f64 = 0.3;
+/// Longest pause of a suspect, in multiples of the connect time-out: it is tried, and asked, no less often, so that a member
+/// that is back is found within a few seconds.
+pub(crate) const EJECT_MOST: f64 = 12.0;
+/// While a primary is sought, time between probe rounds or scouts, in multiples of the connect time-out.
+pub(crate) const SEEK_EVERY: f64 = 0.8;
+/// Probes allowed for each request: one costs a tenth of a request, so that a read which is given up for want of one is dearer ...
+const PROBE_SHARE: f64 = 0.6;
 /// ... and saved up at most.
 pub(crate) const PROBE_MOST: f64 = 20.0;
 /// Times in the shortest staleness bound that all proxies together ask a replica that they do not send to.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,8 @@
 
 mod calls;
 mod check;
+mod crowd;
+mod demand;
 pub mod interface;
 mod knowledge;
 mod latency;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -4,11 +4,12 @@
 //! reads to a fresh enough replica in the own zone, then in other zones, then to the primary.
 
 use crate::check::{check, SettingsError};
+use crate::crowd::TRICKLE;
+use crate::demand::Share;
 use crate::interface::*;
-use crate::knowledge;
+use crate::knowledge::{EJECT_MOST, PROBE_MOST, SEEK_EVERY};
 use crate::latency::{Latency, SAMPLE};
-use crate::pace::{Pace, TRICKLE};
-use crate::share::Share;
+use crate::pace::Pace;
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, Terms};
 use std::collections::VecDeque;
@@ -34,18 +35,14 @@
 const RESET: f64 = 0.25 * EJECT_AT;
 /// Half-life of suspicion, in multiples of the connect time-out.
 const SUSPICION_HALVES: f64 = 8.0;
-/// First ejection, in multiples of the connect time-out; doubles with each failed trial ...
+/// First ejection, in multiples of the connect time-out; doubles with each failed trial.
 const EJECT_FIRST: f64 = 2.0;
-/// ... up to this multiple, so that a member that is back is found within a few seconds.
-pub(crate) const EJECT_MOST: f64 = 12.0;
 /// Further attempts allowed for each request: a tenth cannot amplify an overload.
 const RETRY_SHARE: f64 = 0.1;
 /// Saved-up further attempts at most: enough for the work one dead member held.
 const RETRY_MOST: f64 = 20.0;
 /// Lateness assumed of a list's roles, as a share of `ask_within`: first-hand news is dated exactly.
 const LIST_LATE: f64 = 0.5;
-/// While a primary is sought, time between probe rounds or scouts, in multiples of the connect time-out.
-pub(crate) const SEEK_EVERY: f64 = 0.8;
 /// A member takes so many connections at least: fleets of fewer proxies cannot fill it with idle ones.
 const TABLE_LEAST: u32 = 200;
 /// In flight at a primary up to which held requests are released: paced, so they come as it can take them.
@@ -83,7 +80,7 @@
         check(&settings)?;
         let mut policy = Policy::blank(settings, fastrand::Rng::with_seed(seed));
         policy.derive();
-        (policy.retries, policy.probes) = (RETRY_MOST / 2.0, knowledge::PROBE_MOST);
+        (policy.retries, policy.probes) = (RETRY_MOST / 2.0, PROBE_MOST);
         Ok(policy)
     }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,10 +1,10 @@
 //! What the policy keeps of members, groups and requests: plain data, no decision.
 
 use crate::calls::Calls;
+use crate::demand::{Demand, Share};
 use crate::interface::{MemberId, Phase, RequestId, Settings};
 use crate::latency::Latency;
 use crate::pace::Pace;
-use crate::share::{Demand, Share};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
