Simulation: hundreds of poolers and a model of their machines on one virtual clock, rules as oracles

Change: package `simulation`, without I/O: the decision module itself, machines with a queue, a warm-up and a log, discovery that answers in turn, cuts; streams of random numbers by name; a digest of every action; final answers, drains, cold machines, data age and attempts looked at from the machines' side.

--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,532 @@
+//! Many poolers and db machines in one process on one virtual clock: the decision module itself, a model of the machines, of
+//! discovery and of the network, and a schedule of troubles. The same seed gives the same run to the last event.
+//! What the rules forbid is looked for from the machines' side and kept in [`Seen::breaches`].
+
+#![warn(missing_docs)]
+
+mod machine;
+
+use std::cmp::Reverse;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+pub use machine::Machine;
+use routing::interface::*;
+use routing::Policy;
+
+/// One way over the network (seconds).
+const WAY: f64 = 0.000_5;
+/// Time that discovery needs for a call, and that a call may wait in line (seconds).
+const CALL: f64 = 0.02;
+const CALL_PATIENCE: f64 = 2.0;
+/// How long after a drain was told something new may still go there, and an answer after its time (seconds).
+const GRACE: f64 = 0.25;
+const SLACK: f64 = 0.05;
+/// Breaches that are kept: more of them say nothing new.
+const BREACHES: usize = 100;
+
+/// What is simulated.
+pub struct Shape {
+    /// Seed of all streams of random numbers.
+    pub seed: u64,
+    /// Poolers.
+    pub poolers: usize,
+    /// Zones; poolers and machines are spread over them in turn.
+    pub zones: u32,
+    /// Groups, each with one primary.
+    pub groups: u32,
+    /// Replicas of each group.
+    pub replicas: u32,
+    /// Requests a second over all poolers, unevenly: a fifth of them get over half.
+    pub rate: f64,
+    /// What a request takes at a machine with nothing else to do (seconds, mean).
+    pub service: f64,
+    /// Requests a second that a warm machine can do.
+    pub capacity: f64,
+    /// How late a change of the list comes (seconds, at the most).
+    pub list_delay: f64,
+    /// The settings of each pooler; its zone is set here.
+    pub settings: Settings,
+}
+
+/// What happens to whom.
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// A pooler's process is killed and starts again from nothing.
+    Restart(usize),
+    /// A machine is told to drain.
+    Drain(usize),
+    /// A machine's process ends; its group's first other machine that runs is primary after it.
+    End(usize),
+    /// A new machine takes the place of one: same group and zone, cold.
+    Join(usize),
+    /// A machine that ended starts again under its name, cold.
+    Back(usize),
+    /// A zone is cut off from all others, or no longer.
+    Cut(u32, bool),
+    /// A replica's copy stands still, or goes on.
+    Freeze(usize, bool),
+}
+
+/// What was seen of a run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Requests that came, were served, refused and failed; those of poolers that were killed are in the first only.
+    pub asked: usize,
+    /// Answered by a machine in time.
+    pub served: usize,
+    /// Refused.
+    pub refused: usize,
+    /// Answered with an error.
+    pub failed: usize,
+    /// Attempts sent.
+    pub sent: usize,
+    /// Probes sent.
+    pub probes: usize,
+    /// Calls for the list.
+    pub calls: usize,
+    /// Pairs of a pooler's life and a machine that it had to do with: connections at the least.
+    pub pairs: usize,
+    /// Where a rule was broken, at most a hundred.
+    pub breaches: Vec<String>,
+    /// Of every action, in order: equal for equal runs.
+    pub trace: u64,
+}
+
+enum Step {
+    Ask,
+    Timer(usize, u32, u64),
+    Told(usize, u32, Event),
+    Ended(u64),
+    Late(u64),
+    Trouble(Trouble),
+}
+
+struct Pooler {
+    policy: Policy,
+    life: u32,
+    zone: u32,
+    follows: bool,
+    /// Machines that it was told to leave alone, and when.
+    told: HashMap<MemberId, f64>,
+    met: HashSet<usize>,
+}
+
+struct Asked {
+    pooler: usize,
+    class: usize,
+    id: RequestId,
+    attempts: usize,
+    /// Attempts that are out, by their number.
+    out: BTreeMap<usize, Out>,
+    done: bool,
+}
+
+struct Out {
+    attempt: usize,
+    machine: usize,
+    sent: f64,
+    ends: (f64, Outcome),
+    reached: bool,
+}
+
+/// A run.
+pub struct World {
+    shape: Shape,
+    now: f64,
+    order: u64,
+    steps: BinaryHeap<Reverse<(u64, u64)>>,
+    due: HashMap<u64, Step>,
+    poolers: Vec<Pooler>,
+    /// All machines that there ever were, by the order of their coming.
+    pub machines: Vec<Machine>,
+    names: HashMap<MemberId, usize>,
+    requests: HashMap<u64, Asked>,
+    numbers: HashMap<RequestId, u64>,
+    next: u64,
+    cut: HashSet<u32>,
+    discovery_free: f64,
+    arrivals: fastrand::Rng,
+    work: fastrand::Rng,
+    delays: fastrand::Rng,
+    trace: DefaultHasher,
+    seen: Seen,
+}
+
+/// A stream of random numbers by its name, so that a change in one leaves the others as they were.
+fn stream(seed: u64, name: &str) -> fastrand::Rng {
+    let mut hasher = DefaultHasher::new();
+    (seed, name).hash(&mut hasher);
+    fastrand::Rng::with_seed(hasher.finish())
+}
+
+impl World {
+    /// All poolers start at second 100 with the list as it is.
+    pub fn new(shape: Shape) -> World {
+        let mut world = World {
+            now: 100.0,
+            order: 0,
+            steps: BinaryHeap::new(),
+            due: HashMap::new(),
+            poolers: Vec::new(),
+            machines: Vec::new(),
+            names: HashMap::new(),
+            requests: HashMap::new(),
+            numbers: HashMap::new(),
+            next: 0,
+            cut: HashSet::new(),
+            discovery_free: 0.0,
+            arrivals: stream(shape.seed, "arrivals"),
+            work: stream(shape.seed, "work"),
+            delays: stream(shape.seed, "delays"),
+            trace: DefaultHasher::new(),
+            seen: Seen::default(),
+            shape,
+        };
+        for group in 0..world.shape.groups {
+            for place in 0..=world.shape.replicas {
+                world.add((group + place) % world.shape.zones, group, place == 0, 0.0);
+            }
+        }
+        for n in 0..world.shape.poolers {
+            let pooler = world.pooler(n, 0);
+            world.poolers.push(pooler);
+            world.begin(n);
+        }
+        world.at(world.now, Step::Ask);
+        world
+    }
+
+    fn add(&mut self, zone: u32, group: u32, primary: bool, started: f64) {
+        let name: MemberId = format!("m{}", self.machines.len()).into();
+        self.names.insert(name.clone(), self.machines.len());
+        self.machines.push(Machine::new(name, (zone, group), primary, started));
+    }
+
+    fn pooler(&self, n: usize, life: u32) -> Pooler {
+        let zone = n as u32 % self.shape.zones;
+        let settings = Settings { zone, ..self.shape.settings.clone() };
+        let seed = stream(self.shape.seed, &format!("pooler {n} {life}")).u64(..);
+        let policy = Policy::new(settings, seed).expect("the shape's settings are in range");
+        Pooler { policy, life, zone, follows: false, told: HashMap::new(), met: HashSet::new() }
+    }
+
+    fn begin(&mut self, n: usize) {
+        let entries = self.listed();
+        self.feed(n, Event::Members { kind: ListKind::Saved, entries });
+    }
+
+    fn listed(&self) -> Vec<Entry> {
+        self.machines.iter().filter(|m| m.phase != Phase::Left).map(Machine::entry).collect()
+    }
+
+    fn at(&mut self, at: f64, step: Step) {
+        self.order += 1;
+        self.steps.push(Reverse(((at.max(self.now) * 1e9) as u64, self.order)));
+        self.due.insert(self.order, step);
+    }
+
+    /// Lets a trouble happen so many seconds after the start.
+    pub fn trouble(&mut self, after: f64, trouble: Trouble) {
+        self.at(100.0 + after, Step::Trouble(trouble));
+    }
+
+    /// Runs until so many seconds after the start; what was seen up to then.
+    pub fn run(&mut self, until: f64) -> Seen {
+        let end = ((100.0 + until) * 1e9) as u64;
+        while let Some(Reverse((at, order))) = self.steps.peek().copied().filter(|step| step.0 .0 <= end) {
+            self.steps.pop();
+            self.now = at as f64 / 1e9;
+            if let Some(step) = self.due.remove(&order) {
+                self.step(step);
+            }
+        }
+        Seen { trace: self.trace.finish(), ..self.seen.clone() }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Ask => self.ask(),
+            Step::Timer(n, life, cookie) if self.poolers[n].life == life => {
+                self.feed(n, Event::Timer { cookie });
+            }
+            Step::Told(n, life, event) if self.poolers[n].life == life => self.feed(n, event),
+            Step::Timer(..) | Step::Told(..) => {}
+            Step::Ended(key) => self.ended(key >> 4, (key & 15) as usize, None),
+            Step::Late(request) => {
+                if self.requests.get(&request).is_some_and(|r| !r.done) {
+                    self.breach(format!("request {request} has no final answer"));
+                }
+                self.forget(request);
+            }
+            Step::Trouble(trouble) => self.befall(trouble),
+        }
+    }
+
+    fn breach(&mut self, what: String) {
+        if self.seen.breaches.len() < BREACHES {
+            self.seen.breaches.push(format!("{:.3}: {what}", self.now - 100.0));
+        }
+    }
+
+    fn ask(&mut self) {
+        let rng = &mut self.arrivals;
+        let wait = -(1.0 - rng.f64()).ln() / self.shape.rate;
+        // The square of a draw: a fifth of the poolers get nearly half, as sessions do.
+        let n = (rng.f64().powi(2) * self.poolers.len() as f64) as usize % self.poolers.len();
+        let group = rng.u32(..self.shape.groups);
+        let class = rng.usize(..self.shape.settings.classes.len());
+        self.at(self.now + wait, Step::Ask);
+        let deadline = self.shape.settings.classes[class].deadline;
+        let request = self.next;
+        self.next += 1;
+        let id: RequestId = Arc::from(format!("r{request}").as_str());
+        self.numbers.insert(id.clone(), request);
+        let (attempts, out, done) = (0, BTreeMap::new(), false);
+        self.requests.insert(request, Asked { pooler: n, class, id: id.clone(), attempts, out, done });
+        self.seen.asked += 1;
+        self.at(self.now + deadline + SLACK, Step::Late(request));
+        let Event::Arrival(arrival) = Event::arrival(&id, class, group, deadline) else { return };
+        let session = Some(Arc::from(format!("s{}", request % 997).as_str()));
+        self.feed(n, Event::Arrival(Arrival { session, ..arrival }));
+    }
+
+    fn feed(&mut self, n: usize, event: Event) {
+        if let Event::Members { entries, .. } = &event {
+            for entry in entries {
+                let told = &mut self.poolers[n].told;
+                if entry.phase == Phase::Active {
+                    told.remove(&entry.member);
+                } else {
+                    told.entry(entry.member.clone()).or_insert(self.now);
+                }
+            }
+        }
+        let mut actions = Vec::new();
+        let pooler = &mut self.poolers[n];
+        pooler.policy.handle(self.now, event, &mut actions);
+        let life = pooler.life;
+        for action in actions {
+            (n, format!("{action:?}")).hash(&mut self.trace);
+            self.act(n, life, action);
+        }
+    }
+
+    fn act(&mut self, n: usize, life: u32, action: Action) {
+        match action {
+            Action::Timer { at, cookie } => self.at(at, Step::Timer(n, life, cookie)),
+            Action::Send { id, member, timeout } => self.send(n, &id, &member, timeout),
+            Action::Probe { member } => self.probe(n, life, member),
+            Action::Refuse { id, .. } => {
+                self.seen.refused += usize::from(self.finish(&id));
+            }
+            Action::Fail { id } => {
+                self.seen.failed += usize::from(self.finish(&id));
+            }
+            Action::Cancel { id, attempt } => {
+                if let Some(&request) = self.numbers.get(&id) {
+                    let told = Some((self.now, Outcome::Cancelled));
+                    self.ended(request, attempt, told);
+                }
+            }
+            Action::Listen => self.call(n, life),
+            _ => {}
+        }
+    }
+
+    fn finish(&mut self, id: &RequestId) -> bool {
+        let request = self.numbers.get(id).and_then(|request| self.requests.get_mut(request));
+        request.is_some_and(|r| !std::mem::replace(&mut r.done, true))
+    }
+
+    fn apart(&self, zone: u32, m: usize) -> bool {
+        let other = self.machines[m].zone;
+        zone != other && (self.cut.contains(&zone) || self.cut.contains(&other))
+    }
+
+    fn meets(&mut self, n: usize, m: usize, what: &str) {
+        let pooler = &mut self.poolers[n];
+        self.seen.pairs += usize::from(pooler.met.insert(m));
+        let told = pooler.told.get(&self.machines[m].name).copied();
+        if told.is_some_and(|at| self.now > at + GRACE) {
+            self.breach(format!("{what} to {} after its drain was told", self.machines[m].name));
+        }
+    }
+
+    fn send(&mut self, n: usize, id: &RequestId, member: &MemberId, timeout: f64) {
+        let (Some(&request), Some(&m)) = (self.numbers.get(id), self.names.get(member)) else { return };
+        self.meets(n, m, "a request");
+        self.seen.sent += 1;
+        let zone = self.poolers[n].zone;
+        let (apart, settings) = (self.apart(zone, m), &self.shape.settings);
+        let Some(asked) = self.requests.get_mut(&request) else { return };
+        let attempt = asked.attempts;
+        asked.attempts += 1;
+        let class = &settings.classes[asked.class];
+        let machine = &mut self.machines[m];
+        let (mut reached, mut stale) = (false, false);
+        let (after, outcome) = if apart {
+            (settings.connect_timeout, Outcome::ConnectFailed)
+        } else if !machine.up {
+            (2.0 * WAY, Outcome::ConnectFailed)
+        } else if matches!(class.consistency, Consistency::Write | Consistency::Fresh) && !machine.primary {
+            (2.0 * WAY, Outcome::Miss)
+        } else {
+            reached = true;
+            machine.in_flight += 1;
+            let able = self.shape.capacity * machine.warmth(self.now, settings) * self.shape.service;
+            let crowd = (machine.in_flight as f64 / able).max(1.0);
+            let took = -(1.0 - self.work.f64()).ln() * self.shape.service * crowd;
+            let bound =
+                if let Consistency::Bounded(bound) = class.consistency { bound } else { f64::INFINITY };
+            stale = machine.position(self.now) < self.now - bound;
+            (took + 2.0 * WAY, Outcome::Ok)
+        };
+        let tipped = reached && machine.takes(self.now, self.shape.capacity, settings);
+        let ends = if after > timeout { (timeout, Outcome::Timeout) } else { (after, outcome) };
+        let ends = (self.now + ends.0, ends.1);
+        asked.out.insert(attempt, Out { attempt, machine: m, sent: self.now, ends, reached });
+        if attempt >= settings.max_attempts as usize {
+            self.breach(format!("request {request} was sent more often than is allowed"));
+        }
+        if stale {
+            self.breach(format!("{member} is too far behind for a read"));
+        }
+        if tipped {
+            self.breach(format!("{member} is cold and got too much"));
+        }
+        self.at(ends.0, Step::Ended(request << 4 | attempt as u64));
+    }
+
+    /// An attempt is over, as it was going to or as it is `told`.
+    fn ended(&mut self, request: u64, attempt: usize, told: Option<(f64, Outcome)>) {
+        let Some(asked) = self.requests.get_mut(&request) else { return };
+        let Some(out) = asked.out.remove(&attempt) else { return };
+        let (pooler, id) = (asked.pooler, asked.id.clone());
+        let (at, mut outcome) = told.unwrap_or(out.ends);
+        let machine = &mut self.machines[out.machine];
+        if out.reached {
+            machine.in_flight = machine.in_flight.saturating_sub(1);
+            if outcome == Outcome::Ok && !machine.up {
+                outcome = Outcome::Reset;
+            }
+        }
+        let good = outcome == Outcome::Ok;
+        let finished = good && !asked.done;
+        asked.done |= good;
+        self.seen.served += usize::from(finished);
+        let heard = matches!(outcome, Outcome::Ok | Outcome::Miss).then(|| machine.report(self.now));
+        let event = Event::Done(Done {
+            id,
+            member: machine.name.clone(),
+            attempt: out.attempt,
+            outcome,
+            finished,
+            elapsed: at - out.sent,
+            position: heard.as_ref().and_then(|r| r.position),
+            primary: heard.as_ref().and_then(|r| r.primary),
+            report: Report::default(),
+        });
+        let life = self.poolers[pooler].life;
+        self.at(at, Step::Told(pooler, life, event));
+    }
+
+    fn forget(&mut self, request: u64) {
+        let Some(asked) = self.requests.remove(&request) else { return };
+        self.numbers.remove(&asked.id);
+        for out in asked.out.values().filter(|out| out.reached) {
+            let machine = &mut self.machines[out.machine];
+            machine.in_flight = machine.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn probe(&mut self, n: usize, life: u32, member: MemberId) {
+        let Some(&m) = self.names.get(&member) else { return };
+        self.seen.probes += 1;
+        self.meets(n, m, "a probe");
+        let up = self.machines[m].up;
+        let apart = self.apart(self.poolers[n].zone, m);
+        let (after, outcome) = match (apart, up) {
+            (true, _) => (self.shape.settings.connect_timeout, Outcome::ConnectFailed),
+            (_, false) => (2.0 * WAY, Outcome::ConnectFailed),
+            _ => (4.0 * WAY, Outcome::Ok),
+        };
+        let good = outcome == Outcome::Ok;
+        let report = if good { self.machines[m].report(self.now) } else { Report::default() };
+        self.at(self.now + after, Step::Told(n, life, Event::Probed { member, outcome, report }));
+    }
+
+    /// Discovery answers calls in turn; one that waits too long has failed and takes its time all the same.
+    fn call(&mut self, n: usize, life: u32) {
+        self.seen.calls += 1;
+        self.discovery_free = self.discovery_free.max(self.now) + CALL;
+        let good = self.discovery_free - self.now <= CALL_PATIENCE;
+        let (at, kind) = if good {
+            (self.discovery_free, ListKind::Full)
+        } else {
+            (self.now + CALL_PATIENCE, ListKind::Failed)
+        };
+        self.poolers[n].follows |= good;
+        let entries = if good { self.listed() } else { Vec::new() };
+        self.at(at, Step::Told(n, life, Event::Members { kind, entries }));
+    }
+
+    /// A change of a machine's line is on its way to those that follow the list.
+    fn list(&mut self, m: usize) {
+        for n in 0..self.poolers.len() {
+            let entries = vec![self.machines[m].entry()];
+            let late = self.now + self.shape.list_delay * self.delays.f64();
+            let (follows, life) = (self.poolers[n].follows, self.poolers[n].life);
+            if follows {
+                let event = Event::Members { kind: ListKind::Incremental, entries };
+                self.at(late, Step::Told(n, life, event));
+            }
+        }
+    }
+
+    fn befall(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::Restart(n) => {
+                let life = self.poolers[n].life + 1;
+                self.poolers[n] = self.pooler(n, life);
+                // What it had taken in is its clients' to repeat.
+                let mut lost: Vec<u64> =
+                    self.requests.iter().filter(|(_, r)| r.pooler == n).map(|(k, _)| *k).collect();
+                lost.sort_unstable();
+                lost.into_iter().for_each(|request| self.forget(request));
+                self.begin(n);
+            }
+            Trouble::Drain(m) => {
+                self.machines[m].phase = Phase::Leaving;
+                self.list(m);
+            }
+            Trouble::End(m) => {
+                let machine = &mut self.machines[m];
+                (machine.up, machine.phase) = (false, Phase::Left);
+                if std::mem::replace(&mut machine.primary, false) {
+                    let group = machine.group;
+                    if let Some(next) = self.machines.iter_mut().find(|x| x.group == group && x.up) {
+                        next.primary = true;
+                    }
+                }
+                self.list(m);
+            }
+            Trouble::Join(m) => {
+                let (zone, group) = (self.machines[m].zone, self.machines[m].group);
+                self.add(zone, group, false, self.now);
+                self.list(self.machines.len() - 1);
+            }
+            Trouble::Back(m) => {
+                let now = self.now;
+                let machine = &mut self.machines[m];
+                (machine.up, machine.phase, machine.started) = (true, Phase::Active, now);
+                self.list(m);
+            }
+            Trouble::Freeze(m, on) => self.machines[m].frozen = on.then_some(self.now),
+            Trouble::Cut(zone, true) => drop(self.cut.insert(zone)),
+            Trouble::Cut(zone, false) => drop(self.cut.remove(&zone)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/tests/mass.rs
@@ -0,0 +1,191 @@
+//! Hundreds of poolers that share nothing, through the troubles of a large fleet.
+
+use routing::interface::*;
+use routing::Policy;
+use simulation::{Seen, Shape, Trouble, World};
+
+fn settings(fleet_size: u32) -> Settings {
+    let class = |consistency, effect| Class {
+        consistency,
+        effect,
+        deadline: 1.5,
+        dedup_window: 1.0,
+        ..Class::default()
+    };
+    let classes = vec![
+        class(Consistency::Bounded(3.0), Effect::Safe),
+        class(Consistency::Session, Effect::Safe),
+        class(Consistency::Any, Effect::Safe),
+        class(Consistency::Write, Effect::Keyed),
+    ];
+    Settings {
+        classes,
+        fleet_size,
+        probes: true,
+        subscribe: true,
+        when_behind: WhenBehind::Silent,
+        tokens_carried: false,
+        tip_multiple: 2.5,
+        ..Settings::default()
+    }
+}
+
+/// Three hundred poolers before 120 machines in 30 groups and three zones, at under a third of what these can do.
+fn shape(seed: u64, poolers: usize, fleet_size: u32) -> Shape {
+    let (zones, groups, replicas) = (3, 30, 3);
+    let (rate, service, capacity, list_delay) = (1_500.0, 0.05, 40.0, 1.0);
+    let settings = settings(fleet_size);
+    Shape { seed, poolers, zones, groups, replicas, rate, service, capacity, list_delay, settings }
+}
+
+fn kept(seen: &Seen, least: f64) {
+    assert_eq!(seen.breaches, [] as [String; 0], "{seen:?}");
+    assert!(seen.served as f64 >= least * seen.asked as f64, "{seen:?}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    let run = |seed| {
+        let mut world = World::new(shape(seed, 50, 50));
+        world.trouble(0.5, Trouble::Cut(1, true));
+        world.trouble(0.7, Trouble::Restart(3));
+        world.run(2.0)
+    };
+    assert_eq!(run(1), run(1));
+    assert_ne!(run(1).trace, run(2).trace);
+}
+
+/// Guards discovery, probes and handshakes against three hundred that start in one instant.
+#[test]
+fn three_hundred_that_start_in_one_instant_keep_to_their_budget() {
+    let seen = World::new(shape(1, 300, 300)).run(5.0);
+    kept(&seen, 0.95);
+    assert!(seen.calls <= 600, "two calls a pooler at the most: {seen:?}");
+    assert!(seen.probes <= 300 * 20 + seen.asked * 6 / 10, "{seen:?}");
+    assert!(seen.pairs <= 300 * 120 / 2, "half of all that there could be: {seen:?}");
+}
+
+#[test]
+fn half_of_the_machines_are_replaced_while_a_tenth_of_the_poolers_restarts() {
+    let mut world = World::new(shape(2, 300, 300));
+    for m in (0..120).step_by(2) {
+        let at = 2.0 + f64::from(m as u32) * 0.08;
+        world.trouble(at, Trouble::Join(m));
+        world.trouble(at + 0.5, Trouble::Drain(m));
+        world.trouble(at + 3.0, Trouble::End(m));
+    }
+    (0..300).step_by(10).for_each(|n| world.trouble(4.0 + n as f64 * 0.01, Trouble::Restart(n)));
+    kept(&world.run(16.0), 0.8);
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_left_from_within_and_without() {
+    let mut world = World::new(shape(3, 300, 300));
+    world.trouble(2.0, Trouble::Cut(0, true));
+    world.trouble(7.0, Trouble::Cut(0, false));
+    kept(&world.run(10.0), 0.6);
+}
+
+#[test]
+fn a_zone_back_cold_is_not_pushed_over_by_three_hundred() {
+    // More than on the other days: what a machine gets when it is warm is over what a cold one may have.
+    let mut world = World::new(Shape { rate: 3_500.0, capacity: 35.0, replicas: 2, ..shape(4, 300, 300) });
+    for m in (0..90).filter(|m| (m / 3 + m % 3) % 3 == 0) {
+        world.trouble(2.0, Trouble::End(m));
+        world.trouble(5.0, Trouble::Back(m));
+    }
+    kept(&world.run(14.0), 0.7);
+}
+
+#[test]
+fn lists_that_come_six_seconds_late_break_no_rule() {
+    let mut world = World::new(Shape { list_delay: 6.0, ..shape(5, 300, 300) });
+    for m in (0..120).step_by(3) {
+        world.trouble(1.0, Trouble::Join(m));
+        world.trouble(2.0, Trouble::Drain(m));
+        world.trouble(5.0, Trouble::End(m));
+    }
+    kept(&world.run(12.0), 0.7);
+}
+
+/// Guards the rule on the age of data: a third of the replicas stand still for four seconds, past the bound of three.
+#[test]
+fn replicas_that_stand_still_are_left_before_they_are_too_old() {
+    let mut world = World::new(shape(7, 300, 300));
+    for m in (1..120).step_by(4) {
+        world.trouble(2.0, Trouble::Freeze(m, true));
+        world.trouble(6.5, Trouble::Freeze(m, false));
+    }
+    kept(&world.run(8.0), 0.8);
+}
+
+/// 300 poolers told that they are 3 and 3 told that they are 300.
+#[test]
+fn a_fleet_size_that_is_wrong_by_a_hundred_breaks_no_rule() {
+    for (poolers, told) in [(300, 3), (3, 300), (300, 1)] {
+        let mut world = World::new(shape(6, poolers, told));
+        (0..120).step_by(4).for_each(|m| world.trouble(1.0, Trouble::End(m)));
+        kept(&world.run(6.0), 0.6);
+    }
+}
+
+/// Guards memory over a long day: what the policy keeps is bounded by what is there, not by what has been.
+#[test]
+fn a_million_requests_and_ten_thousand_members_leave_nothing_behind() {
+    let mut policy = Policy::new(settings(300), 1).unwrap();
+    let (mut now, mut out, mut most) = (100.0, Vec::new(), (0, 0, 0));
+    let (mut timers, mut order) = (std::collections::BTreeMap::new(), 0u64);
+    let entry =
+        |m: u32, phase| Entry { member: format!("m{m}").into(), group: m / 4, phase, ..Entry::default() };
+    for round in 0..100u32 {
+        let first = round * 100;
+        let old = first.saturating_sub(100)..first;
+        let list =
+            old.map(|m| entry(m, Phase::Left)).chain((first..first + 100).map(|m| entry(m, Phase::Active)));
+        policy.handle(now, Event::Members { kind: ListKind::Incremental, entries: list.collect() }, &mut out);
+        for n in 0..10_000u32 {
+            now += 0.003;
+            let id = format!("r{round}-{n}");
+            let group = first / 4 + n % 25;
+            policy.handle(now, Event::arrival(&id, (n % 4) as usize, group, 1.5), &mut out);
+            while let Some((&(at, place), &cookie)) = timers.first_key_value() {
+                if at as f64 > now * 1e6 {
+                    break;
+                }
+                timers.remove(&(at, place));
+                policy.handle(now, Event::Timer { cookie }, &mut out);
+            }
+            while let Some(action) = out.pop() {
+                match action {
+                    Action::Timer { at, cookie } => {
+                        order += 1;
+                        timers.insert(((at * 1e6) as u64, order), cookie);
+                    }
+                    Action::Send { id, member, .. } => {
+                        let done = Done {
+                            id,
+                            member,
+                            attempt: 0,
+                            outcome: Outcome::Ok,
+                            finished: true,
+                            elapsed: 0.01,
+                            position: Some(now),
+                            primary: Some(true),
+                            report: Report::default(),
+                        };
+                        policy.handle(now, Event::Done(done), &mut out);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        most = (
+            most.0.max(policy.members_known()),
+            most.1.max(policy.groups_known()),
+            most.2.max(policy.requests_known()),
+        );
+    }
+    // A list lasts 30 s here, and what has left is forgotten after as long: two lists, and one that has just come.
+    assert!(most.0 <= 300 && most.1 <= 75, "members and groups: {most:?}");
+    assert!(most.2 <= 1_000, "requests of no more than their 1.5 s: {most:?}");
+}
