--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -73,7 +73,7 @@
 /// What was seen of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Seen {
-    /// Requests that came, were served, refused and failed; those of poolers that were killed are in the first only.
+    /// Requests that came. Those that a killed pooler had in hand are in none of the next three.
     pub asked: usize,
     /// Answered by a machine in time.
     pub served: usize,
