Simulation: whole lists as of their answer, changes in order, one attempt's end kept once

Cause, on rereading: `call()` built a whole list when it was asked for, so that one answered two seconds later undid changes told meanwhile; `list()` let a later change of a watch overtake an earlier one; a machine that a whole list leaves out did not count as told; `Ended` packed two numbers into one and `Out` kept an attempt's number and time that its key and the clock tell.

Change: `Listed` looks the list up at its answer, each pooler's news keep their order, what a whole list leaves out is told as gone, and the end of an attempt is its outcome alone. No assertion is changed.

--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -99,7 +99,8 @@
     Ask,
     Timer(usize, u32, u64),
     Told(usize, u32, Event),
-    Ended(u64),
+    Ended(u64, usize),
+    Listed(usize, u32),
     Late(u64),
     Trouble(Trouble),
 }
@@ -109,6 +110,8 @@
     life: u32,
     zone: u32,
     follows: bool,
+    /// When the last change that is on its way to it arrives: a watch keeps its order.
+    news: f64,
     /// Machines that it was told to leave alone, and when.
     told: HashMap<MemberId, f64>,
     met: HashSet<usize>,
@@ -125,10 +128,9 @@
 }
 
 struct Out {
-    attempt: usize,
     machine: usize,
     sent: f64,
-    ends: (f64, Outcome),
+    outcome: Outcome,
     reached: bool,
 }
 
@@ -210,7 +212,7 @@
         let settings = Settings { zone, ..self.shape.settings.clone() };
         let seed = stream(self.shape.seed, &format!("pooler {n} {life}")).u64(..);
         let policy = Policy::new(settings, seed).expect("the shape's settings are in range");
-        Pooler { policy, life, zone, follows: false, told: HashMap::new(), met: HashSet::new() }
+        Pooler { policy, life, zone, follows: false, news: 0.0, told: HashMap::new(), met: HashSet::new() }
     }
 
     fn begin(&mut self, n: usize) {
@@ -253,8 +255,13 @@
                 self.feed(n, Event::Timer { cookie });
             }
             Step::Told(n, life, event) if self.poolers[n].life == life => self.feed(n, event),
-            Step::Timer(..) | Step::Told(..) => {}
-            Step::Ended(key) => self.ended(key >> 4, (key & 15) as usize, None),
+            Step::Ended(request, attempt) => self.ended(request, attempt, None),
+            Step::Listed(n, life) if self.poolers[n].life == life => {
+                self.poolers[n].follows = true;
+                let entries = self.listed();
+                self.feed(n, Event::Members { kind: ListKind::Full, entries });
+            }
+            Step::Timer(..) | Step::Told(..) | Step::Listed(..) => {}
             Step::Late(request) => {
                 if self.requests.get(&request).is_some_and(|r| !r.done) {
                     self.breach(format!("request {request} has no final answer"));
@@ -294,7 +301,12 @@
     }
 
     fn feed(&mut self, n: usize, event: Event) {
-        if let Event::Members { entries, .. } = &event {
+        if let Event::Members { kind, entries } = &event {
+            // A whole list tells of what is not on it that it is gone.
+            let gone = self.machines.iter().filter(|m| *kind == ListKind::Full && m.phase == Phase::Left);
+            for name in gone.map(|m| m.name.clone()) {
+                self.poolers[n].told.entry(name).or_insert(self.now);
+            }
             for entry in entries {
                 let told = &mut self.poolers[n].told;
                 if entry.phase == Phase::Active {
@@ -327,8 +339,7 @@
             }
             Action::Cancel { id, attempt } => {
                 if let Some(&request) = self.numbers.get(&id) {
-                    let told = Some((self.now, Outcome::Cancelled));
-                    self.ended(request, attempt, told);
+                    self.ended(request, attempt, Some(Outcome::Cancelled));
                 }
             }
             Action::Listen => self.call(n, life),
@@ -385,9 +396,8 @@
             (took + 2.0 * WAY, Outcome::Ok)
         };
         let tipped = reached && machine.takes(self.now, self.shape.capacity, settings);
-        let ends = if after > timeout { (timeout, Outcome::Timeout) } else { (after, outcome) };
-        let ends = (self.now + ends.0, ends.1);
-        asked.out.insert(attempt, Out { attempt, machine: m, sent: self.now, ends, reached });
+        let (after, outcome) = if after > timeout { (timeout, Outcome::Timeout) } else { (after, outcome) };
+        asked.out.insert(attempt, Out { machine: m, sent: self.now, outcome, reached });
         if attempt >= settings.max_attempts as usize {
             self.breach(format!("request {request} was sent more often than is allowed"));
         }
@@ -397,15 +407,15 @@
         if tipped {
             self.breach(format!("{member} is cold and got too much"));
         }
-        self.at(ends.0, Step::Ended(request << 4 | attempt as u64));
+        self.at(self.now + after, Step::Ended(request, attempt));
     }
 
     /// An attempt is over, as it was going to or as it is `told`.
-    fn ended(&mut self, request: u64, attempt: usize, told: Option<(f64, Outcome)>) {
+    fn ended(&mut self, request: u64, attempt: usize, told: Option<Outcome>) {
         let Some(asked) = self.requests.get_mut(&request) else { return };
         let Some(out) = asked.out.remove(&attempt) else { return };
         let (pooler, id) = (asked.pooler, asked.id.clone());
-        let (at, mut outcome) = told.unwrap_or(out.ends);
+        let mut outcome = told.unwrap_or(out.outcome);
         let machine = &mut self.machines[out.machine];
         if out.reached {
             machine.in_flight = machine.in_flight.saturating_sub(1);
@@ -421,16 +431,16 @@
         let event = Event::Done(Done {
             id,
             member: machine.name.clone(),
-            attempt: out.attempt,
+            attempt,
             outcome,
             finished,
-            elapsed: at - out.sent,
+            elapsed: self.now - out.sent,
             position: heard.as_ref().and_then(|r| r.position),
             primary: heard.as_ref().and_then(|r| r.primary),
             report: Report::default(),
         });
         let life = self.poolers[pooler].life;
-        self.at(at, Step::Told(pooler, life, event));
+        self.at(self.now, Step::Told(pooler, life, event));
     }
 
     fn forget(&mut self, request: u64) {
@@ -463,25 +473,24 @@
         self.seen.calls += 1;
         self.discovery_free = self.discovery_free.max(self.now) + CALL;
         let good = self.discovery_free - self.now <= CALL_PATIENCE;
-        let (at, kind) = if good {
-            (self.discovery_free, ListKind::Full)
+        if good {
+            self.at(self.discovery_free, Step::Listed(n, life));
         } else {
-            (self.now + CALL_PATIENCE, ListKind::Failed)
-        };
-        self.poolers[n].follows |= good;
-        let entries = if good { self.listed() } else { Vec::new() };
-        self.at(at, Step::Told(n, life, Event::Members { kind, entries }));
+            let event = Event::Members { kind: ListKind::Failed, entries: Vec::new() };
+            self.at(self.now + CALL_PATIENCE, Step::Told(n, life, event));
+        }
     }
 
     /// A change of a machine's line is on its way to those that follow the list.
     fn list(&mut self, m: usize) {
         for n in 0..self.poolers.len() {
-            let entries = vec![self.machines[m].entry()];
             let late = self.now + self.shape.list_delay * self.delays.f64();
-            let (follows, life) = (self.poolers[n].follows, self.poolers[n].life);
-            if follows {
+            let pooler = &mut self.poolers[n];
+            if pooler.follows {
+                pooler.news = pooler.news.max(late);
+                let (news, life, entries) = (pooler.news, pooler.life, vec![self.machines[m].entry()]);
                 let event = Event::Members { kind: ListKind::Incremental, entries };
-                self.at(late, Step::Told(n, life, event));
+                self.at(news, Step::Told(n, life, event));
             }
         }
     }
