One half-life and one fading for what is heard of members

Cause, on rereading: `crowd.rs` HALVES was `policy.rs` SUSPICION_HALVES again, and suspicion, pace and demand each wrote the same fading.

Change: Policy::half_life and demand::faded serve all three. Nothing that is decided changes.

--- a/crates/routing/src/crowd.rs
+++ b/crates/routing/src/crowd.rs
@@ -2,7 +2,7 @@
 
 use crate::state::{Policy, Request};
 
-/// Half-life of what an answer tells, in multiples of the connect time-out: what was slow a while ago may not be now.
+/// Half-life of what an answer or a failure tells, in multiples of the connect time-out: what was slow a while ago may not be now.
 const HALVES: f64 = 8.0;
 /// A read goes to a replica of which the answers take so many times less ...
 const SLOWER: f64 = 2.0;
@@ -13,7 +13,7 @@
 
 impl Policy {
     /// Half-life of what is heard of a member's health and load (seconds).
-    fn half_life(&self) -> f64 {
+    pub(crate) fn half_life(&self) -> f64 {
         self.settings.connect_timeout * HALVES
     }
 
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -19,20 +19,21 @@
     /// A request has come.
     pub fn take(&mut self, now: f64) {
         let begun = self.begun.unwrap_or(now);
-        *self = Demand { count: self.count * faded(now - self.at) + 1.0, at: now, begun: Some(begun) };
+        *self =
+            Demand { count: self.count * faded(now - self.at, HALF_LIFE) + 1.0, at: now, begun: Some(begun) };
     }
 
     /// How many come in a second by now.
     pub fn rate(&self, now: f64) -> f64 {
         // A proxy that has just started has counted for a short time only.
-        let counted = 1.0 - faded((now - self.begun.unwrap_or(now)).max(HALF_LIFE / 4.0));
-        self.count * faded(now - self.at) * std::f64::consts::LN_2 / HALF_LIFE / counted
+        let counted = 1.0 - faded((now - self.begun.unwrap_or(now)).max(HALF_LIFE / 4.0), HALF_LIFE);
+        self.count * faded(now - self.at, HALF_LIFE) * std::f64::consts::LN_2 / HALF_LIFE / counted
     }
 }
 
-/// What is left after a time (seconds) of what counted as 1.
-fn faded(time: f64) -> f64 {
-    0.5f64.powf(time.max(0.0) / HALF_LIFE)
+/// What is left after a time of what counted as 1, with this half-life (both in seconds).
+pub(crate) fn faded(time: f64, half_life: f64) -> f64 {
+    0.5f64.powf(time.max(0.0) / half_life)
 }
 
 /// What a tenant has saved up of its share.
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -2,6 +2,8 @@
 //! and then, and the load behind it is all others': few answers have to tell, and those that nobody waited for
 //! to the end tell as much.
 
+use crate::demand::faded;
+
 /// What is assumed of a member counts as so many answers.
 const PRIOR: f64 = 2.0;
 /// Answers that count at the most, so that a change shows within about ten.
@@ -26,7 +28,7 @@
 
 impl Pace {
     fn answers(&self, now: f64, half_life: f64) -> f64 {
-        self.answers * 0.5f64.powf((now - self.at).max(0.0) / half_life)
+        self.answers * faded(now - self.at, half_life)
     }
 
     /// The multiple to expect now; 1 where nothing has been heard for long.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -5,7 +5,7 @@
 
 use crate::check::{check, SettingsError};
 use crate::crowd::TRICKLE;
-use crate::demand::Share;
+use crate::demand::{faded, Share};
 use crate::interface::*;
 use crate::knowledge::{EJECT_MOST, PROBE_MOST, SEEK_EVERY};
 use crate::latency::{Latency, SAMPLE};
@@ -33,8 +33,6 @@
 const CUT_OFF: f64 = 0.55 * EJECT_AT;
 /// Weight of a connection that broke under a request.
 const RESET: f64 = 0.25 * EJECT_AT;
-/// Half-life of suspicion, in multiples of the connect time-out.
-const SUSPICION_HALVES: f64 = 8.0;
 /// First ejection, in multiples of the connect time-out; doubles with each failed trial.
 const EJECT_FIRST: f64 = 2.0;
 /// Further attempts allowed for each request: a tenth cannot amplify an overload.
@@ -303,11 +301,10 @@
 
     fn suspect(&mut self, m: usize, weight: f64, out: &mut Vec<Action>) {
         let now = self.now;
-        let unit = self.settings.connect_timeout;
+        let (unit, half_life) = (self.settings.connect_timeout, self.half_life());
         let member = &mut self.members[m];
         member.errs = false;
-        let halves = (now - member.suspicion_at) / (unit * SUSPICION_HALVES);
-        member.suspicion = member.suspicion * 0.5f64.powf(halves) + weight;
+        member.suspicion = member.suspicion * faded(now - member.suspicion_at, half_life) + weight;
         member.suspicion_at = now;
         if member.suspicion >= EJECT_AT && (now >= member.out_until || !member.ejected) {
             // A relapse soon after a return goes on where the last ejection stopped: one good trial does not
