Membership and replication among instances, as machines without I/O, and a simulation of them

Need: instances share nothing, so a session that writes through one and reads through another reads what is behind its own write (624 of 1,088 such reads, measured on three instances).

`simulation::instances` plays up to a thousand of them on a virtual network, with sessions' reads held against what they were answered.

Nothing uses it yet: the programs are unchanged.

--- /dev/null
+++ b/crates/replication/src/auth.rs
@@ -0,0 +1,107 @@
+//! Who may speak: every message under HMAC-SHA-256 with a key that all instances hold. What is not authentic is dropped
+//! unread.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::{Digest, Sha256};
+
+/// Bytes of a key: what a file holds as 64 hexadecimal digits.
+pub const KEY: usize = 32;
+/// Most keys that hold at a time: the old and the new one in a rotation.
+pub const MOST_KEYS: usize = 2;
+/// Bytes that a seal adds: what names the key, and the code.
+pub const SEAL: usize = 4 + 32;
+
+struct Key {
+    mac: Hmac<Sha256>,
+    /// Names the key without telling of it.
+    id: [u8; 4],
+}
+
+/// The keys that hold; the first seals.
+pub struct Keys(Vec<Key>);
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} keys", self.0.len())
+    }
+}
+
+impl Keys {
+    /// Reads the texts of one or two key files, each of 64 hexadecimal digits on one line; the number of the text at
+    /// fault, from 0, where one is not.
+    pub fn parse<'a>(texts: impl IntoIterator<Item = &'a str>) -> Result<Keys, usize> {
+        let mut keys = Vec::new();
+        for (number, text) in texts.into_iter().enumerate() {
+            let secret = hex::decode(text.trim()).ok().filter(|secret| secret.len() == KEY).ok_or(number)?;
+            let mac = Hmac::<Sha256>::new_from_slice(&secret).map_err(|_| number)?;
+            let mut id = [0; 4];
+            id.copy_from_slice(&Sha256::digest(&secret)[..4]);
+            keys.push(Key { mac, id });
+        }
+        match keys.len() {
+            1..=MOST_KEYS => Ok(Keys(keys)),
+            count => Err(count.min(MOST_KEYS)),
+        }
+    }
+
+    /// Seals a message with the first key.
+    pub fn seal(&self, mut message: Vec<u8>) -> Vec<u8> {
+        let key = &self.0[0];
+        message.extend_from_slice(&key.id);
+        let mut mac = key.mac.clone();
+        mac.update(&message);
+        message.extend_from_slice(&mac.finalize().into_bytes());
+        message
+    }
+
+    /// The message in a sealed one; none where no key that holds has sealed it.
+    pub fn open<'a>(&self, sealed: &'a [u8]) -> Option<&'a [u8]> {
+        let (signed, code) = sealed.split_at_checked(sealed.len().checked_sub(SEAL - 4)?)?;
+        let (message, id) = signed.split_at_checked(signed.len().checked_sub(4)?)?;
+        let key = self.0.iter().find(|key| key.id == id)?;
+        let mut mac = key.mac.clone();
+        mac.update(signed);
+        // Compared in constant time.
+        mac.verify_slice(code).ok().map(|()| message)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const OLD: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+    const NEW: &str = "f00102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
+
+    #[test]
+    fn what_was_sealed_opens_and_nothing_else_does() {
+        let old = Keys::parse([OLD]).unwrap();
+        let sealed = old.seal(b"word".to_vec());
+        assert_eq!(old.open(&sealed), Some(&b"word"[..]));
+        for n in 0..sealed.len() {
+            let mut spoilt = sealed.clone();
+            spoilt[n] ^= 1;
+            assert_eq!(old.open(&spoilt), None, "byte {n}");
+            assert_eq!(old.open(&sealed[..n]), None, "cut to {n}");
+        }
+    }
+
+    #[test]
+    fn two_keys_hold_in_a_rotation() {
+        let (old, new) = (Keys::parse([OLD]).unwrap(), Keys::parse([NEW]).unwrap());
+        let both = Keys::parse([NEW, OLD]).unwrap();
+        assert!(both.open(&old.seal(vec![1])).is_some());
+        assert!(new.open(&both.seal(vec![1])).is_some());
+        assert!(old.open(&both.seal(vec![1])).is_none());
+    }
+
+    #[test]
+    fn a_key_that_is_none_is_told_by_its_number() {
+        assert_eq!(Keys::parse(["12"]).unwrap_err(), 0);
+        assert_eq!(Keys::parse([OLD, "zz"]).unwrap_err(), 1);
+        assert_eq!(Keys::parse([]).unwrap_err(), 0);
+        assert_eq!(Keys::parse([OLD, NEW, OLD]).unwrap_err(), 2);
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![warn(missing_docs)]
 
+pub mod instances;
 mod machine;
 
 use std::cmp::Reverse;
