--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -135,6 +135,7 @@
                     repeat: options & 2 != 0,
                     class: fields.whole(8, "tierClass")? as usize,
                     group: fields.whole(9, "clusterNo")? as u32,
+                    own: None,
                 })
             }
             "done" => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -71,6 +71,29 @@
     Show {},
     /// The sessions of ordinary clients.
     Sessions {},
+    /// Other instances.
+    Peers {
+        /// What is asked of them.
+        what: Peers,
+    },
+}
+
+/// What can be asked of other instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Peers {
+    /// Who is there, and how far behind each is.
+    Status,
+    /// How members look to all.
+    Members,
+    /// What each instance has stated, as sums to be held against another's.
+    Digests,
+    /// What is known of a member, and why it is believed.
+    Member(String),
+    /// What is known of a session's writes, and why its reads go where they go.
+    Session(String),
+    /// An instance, or a seed by its address, is over and does not come back.
+    Forget(String),
 }
 
 /// How a call ended.
@@ -260,6 +283,9 @@
     /// The sessions of ordinary clients.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub sessions: Option<Sessions>,
+    /// What is known of other instances.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<serde_json::Value>,
 }
 
 impl Response {
@@ -278,6 +304,7 @@
             history: None,
             text: None,
             sessions: None,
+            peers: None,
         }
     }
 
--- a/crates/daemon/src/cli/config.rs
+++ b/crates/daemon/src/cli/config.rs
@@ -414,7 +414,7 @@
 }
 
 /// Makes a call on a daemon's control socket.
-fn call(socket: Option<PathBuf>, request: Call) -> Result<Response, String> {
+pub(super) fn call(socket: Option<PathBuf>, request: Call) -> Result<Response, String> {
     let path = socket.or_else(|| std::env::var_os("DEWFERRY_CONTROL").map(PathBuf::from));
     let path = path.ok_or("no control socket: give --socket or set DEWFERRY_CONTROL")?;
     let named = |fault: &dyn std::fmt::Display| format!("{}: {fault}", path.display());
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod config;
 mod fleet;
+mod peers;
 mod print;
 mod registry;
 mod route;
@@ -39,6 +40,7 @@
     Serve(Serve),
     Config(config::Args),
     Fleet(fleet::Args),
+    Peers(peers::Args),
     Registry(registry::Args),
     Route(route::Args),
     Users(users::Args),
@@ -121,6 +123,7 @@
         }
         Command::Config(args) => return config::run(args),
         Command::Fleet(args) => return fleet::run(args),
+        Command::Peers(args) => return peers::run(args),
         Command::Registry(args) => return registry::run(args),
         Command::Route(args) => return route::run(args),
         Command::Users(args) => return users::run(args),
--- a/crates/daemon/src/files.rs
+++ b/crates/daemon/src/files.rs
@@ -74,6 +74,23 @@
     Key::parse(&text).map_err(|fault| named(fault.to_string()))
 }
 
+/// Reads the key files of instances that talk.
+pub(crate) fn peer_keys(paths: &[PathBuf]) -> Result<replication::Keys, String> {
+    let named = |path: &Path, fault: &str| format!("{}: {fault}", path.display());
+    let mut texts = Vec::new();
+    for path in paths {
+        let bytes = private(path, bundle::LONGEST_KEY)?;
+        texts.push(
+            String::from_utf8(bytes)
+                .map_err(|_| named(path, "not a key; accepted: 64 hexadecimal digits"))?,
+        );
+    }
+    replication::Keys::parse(texts.iter().map(String::as_str)).map_err(|at| match paths.get(at) {
+        Some(path) => named(path, "not a key; accepted: 64 hexadecimal digits on one line"),
+        None => "peers.keys: accepted: 1 or 2 files".into(),
+    })
+}
+
 /// Reads a password: the file's only line.
 pub(crate) fn password(path: &Path) -> Result<String, String> {
     let text = String::from_utf8(private(path, LONGEST_PASSWORD)?).unwrap_or_default();
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -111,6 +111,10 @@
     }
 
     /// The version of the list that is held.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     pub fn index(&self) -> u64 {
         self.index
     }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -98,8 +98,15 @@
     Ancestor,
     Pool(Slot),
     Backend(Slot),
+    /// The sockets towards other instances, and the streams to and from them.
+    Peers,
+    PeersListener,
+    PeerStream(Slot),
 }
 
+/// Those that there is one of come before the slots of streams among instances, which share their kind.
+const SINGLE: u32 = 16;
+
 // A token holds the kind, the generation and the index side by side.
 const _: () = assert!(usize::BITS == 64);
 
@@ -116,6 +123,9 @@
             Source::Heir => (0, one(5)),
             Source::Heard => (0, one(6)),
             Source::Ancestor => (0, one(7)),
+            Source::Peers => (0, one(8)),
+            Source::PeersListener => (0, one(9)),
+            Source::PeerStream(slot) => (0, Slot { index: slot.index + SINGLE, ..slot }),
             Source::Client(slot) => (1, slot),
             Source::Server(slot) => (2, slot),
             Source::Discovery(slot) => (3, slot),
@@ -139,7 +149,10 @@
             (0, 4) => Source::Pooled,
             (0, 5) => Source::Heir,
             (0, 6) => Source::Heard,
-            (0, _) => Source::Ancestor,
+            (0, 7) => Source::Ancestor,
+            (0, 8) => Source::Peers,
+            (0, index) if index >= SINGLE => Source::PeerStream(Slot { index: index - SINGLE, ..slot }),
+            (0, _) => Source::PeersListener,
             (1, _) => Source::Client(slot),
             (2, _) => Source::Server(slot),
             (3, _) => Source::Discovery(slot),
@@ -172,6 +185,8 @@
     /// A session of an ordinary client has its turn.
     Session(Slot),
     Pools,
+    /// Other instances are to be asked, answered or looked at.
+    Peers,
 }
 
 struct Timer {
@@ -280,7 +295,9 @@
     fn a_late_event_finds_nobody_in_a_place_that_was_used_again() {
         let mut slots = Slots::new();
         let old = slots.insert("old");
-        assert_eq!(Source::from(Token::from(Source::Server(old))), Source::Server(old));
+        for source in [Source::Server(old), Source::PeerStream(old), Source::Peers, Source::PeersListener] {
+            assert_eq!(Source::from(Token::from(source)), source);
+        }
         slots.remove(old);
         let new = slots.insert("new");
         assert_eq!(new.index, old.index);
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod event_loop;
 mod outbox;
+mod peers;
 mod proxy;
 mod registry;
 mod servers;
--- /dev/null
+++ b/crates/daemon/src/net/peers.rs
@@ -0,0 +1,405 @@
+//! The sockets towards other instances: datagrams for all that is small, streams for logs that are far behind, a folder
+//! for what outlasts a start. What is said and believed is decided in `replication`.
+
+mod disk;
+mod streams;
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ::control::{Code, Response};
+use config::Config;
+use mio::net::{TcpListener, UdpSocket};
+use mio::Interest;
+use operator::Effective;
+use replication::fact::Stand;
+use replication::view::View;
+use replication::{Identity, Need, Node, Notice, Terms, Ticket};
+use routing::hearsay::{Found, Heard};
+use routing::interface::{Consistency, Phase};
+
+use super::event_loop::{Due, Slot, Source};
+use super::Context;
+use crate::files;
+use disk::Disk;
+use streams::Streams;
+
+/// Longest datagram that is looked at (bytes): a longer one is none of an instance's.
+const LONGEST: usize = 2_048;
+/// Datagrams read at a time; the others have their turn first.
+const AT_A_TIME: usize = 512;
+/// Time between two tellings of how members look (seconds).
+const BEAT: f64 = 0.25;
+/// Share of the shortest aim of a write for which others go by what they have read: a write waits no longer for them.
+const LEASE_OF_AIM: f64 = 0.45;
+/// Longest lease (seconds).
+const LEASE: f64 = 0.5;
+/// Share of its aim, and multiple of a lease, for which a write waits for leave to be sent.
+const HOLD_OF_AIM: f64 = 0.5;
+const HOLD_OF_LEASE: f64 = 1.2;
+/// How long an instance that ends waits until the others have read that it does.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+/// Other instances, as the daemon holds them.
+pub(crate) struct Peers {
+    pub node: Node,
+    socket: UdpSocket,
+    streams: Streams,
+    disk: Option<Disk>,
+    /// When the timer that is set goes off.
+    timer: f64,
+    next_beat: f64,
+    hold: f64,
+}
+
+impl Peers {
+    /// Listens, where the operator's file says so.
+    pub fn new(
+        effective: &Effective,
+        config: &Config,
+        context: &mut Context,
+    ) -> Result<Option<Peers>, String> {
+        let settings = &effective.document.peers;
+        let Some(listen) = settings.listen else { return Ok(None) };
+        let keys = files::peer_keys(&settings.keys)?;
+        let named = |error: io::Error| format!("peers.listen: {listen}: {error}");
+        let mut socket = UdpSocket::bind(listen).map_err(named)?;
+        let mut listener = TcpListener::bind(listen).map_err(named)?;
+        let registry = &context.reactor.registry;
+        registry.register(&mut socket, Source::Peers.into(), Interest::READABLE).map_err(named)?;
+        registry.register(&mut listener, Source::PeersListener.into(), Interest::READABLE).map_err(named)?;
+        let now = context.reactor.now();
+        let (mut disk, kept) = match settings.dir.as_deref().map(Disk::open) {
+            Some(Ok((disk, kept))) => (Some(disk), Some(kept)),
+            Some(Err(fault)) => return Err(format!("peers.dir: {fault}")),
+            None => (None, None),
+        };
+        let start = replication::disk::next_start(kept.as_ref(), now);
+        if let Some(disk) = &mut disk {
+            disk.write(&[replication::disk::Record::Start(start)]);
+        }
+        let zone = config.zones.get(config.settings.zone as usize).map_or("", String::as_str);
+        let me = Identity {
+            name: replication::message::name(&config.name),
+            zone: replication::message::name(zone),
+            address: listen,
+            start,
+            renewal: 0,
+        };
+        let writes = effective.settings.classes.iter().filter(|c| c.consistency == Consistency::Write);
+        let aim = writes.map(|class| class.aim).fold(f64::INFINITY, f64::min);
+        let lease = (aim * LEASE_OF_AIM).clamp(0.01, LEASE);
+        let terms = Terms {
+            lease,
+            patience: settings.patience_s,
+            clock_error: settings.clock_error_s,
+            seeds: settings.seeds.clone(),
+            routes: settings.route.iter().map(|r| (r.name.as_str().into(), r.address)).collect(),
+        };
+        logging::info!(
+            event = "peers.listening",
+            start,
+            seeds = settings.seeds.len(),
+            "other instances reach {} at {listen}",
+            me.name
+        );
+        let node = Node::new(me, keys, terms, config.seed ^ start, now, kept);
+        let hold = (HOLD_OF_LEASE * lease).min(HOLD_OF_AIM * aim);
+        let mut peers = Peers {
+            node,
+            socket,
+            streams: Streams::new(listener),
+            disk,
+            timer: f64::INFINITY,
+            next_beat: now,
+            hold,
+        };
+        peers.due(context);
+        Ok(Some(peers))
+    }
+
+    /// How long a write waits for leave to be sent (seconds).
+    pub fn hold(&self) -> f64 {
+        self.hold
+    }
+
+    /// Datagrams may be read.
+    pub fn ready(&mut self, context: &mut Context) {
+        let mut bytes = [0; LONGEST];
+        for turn in 0.. {
+            if turn == AT_A_TIME {
+                // The rest is read once the others have had their turn.
+                context.reactor.timer(context.reactor.now(), Due::Peers);
+                break;
+            }
+            match self.socket.recv_from(&mut bytes) {
+                Ok((count, _)) => self.node.receive(context.reactor.now(), &bytes[..count]),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                // A peer's port that nobody listens at is told here; it says nothing of the next datagram.
+                Err(_) => {}
+            }
+        }
+        self.carry_out(context);
+    }
+
+    /// The time has come for something.
+    pub fn due(&mut self, context: &mut Context) {
+        let now = context.reactor.now();
+        if self.timer <= now {
+            self.timer = f64::INFINITY;
+        }
+        self.node.tick(now);
+        self.streams.due(now, &mut self.node);
+        self.ready(context);
+    }
+
+    pub fn accept(&mut self, context: &mut Context) {
+        self.streams.accept(context);
+    }
+
+    pub fn stream(&mut self, slot: Slot, context: &mut Context) {
+        self.streams.ready(slot, &mut self.node, context);
+        self.carry_out(context);
+    }
+
+    /// Sends what there is to send, writes what there is to write, and sets the timer.
+    pub fn carry_out(&mut self, context: &mut Context) {
+        for (name, to) in self.node.to_stream(context.reactor.now()) {
+            self.streams.open(name, to, &mut self.node, context);
+        }
+        for (to, bytes) in self.node.take_out() {
+            // What does not go out is as lost as what does not arrive.
+            let _ = self.socket.send_to(&bytes, to);
+        }
+        let records = self.node.take_records();
+        if let Some(disk) = self.disk.as_mut().filter(|_| !records.is_empty()) {
+            disk.write(&records);
+        }
+        for notice in self.node.take_notices() {
+            noticed(&notice);
+        }
+        let due = self.node.next_due().min(self.next_beat);
+        if due < self.timer {
+            self.timer = due;
+            context.reactor.timer(due, Due::Peers);
+        }
+    }
+
+    /// Whether it is time to tell how members look.
+    pub fn beats(&mut self, now: f64) -> bool {
+        let beats = now >= self.next_beat;
+        if beats {
+            self.next_beat = now + BEAT;
+        }
+        beats
+    }
+
+    /// What the list says of members.
+    pub fn list<'a>(
+        &mut self,
+        now: f64,
+        (source, version): (u64, u64),
+        members: impl Iterator<Item = (&'a str, f64, Phase)>,
+    ) {
+        for (member, since, phase) in members {
+            let stand = match phase {
+                Phase::Active => Stand::Serving,
+                Phase::Leaving => Stand::Draining,
+                Phase::Left => Stand::Gone,
+            };
+            self.node.tell(now, member, since, source, version, stand);
+        }
+    }
+
+    /// Tells how members look to this instance.
+    pub fn tell(&mut self, now: f64, found: &[Found]) {
+        let age = |at: f64| (now - at).clamp(0.0, 1e6) as f32;
+        let views = found.iter().map(|found| View {
+            member: replication::message::name(&found.learned.member),
+            since: found.since,
+            position: found.learned.position.map(|position| (position, age(found.position_at))),
+            primary: found.learned.primary.map(|(primary, at)| (primary, age(at))),
+            in_flight: found.in_flight.min(u32::from(u16::MAX)) as u16,
+            suspected: found.suspected,
+            slowness: found.slowness as f32,
+            cold: found.learned.cold_since.map(age),
+        });
+        self.node.observe(now, views.collect(), Vec::new());
+        for found in found {
+            if let (Some((true, _)), Some(position)) = (found.learned.primary, found.learned.position) {
+                self.node.claimed(now, found.group, &found.learned.member, position);
+            }
+        }
+    }
+
+    /// What the others say of members, for the decisions.
+    pub fn heard(&self, now: f64, found: &[Found]) -> Vec<Heard> {
+        let since: BTreeMap<&str, f64> = found.iter().map(|f| (&*f.learned.member, f.since)).collect();
+        let mut heard: BTreeMap<Arc<str>, Heard> = BTreeMap::new();
+        let named = |member: &Arc<str>| Heard { member: member.clone(), ..Heard::default() };
+        for (member, together) in self.node.together(now) {
+            // Of an earlier start than the list's it says nothing.
+            if since.get(&*member).is_none_or(|since| together.since < *since) {
+                continue;
+            }
+            let word = heard.entry(member.clone()).or_insert_with(|| named(&member));
+            (word.in_flight, word.suspected_by) = (together.in_flight, together.suspected_by);
+            word.cold_since = together.cold_since;
+        }
+        for member in self.node.told_of() {
+            let Some(since) = since.get(&**member) else { continue };
+            if self.node.told(member, *since) != Stand::Serving {
+                heard.entry(member.clone()).or_insert_with(|| named(member)).drained = true;
+            }
+        }
+        for claim in self.node.claims().values() {
+            if let Some(member) = claim.only() {
+                heard.entry(member.clone()).or_insert_with(|| named(member)).primary = true;
+            }
+        }
+        heard.into_values().collect()
+    }
+
+    /// What a session's read needs, as a position; infinite where only the primary will do.
+    pub fn need(&mut self, now: f64, session: &str) -> f64 {
+        match self.node.need(now, session) {
+            Need::From(position) => position,
+            Need::Primary(_) => f64::INFINITY,
+        }
+    }
+
+    /// Whether a write may be sent.
+    pub fn may_send(&mut self, now: f64, ticket: Ticket) -> bool {
+        self.node.may_send(now, ticket)
+    }
+
+    /// Answers what people ask.
+    pub fn answer(&mut self, now: f64, what: &::control::Peers) -> Response {
+        use ::control::Peers as Ask;
+        let told = |value: serde_json::Value, words: &str| Response {
+            peers: Some(value),
+            ..Response::new(Code::Ok, words)
+        };
+        match what {
+            Ask::Status => {
+                let status = self.node.status(now);
+                told(serde_json::to_value(&status).unwrap_or_default(), "who is there")
+            }
+            Ask::Digests => {
+                let digests: BTreeMap<String, String> =
+                    self.node.digests().into_iter().map(|(name, sum)| (name.to_string(), sum)).collect();
+                told(serde_json::json!({ "digest": self.node.digest(), "authors": digests }), "by author")
+            }
+            Ask::Members => {
+                let members: Vec<serde_json::Value> = self
+                    .node
+                    .together(now)
+                    .into_iter()
+                    .map(|(member, all)| {
+                        serde_json::json!({
+                            "name": &*member, "seen_by": all.seen_by, "suspected_by": all.suspected_by,
+                            "in_flight_elsewhere": all.in_flight, "position": all.position.map(|p| p.0),
+                            "position_age_s": all.position.map(|p| p.1),
+                        })
+                    })
+                    .collect();
+                told(serde_json::json!({ "members": members }), "as the others see them")
+            }
+            Ask::Member(name) => {
+                let views: Vec<serde_json::Value> = self
+                    .node
+                    .views_of(now, name)
+                    .into_iter()
+                    .map(|(by, age, view)| serde_json::json!({ "by": &*by, "age_s": age, "view": view }))
+                    .collect();
+                let stand = format!("{:?}", self.node.told(name, 0.0)).to_lowercase();
+                told(
+                    serde_json::json!({ "name": name, "told": stand, "views": views }),
+                    "who says what of it",
+                )
+            }
+            Ask::Session(name) => {
+                let need = match self.node.need(now, name) {
+                    Need::From(position) => format!("a replica that has come to {position:.3}"),
+                    Need::Primary(why) => format!("the primary: {}", why.words()),
+                };
+                let lines = self.node.explain(now, name);
+                told(serde_json::json!({ "session": name, "reads_need": need, "because": lines }), "why")
+            }
+            Ask::Forget(name) => {
+                if self.node.write_off(now, name) {
+                    logging::warn!(event = "peers.written_off", name, "written off by an operator");
+                    Response::new(Code::Ok, format!("{name} is over; should it live, it comes back anew"))
+                } else {
+                    Response::new(Code::Nothing, format!("no instance {name}, and no such seed, is missed"))
+                }
+            }
+        }
+    }
+
+    /// This instance ends: the others are told, and given a moment to read what it stated last.
+    pub fn farewell(&mut self, now: impl Fn() -> f64) {
+        let begun = Instant::now();
+        let mut bytes = [0; LONGEST];
+        loop {
+            let done = self.node.leave(now());
+            for (to, bytes) in self.node.take_out() {
+                let _ = self.socket.send_to(&bytes, to);
+            }
+            if done || begun.elapsed() > FAREWELL {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+            while let Ok((count, _)) = self.socket.recv_from(&mut bytes) {
+                self.node.receive(now(), &bytes[..count]);
+            }
+        }
+    }
+}
+
+/// Tells the log what has happened.
+fn noticed(notice: &Notice) {
+    match notice {
+        Notice::Joined(who) => {
+            let (name, zone, start) = (&*who.name, &*who.zone, who.start);
+            logging::info!(event = "peers.joined", name, zone, start, "{name} is there");
+        }
+        Notice::Left(who) => logging::info!(event = "peers.left", name = &*who.name, "{} has left", who.name),
+        Notice::Ended(who, known) => {
+            let (name, start) = (&*who.name, who.start);
+            logging::info!(event = "peers.ended", name, start, known, "{name} is over at that start");
+        }
+        Notice::Missing(name) => {
+            logging::warn!(event = "peers.missing", name = &**name, "{name} does not answer")
+        }
+        Notice::Back(name) => logging::info!(event = "peers.back", name = &**name, "{name} answers again"),
+        Notice::Whole(true) => logging::debug!(event = "peers.whole", "sessions' reads go by what is known"),
+        Notice::Whole(false) => logging::debug!(event = "peers.strict", "sessions' reads go to the primary"),
+        Notice::Alone(true) => {
+            logging::warn!(event = "peers.alone", "no majority: writes are answered without it")
+        }
+        Notice::Alone(false) => logging::info!(event = "peers.together", "a majority is there again"),
+        Notice::Suspected(name) => {
+            logging::info!(event = "peers.suspected", name = &**name, "{name} is called dead")
+        }
+        Notice::Conflict(address) => logging::error!(
+            event = "peers.conflict",
+            "another process at {address} runs under this one's name: writes of sessions are turned away here"
+        ),
+        Notice::TwoPrimaries(group, a, b) => logging::warn!(
+            event = "peers.two_primaries",
+            group,
+            "{a} and {b} both claim group {group}: neither is believed unasked"
+        ),
+        Notice::Renewed(start) => {
+            logging::warn!(
+                event = "peers.renewed",
+                start,
+                "was called over by others: goes on as a new start"
+            );
+        }
+    }
+}
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -3,6 +3,7 @@
 
 mod handover;
 mod life;
+mod sharing;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -32,6 +33,7 @@
 use super::control::{Bound, Controls};
 use super::discovery::Discovery;
 use super::event_loop::{self, Due, Handler, Reactor, Slot, Source};
+use super::peers::Peers;
 use super::registry::{Known, Registry, Who};
 use super::servers::Servers;
 use super::sessions::{Parted, Sessions, Wanted};
@@ -41,6 +43,7 @@
 use crate::numbers::{Assigned, Named, Numbers};
 use handover::{FromPredecessor, Inherited, ToSuccessor};
 use life::{Life, PidFile};
+use sharing::Shared;
 
 /// The exit code of a successor that has failed its first seconds and handed back.
 const HANDED_BACK: u8 = 5;
@@ -68,6 +71,8 @@
     repeat: bool,
     tenant: usize,
     taken: f64,
+    /// What it has to do with other instances.
+    shared: Shared,
 }
 
 impl Request {
@@ -86,6 +91,9 @@
     sessions: Option<Sessions>,
     /// Follows the list in discovery's place, where the operator's file names a registry.
     registry: Option<Registry>,
+    /// Other instances, where the operator's file says how they reach this one, and the requests that wait for them.
+    peers: Option<Box<Peers>>,
+    sharing: Vec<RequestId>,
     seed: u64,
     name: String,
     signals: Signals,
@@ -135,6 +143,7 @@
     let mut context = Context { reactor, events: Default::default(), counters: Counters::default() };
     let mut proxy = Proxy::new(config, path, operator, &mut context)?;
     event_loop::run(&mut poll, &mut proxy, &mut context)?;
+    proxy.part(&context);
     logging::info!(event = "ended", "{} ends: {}", config.name, context.counters);
     Ok(match proxy.life.stage() {
         _ if proxy.yielded => HANDED_BACK,
@@ -240,6 +249,7 @@
             Sessions::new(listener, pool, effective.routes(), terms, context)
         });
         let sessions = sessions.transpose()?;
+        let peers = Peers::new(&effective, config, context).map_err(invalid)?.map(Box::new);
         let (fresh, begun) = Life::new(terms, pid, config.seed, context);
         let list = inherited.as_ref().and_then(Inherited::list);
         let (index, saved) = list
@@ -257,6 +267,8 @@
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
             discovery: Discovery::new(effective.discovery, index, follow, budget.clone()),
             registry: None,
+            peers,
+            sharing: Vec::new(),
             seed: config.seed,
             name: config.name.clone(),
             signals,
@@ -317,7 +329,7 @@
                         request.client = None;
                     }
                     self.tell(interface::Event::Gone { id: id.clone() }, context);
-                    self.forget(&id);
+                    self.forget(&id, context.reactor.now());
                 }
                 Event::Role(member, primary) => {
                     let report = interface::Report { position: None, primary: Some(primary) };
@@ -357,6 +369,8 @@
                     let number = request.attempts;
                     request.attempts += 1;
                     context.counters.sent += 1;
+                    self.sends(&id, &member, number);
+                    let Some(request) = self.requests.get_mut(&id) else { continue };
                     if let (Some(Owed::Session(slot)), Some(sessions)) = (request.client, &mut self.sessions)
                     {
                         request.out.push((number, None));
@@ -422,6 +436,7 @@
             tenant,
             predicted: None,
             repeat: query.repeat,
+            own: None,
         };
         let request = Request {
             client: Some(Owed::Client(client)),
@@ -433,11 +448,14 @@
             repeat: query.repeat,
             tenant,
             taken: context.reactor.now(),
+            shared: Shared::default(),
         };
         self.requests.insert(id.clone(), request);
         self.asking.insert(client, id);
         self.beside(context);
-        self.tell(interface::Event::Arrival(arrival), context);
+        if let Some(arrival) = self.share(arrival, consistency, context) {
+            self.tell(interface::Event::Arrival(arrival), context);
+        }
     }
 
     /// A session of an ordinary client wants a server: one request, whatever it does with it.
@@ -464,6 +482,7 @@
             tenant,
             predicted: None,
             repeat: false,
+            own: None,
         };
         let request = Request {
             client: Some(Owed::Session(slot)),
@@ -475,6 +494,7 @@
             repeat: false,
             tenant,
             taken: context.reactor.now(),
+            shared: Shared::default(),
         };
         self.requests.insert(id, request);
         self.beside(context);
@@ -509,7 +529,7 @@
             report,
         };
         let actions = self.decide(interface::Event::Done(done), context);
-        self.forget(&id);
+        self.forget(&id, context.reactor.now());
         self.carry_out(actions, context);
     }
 
@@ -521,7 +541,7 @@
         request.client = None;
         self.tell(interface::Event::Gone { id: id.clone() }, context);
         self.give_up(&id, context);
-        self.forget(&id);
+        self.forget(&id, context.reactor.now());
     }
 
     /// Gives a request its final answer, unless it has had one.
@@ -547,7 +567,7 @@
                 }
             }
         }
-        self.forget(id);
+        self.forget(id, context.reactor.now());
     }
 
     /// Gives up whatever is still out for a request that nobody waits for.
@@ -559,9 +579,11 @@
     }
 
     /// Forgets a request that neither a client nor an attempt waits for.
-    fn forget(&mut self, id: &RequestId) {
+    fn forget(&mut self, id: &RequestId, now: f64) {
         if self.requests.get(id).is_some_and(|request| request.client.is_none() && request.out.is_empty()) {
-            self.requests.remove(id);
+            if let Some(request) = self.requests.remove(id) {
+                self.unshare(&request.shared, now);
+            }
         }
     }
 
@@ -571,6 +593,7 @@
             count(&mut context.counters.probes, outcome);
             return self.tell(interface::Event::Probed { member, outcome, report }, context);
         };
+        let outcome = self.look_at(&id, (attempt, elapsed), outcome, (position, primary));
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Another copy may still be out: its end is owed to the decisions, which count what each machine holds.
@@ -581,10 +604,10 @@
             Done { id: id.clone(), member, attempt, outcome, finished, elapsed, position, primary, report };
         // What the answer tells of the machine is taken in before the client can act on the answer.
         let actions = self.decide(interface::Event::Done(done), context);
-        if served {
+        if !served {
+            self.forget(&id, context.reactor.now());
+        } else if let Some(value) = self.served(&id, position, value, context) {
             self.answer(&id, Answer::Served(value), context);
-        } else {
-            self.forget(&id);
         }
         self.carry_out(actions, context);
     }
@@ -609,6 +632,9 @@
             self.servers.list(kind, &listings, context.reactor.now());
             self.sessions.iter_mut().for_each(|sessions| sessions.list(kind, &listings, context));
         }
+        if kind != ListKind::Failed {
+            self.share_list(&listings, context);
+        }
         let any = listings.iter().any(|listing| listing.phase == Phase::Active);
         let entries = listings.into_iter().map(|listing| self.entry(listing)).collect();
         self.tell(interface::Event::Members { kind, entries }, context);
@@ -924,6 +950,12 @@
                 let entries = changes.machine.entries().collect();
                 Response { history: Some(entries), ..Response::new(Code::Ok, "the newest last") }
             }
+            Call::Peers { what } => match &mut self.peers {
+                Some(peers) => peers.answer(context.reactor.now(), &what),
+                None => {
+                    Response::new(Code::Nothing, "this instance shares nothing with others: peers.listen")
+                }
+            },
             Call::Sessions {} => match &self.sessions {
                 Some(sessions) => {
                     let told = sessions.tell(context.reactor.now());
@@ -1011,11 +1043,16 @@
             Source::Heir => self.heir_comes(context),
             Source::Heard => self.heir_says(context),
             Source::Ancestor => self.ancestor_says(context),
+            Source::Peers => self.peers.iter_mut().for_each(|peers| peers.ready(context)),
+            Source::PeersListener => self.peers.iter_mut().for_each(|peers| peers.accept(context)),
+            Source::PeerStream(slot) => self.peers.iter_mut().for_each(|p| p.stream(slot, context)),
             Source::Pooled => self.sessions.iter_mut().for_each(|sessions| sessions.accept(context)),
             Source::Pool(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
             Source::Backend(slot) => self.sessions.iter_mut().for_each(|s| s.ready_server(slot, context)),
         }
         self.drain(context);
+        self.go_on(context);
+        self.drain(context);
         self.look(context);
     }
 
@@ -1036,11 +1073,14 @@
             }
             Due::Change => self.probation(context),
             Due::Session(slot) => self.sessions.iter_mut().for_each(|s| s.ready(slot, context)),
+            Due::Peers => self.peers.iter_mut().for_each(|peers| peers.due(context)),
             Due::Pools => self.sessions.iter_mut().for_each(|sessions| sessions.sweep(context)),
             Due::Life => self.age(context),
             Due::Handover => self.hand_over(context),
         }
         self.drain(context);
+        self.go_on(context);
+        self.drain(context);
         self.look(context);
     }
 
--- a/crates/daemon/src/net/proxy/life.rs
+++ b/crates/daemon/src/net/proxy/life.rs
@@ -135,6 +135,11 @@
         self.machine.stage()
     }
 
+    /// A time for someone to stay away: not the same for all (seconds, up to `most`).
+    pub fn away(&mut self, most: f64) -> f64 {
+        most * (0.5 + 0.5 * self.rng.f64())
+    }
+
     pub fn set_terms(&mut self, terms: Terms) {
         self.machine.set_terms(terms);
     }
@@ -258,8 +263,9 @@
 
     /// Those that wait for a server are told when to come back: not all at once.
     fn send_away(&mut self, context: &mut Context) {
-        let waiting =
-            self.requests.iter().filter(|(_, request)| request.client.is_some() && request.out.is_empty());
+        let waiting = self.requests.iter().filter(|(_, request)| {
+            request.client.is_some() && request.out.is_empty() && !request.shared.is_served()
+        });
         let waiting: Vec<RequestId> = waiting.map(|(id, _)| id.clone()).collect();
         if !waiting.is_empty() {
             logging::info!(
@@ -269,7 +275,7 @@
             );
         }
         for id in waiting {
-            let backoff = self.retry_after * (0.5 + 0.5 * self.life.rng.f64());
+            let backoff = self.life.away(self.retry_after);
             // One that waits for its repeat may have run: to say that another try is harmless would be wrong.
             let harmless = self.policy.may_refuse(&id);
             self.answer(&id, if harmless { Answer::Refused(backoff) } else { Answer::Failed }, context);
--- /dev/null
+++ b/crates/daemon/src/net/proxy/sharing.rs
@@ -0,0 +1,218 @@
+//! Where instances talk: writes of sessions wait until enough others know of them, reads of sessions need what all of them
+//! have written, and what others say of members reaches the decisions.
+
+use exchange::Answer;
+use replication::Ticket;
+use routing::interface::{self, Arrival, Consistency, MemberId, Outcome, RequestId};
+use routing::Policy;
+
+use super::Proxy;
+use crate::net::peers::Peers;
+use crate::net::Context;
+
+/// What a request has to do with other instances.
+#[derive(Default)]
+pub(super) struct Shared {
+    /// A write of a session, that others know to be under way.
+    ticket: Option<Ticket>,
+    /// It waits for leave to be sent, until then (seconds).
+    held: Option<Box<(Arrival, f64)>>,
+    /// It has been served, and waits for leave to be answered.
+    answer: Option<Vec<u8>>,
+    /// The position that its answer must have seen.
+    floor: Option<f64>,
+    /// Attempts that went to members not known to have come so far: their answers are looked at.
+    unsure: Vec<usize>,
+}
+
+impl Shared {
+    /// Whether it has been served and is only waited for.
+    pub fn is_served(&self) -> bool {
+        self.answer.is_some()
+    }
+}
+
+impl Proxy {
+    /// A request of a session has come. Hands the arrival back where it goes on at once.
+    pub(super) fn share(
+        &mut self,
+        mut arrival: Arrival,
+        consistency: Consistency,
+        context: &mut Context,
+    ) -> Option<Arrival> {
+        let now = context.reactor.now();
+        let (Some(peers), Some(session)) = (&mut self.peers, arrival.session.clone()) else {
+            return Some(arrival);
+        };
+        let shared = &mut self.requests.get_mut(&arrival.id)?.shared;
+        if consistency == Consistency::Session {
+            let floor = peers.need(now, &session);
+            (arrival.own, shared.floor) = (Some(floor), Some(floor));
+            return Some(arrival);
+        }
+        let ticket = peers.node.write_begins(now, &session);
+        shared.ticket = Some(ticket);
+        if peers.may_send(now, ticket) {
+            return Some(arrival);
+        }
+        let until = now + peers.hold().min(arrival.left * HOLD_SHARE);
+        self.sharing.push(arrival.id.clone());
+        shared.held = Some(Box::new((arrival, until)));
+        self.go_on(context);
+        None
+    }
+
+    /// An attempt of a request goes to a member.
+    pub(super) fn sends(&mut self, id: &RequestId, member: &MemberId, attempt: usize) {
+        let Some(shared) = self.requests.get_mut(id).map(|request| &mut request.shared) else { return };
+        if shared.floor.is_some_and(|floor| !self.policy.reaches(member, floor)) {
+            shared.unsure.push(attempt);
+        }
+    }
+
+    /// What an attempt came to, once its answer has been looked at.
+    pub(super) fn look_at(
+        &self,
+        id: &RequestId,
+        (attempt, elapsed): (usize, f64),
+        outcome: Outcome,
+        (position, primary): (Option<f64>, Option<bool>),
+    ) -> Outcome {
+        let Some(shared) = self.requests.get(id).map(|request| &request.shared) else { return outcome };
+        let Some(floor) = shared.floor.filter(|_| outcome == Outcome::Ok) else { return outcome };
+        // One that says itself that it is no primary has not seen what only that one has.
+        let deposed = floor == f64::INFINITY && primary == Some(false);
+        if deposed || shared.unsure.contains(&attempt) {
+            return Policy::looked_at(primary, position, floor, elapsed);
+        }
+        outcome
+    }
+
+    /// A request has been served. Hands the value back where it may be answered at once.
+    pub(super) fn served(
+        &mut self,
+        id: &RequestId,
+        position: Option<f64>,
+        value: Vec<u8>,
+        context: &mut Context,
+    ) -> Option<Vec<u8>> {
+        let now = context.reactor.now();
+        let Some(peers) = &mut self.peers else { return Some(value) };
+        let shared = &mut self.requests.get_mut(id)?.shared;
+        let Some(ticket) = shared.ticket else { return Some(value) };
+        // As the decisions remember it: an answer that does not tell the commit leaves no doubt that it was before now.
+        let commit = position.filter(|position| *position <= now).unwrap_or(now);
+        peers.node.write_ends(now, ticket, Some(commit));
+        if peers.node.may_answer(now, ticket) {
+            return Some(value);
+        }
+        shared.answer = Some(value);
+        self.sharing.push(id.clone());
+        None
+    }
+
+    /// A request is done with.
+    pub(super) fn unshare(&mut self, shared: &Shared, now: f64) {
+        if let (Some(peers), Some(ticket)) = (&mut self.peers, shared.ticket) {
+            peers.node.forget(now, ticket);
+        }
+    }
+
+    /// Looks whether what waits for others may go on, hears and tells what there is, and sends it.
+    pub(super) fn go_on(&mut self, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(peers) = &mut self.peers else { return };
+        let beats = peers.beats(now);
+        if beats || peers.node.news() {
+            self.exchange(beats, context);
+        }
+        for id in std::mem::take(&mut self.sharing) {
+            self.goes_on(id, context);
+        }
+        self.peers.iter_mut().for_each(|peers| peers.carry_out(context));
+    }
+
+    fn goes_on(&mut self, id: RequestId, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(peers) = &mut self.peers else { return };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(ticket) = request.shared.ticket else { return };
+        if request.shared.held.is_some() {
+            if request.client.is_none() {
+                request.shared.held = None;
+                return self.forget(&id, now);
+            }
+            if peers.may_send(now, ticket) {
+                if let Some(held) = request.shared.held.take() {
+                    let (mut arrival, _) = *held;
+                    arrival.left -= now - request.taken;
+                    return self.tell(interface::Event::Arrival(arrival), context);
+                }
+            }
+            let over = request.shared.held.as_ref().is_some_and(|held| now >= held.1);
+            if over || peers.node.hopeless(now) {
+                request.shared.held = None;
+                logging::debug!(
+                    event = "peers.turned_away",
+                    "a write is turned away: no majority knows of it"
+                );
+                let backoff = self.life.away(self.retry_after);
+                return self.answer(&id, Answer::Refused(backoff), context);
+            }
+        } else if request.shared.answer.is_some() {
+            if peers.node.may_answer(now, ticket) {
+                if let Some(value) = request.shared.answer.take() {
+                    return self.answer(&id, Answer::Served(value), context);
+                }
+            }
+        } else {
+            return;
+        }
+        self.sharing.push(id);
+    }
+
+    /// Tells the others how members look, and takes in what they say.
+    fn exchange(&mut self, tells: bool, context: &mut Context) {
+        let now = context.reactor.now();
+        let found = self.policy.found();
+        let Some(peers) = &mut self.peers else { return };
+        if tells {
+            peers.tell(now, &found);
+            let generation = self.changes.as_ref().map_or(0, |c| c.machine.current().number);
+            peers.node.works_by(now, self.discovery.index(), generation, env!("CARGO_PKG_VERSION"));
+        }
+        let (heard, instances) = (peers.heard(now, &found), peers.node.alive() as u32);
+        let mut actions = Vec::new();
+        self.policy.hear(now, &heard, instances, &mut actions);
+        self.carry_out(actions, context);
+    }
+
+    /// The list tells something of members.
+    pub(super) fn share_list(&mut self, listings: &[listing::Listing], context: &mut Context) {
+        let now = context.reactor.now();
+        let version = self.discovery.index();
+        let source = source_of(self.registry.is_some(), self.discovery.address());
+        if let Some(peers) = &mut self.peers {
+            let members = listings.iter().map(|listing| (&*listing.name, listing.since, listing.phase));
+            peers.list(now, (source, version), members);
+        }
+    }
+
+    /// This instance ends.
+    pub(super) fn part(&mut self, context: &Context) {
+        if let Some(peers) = &mut self.peers {
+            Peers::farewell(peers, || context.reactor.now());
+        }
+    }
+}
+
+/// Share of a request's time for which it waits for leave to be sent, as the decisions hold one that has reached nobody.
+const HOLD_SHARE: f64 = 0.4;
+
+/// Names a list among instances: versions of one say nothing of another's.
+fn source_of(registry: bool, discovery: std::net::SocketAddr) -> u64 {
+    use std::hash::{Hash, Hasher};
+    let mut hasher = std::collections::hash_map::DefaultHasher::new();
+    (registry, discovery).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -30,6 +30,8 @@
     pub state: State,
     /// How the daemon begins and ends.
     pub daemon: Daemon,
+    /// Other instances, with whom what matters is shared; none where it has no address.
+    pub peers: Peers,
     /// The registry that holds the list; discovery does where it has no endpoints.
     pub registry: Registry,
     /// The front for ordinary clients.
@@ -194,6 +196,46 @@
     }
 }
 
+/// Other instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Peers {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub keys: Vec<PathBuf>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub dir: Option<PathBuf>,
+    pub patience_s: f64,
+    pub clock_error_s: f64,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub route: Vec<PeerRoute>,
+}
+
+/// Where an instance is reached.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct PeerRoute {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Peers {
+            listen: None,
+            seeds: Vec::new(),
+            keys: Vec::new(),
+            dir: None,
+            patience_s: 2.5,
+            clock_error_s: 0.1,
+            route: Vec::new(),
+        }
+    }
+}
+
 /// A key-value registry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use document::{
     Access, ChangePolicy, ClassEdit, Confirm, Control, Daemon, Digest, Document, Limits, Log, LogFormat,
-    LogLevel, MemberEntry, Override, Pool, PoolMode, Reads, Registry, Repeats, RouteEntry, Scope, State,
-    TenantEdit,
+    LogLevel, MemberEntry, Override, PeerRoute, Peers, Pool, PoolMode, Reads, Registry, Repeats, RouteEntry,
+    Scope, State, TenantEdit,
 };
 pub use effective::{Conflict, Difference, Effective};
 pub use read::{read, Fault, Faults, LONGEST};
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -250,6 +250,12 @@
         (Kind::Addresses(_), DeValue::Array(items)) => {
             items.iter().try_for_each(|item| fits(Kind::Address, item.get_ref()))
         }
+        (Kind::Routes(most), DeValue::Array(items)) if items.len() > most => {
+            Err(format!("{} tables", items.len()))
+        }
+        (Kind::Routes(_), DeValue::Array(items)) => {
+            items.iter().try_for_each(|item| is_route(item.get_ref()))
+        }
         (Kind::Path, DeValue::String(text)) if Path::new(&**text).is_absolute() => Ok(()),
         (Kind::Path, DeValue::String(text)) => Err(format!("\"{text}\" is not absolute")),
         (Kind::Paths(most), DeValue::Array(items)) if items.len() > most => {
@@ -264,6 +270,19 @@
     }
 }
 
+/// Whether a value is a table of a name and an address, and of nothing else.
+fn is_route(value: &DeValue) -> Result<(), String> {
+    let DeValue::Table(table) = value else { return Err(format!("holds {}", name_of(value))) };
+    for (key, kind) in [("name", Kind::Text(64)), ("address", Kind::Address)] {
+        let value = table.get(key).ok_or_else(|| format!("{key} is missing"))?;
+        fits(kind, value.get_ref()).map_err(|what| format!("{key}: {what}"))?;
+    }
+    match table.keys().find(|key| !["name", "address"].contains(&&**key.get_ref())) {
+        Some(other) => Err(format!("unknown key {}", other.get_ref())),
+        None => Ok(()),
+    }
+}
+
 fn name_of(value: &DeValue) -> &'static str {
     match value {
         DeValue::String(_) => "a text",
--- a/crates/operator/src/schema.rs
+++ b/crates/operator/src/schema.rs
@@ -17,6 +17,8 @@
     Path,
     /// Absolute paths, at most so many.
     Paths(usize),
+    /// Tables of a name and an address, at most so many.
+    Routes(usize),
     /// True or false.
     Flag,
     /// A whole number in this range.
@@ -65,7 +67,7 @@
 }
 
 use Absent::{Is, Means, Needed};
-use Kind::{Address, Addresses, Choice, Flag, Number, Path, Paths, Text, Whole};
+use Kind::{Address, Addresses, Choice, Flag, Number, Path, Paths, Routes, Text, Whole};
 use When::{Live, Start};
 
 const fn setting(
@@ -315,6 +317,62 @@
         Start,
         "a successor whose first seconds go badly hands back within this",
     ),
+    setting(
+        "peers.listen",
+        Address,
+        "",
+        Means("this instance shares nothing with others", "\"127.0.0.1:7000\""),
+        Start,
+        "where other instances reach this one, by UDP and TCP; what sessions wrote and more is shared with them",
+    ),
+    setting(
+        "peers.seeds",
+        Addresses(64),
+        "",
+        Is("[]"),
+        Start,
+        "instances that are asked for all others; the own address may be among them",
+    ),
+    setting(
+        "peers.keys",
+        Paths(2),
+        "",
+        Is("[]"),
+        Start,
+        "files of 64 hexadecimal digits, mode 0600, the same at all instances; the first signs, both are taken",
+    ),
+    setting(
+        "peers.dir",
+        Path,
+        "",
+        Means("nothing of it is kept on disk", "\"/var/lib/dewferry/peers\""),
+        Start,
+        "folder for the number of the last start and for who was there",
+    ),
+    setting(
+        "peers.patience_s",
+        Number(0.1, 86_400.0),
+        "s",
+        Is("2.5"),
+        Start,
+        "without a majority writes of sessions are turned away for so long, then answered; the same everywhere",
+    ),
+    setting(
+        "peers.clock_error_s",
+        Number(0.0, 60.0),
+        "s",
+        Is("0.1"),
+        Start,
+        "how far this machine's clock may be from that of the db machines' positions",
+    ),
+    setting(
+        "peers.route",
+        Routes(1_000),
+        "",
+        Means("where it says itself", "[{ name = \"n2\", address = \"127.0.0.1:7102\" }]"),
+        Start,
+        "where an instance is reached, whatever it says itself",
+    ),
     setting(
         "registry.endpoints",
         Addresses(16),
@@ -880,6 +938,9 @@
             Addresses(most) => format!("at most {most} IP addresses with ports in []"),
             Path => "an absolute path".into(),
             Paths(most) => format!("at most {most} absolute paths in []"),
+            Routes(most) => {
+                format!("at most {most} tables, each of name, a text of at most 64 bytes, and address, an IP address with a port")
+            }
             Flag => "true or false".into(),
             Whole(least, most) => format!("a whole number from {least} to {most}"),
             Number(least, most) => format!("a number from {least} to {most}"),
--- /dev/null
+++ b/crates/rig/examples/reads.rs
@@ -0,0 +1,51 @@
+//! Reads of own writes by sessions that move at random over instances under kills, stops and cuts, with and without talk
+//! among them: `reads PROGRAM INSTANCES SECONDS SEED [alone]`. Prints what came of it; the schedule is drawn by the seed.
+
+use std::time::{Duration, Instant};
+
+use rig::{Load, Rig, Shape};
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let number = |at: usize, otherwise: u64| args.get(at).and_then(|a| a.parse().ok()).unwrap_or(otherwise);
+    let program = args.get(1).expect("the program");
+    let (instances, seconds, seed) = (number(2, 3) as usize, number(3, 30), number(4, 1));
+    let talk = args.get(5).is_none_or(|word| word != "alone");
+    let shape =
+        Shape { instances, talk, folders: false, lag: Duration::from_millis(1_500), probes: args.len() > 6 };
+    let mut rig = Rig::new(program, shape);
+    if talk {
+        rig.meet(Duration::from_secs(20)).expect("they meet");
+    }
+    let places = rig.seats.iter().map(|seat| seat.listen).collect();
+    let load = Load::new(places, 24, Duration::from_secs(3), seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(seconds) {
+        std::thread::sleep(Duration::from_millis(1_500));
+        let (n, kind) = (rng.usize(..instances), rng.u8(..if talk { 4 } else { 2 }));
+        println!("{:.1} s: {} n{n}", begun.elapsed().as_secs_f64(), ["kill", "stop", "cut", "stop"][kind as usize]);
+        match kind {
+            0 => rig.kill(n),
+            2 => rig.between(&[n], |faults| faults.cut = true),
+            _ => rig.stop(n, true),
+        }
+        std::thread::sleep(Duration::from_secs(2));
+        match kind {
+            0 => rig.begin(n),
+            2 => rig.between(&[n], |faults| faults.cut = false),
+            _ => rig.stop(n, false),
+        }
+    }
+    let sums = load.end();
+    let count = |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
+    let (near, far) = (count(&rig.store.at_replica), count(&rig.store.at_primary));
+    println!("reads at once {} stale {}; later {} stale {}", sums.reads, sums.stale, sums.later, sums.later_stale);
+    println!("at the replica {near}, at the primary {far}");
+    let took = |q| sums.took.value_at_quantile(q) as f64 / 1e3;
+    println!("writes {} p50 {:.1} ms p99 {:.1} ms", sums.writes, took(0.5), took(0.99));
+    println!("refused {} failed {} silent {}", sums.refused, sums.failed, sums.silent);
+    if talk {
+        println!("met after {:?}", rig.meet(Duration::from_secs(30)));
+    }
+}
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -273,6 +273,9 @@
     pub predicted: Option<f64>,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Where instances talk: the position that the session's own writes need, as all of them know it; infinite where
+    /// that is not known, which only the primary can serve.
+    pub own: Option<f64>,
 }
 
 /// How an attempt ended.
@@ -351,6 +354,7 @@
             tenant: 0,
             predicted: None,
             repeat: false,
+            own: None,
         })
     }
 }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -28,7 +28,7 @@
 /// A member without any answer since an attempt was sent counts as silent at this many deviations.
 const SILENT_DEVIATIONS: f64 = 6.0;
 /// Suspicion at which a member is ejected: two plain failures or one broken connection.
-const EJECT_AT: f64 = 2.0;
+pub(crate) const EJECT_AT: f64 = 2.0;
 /// Weight of what a single connection cut off would explain as well: a second within half a second ejects.
 const CUT_OFF: f64 = 0.55 * EJECT_AT;
 /// Weight of a connection that broke under a request.
@@ -232,7 +232,7 @@
     pub(crate) fn usable(&self, m: usize) -> bool {
         let member = &self.members[m];
         match member.phase {
-            Phase::Active => true,
+            Phase::Active => !member.said.drained,
             Phase::Leaving => false,
             Phase::Left => self.settings.gone_is_advice && !member.bound_gone,
         }
@@ -299,7 +299,7 @@
         member.ejected && self.now >= member.out_until && !member.trial
     }
 
-    fn suspect(&mut self, m: usize, weight: f64, out: &mut Vec<Action>) {
+    pub(crate) fn suspect(&mut self, m: usize, weight: f64, out: &mut Vec<Action>) {
         let now = self.now;
         let (unit, half_life) = (self.settings.connect_timeout, self.half_life());
         let member = &mut self.members[m];
@@ -325,17 +325,18 @@
         if std::mem::replace(&mut member.ejected, false) {
             member.suspicion = 0.0;
             member.back_at = self.now;
+            member.said.ejected = false;
             member.pace = Pace::default();
             out.push(Action::Log(format!("member {} is back", member.id)));
         }
     }
 
     fn arrival(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
-        let Arrival { id, class, group, left, token, session, tenant, predicted, repeat } = arrival;
+        let Arrival { id, class, group, left, token, session, tenant, predicted, repeat, own } = arrival;
         let now = self.now;
         let c = &self.settings.classes[class];
         // What the request says it must see holds on every site; what is remembered adds to it.
-        let mut token = token.unwrap_or(f64::NEG_INFINITY);
+        let mut token = token.unwrap_or(f64::NEG_INFINITY).max(own.unwrap_or(f64::NEG_INFINITY));
         if c.consistency == Consistency::Session && !self.settings.tokens_carried {
             let known = session.as_ref().and_then(|s| self.sessions.get(s));
             token = token.max(known.copied().unwrap_or(self.forgotten));
@@ -422,7 +423,7 @@
         if closed || spent || self.now >= cutoff {
             return self.conclude(n, out);
         }
-        let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
+        let bound = matches!(consistency, Consistency::Write | Consistency::Fresh) || request.unknown();
         let waited = self.now >= request.hold_until && request.untried();
         let cold = !bound && !waited && self.asks_cold(n, out);
         let choice = match (bound, cold) {
@@ -519,7 +520,8 @@
                 |a: &usize, b: &usize| self.members[*a].position.total_cmp(&self.members[*b].position);
             return open.into_iter().max_by(place);
         }
-        open.get(turn % open.len().max(1)).copied()
+        let hinted = open.iter().copied().find(|&m| self.members[m].said.primary);
+        hinted.or_else(|| open.get(turn % open.len().max(1)).copied())
     }
 
     /// Refuses early what cannot be answered in time: the least worth first, over-share tenants before all.
@@ -681,7 +683,7 @@
 
     /// Whether a read leaves the home replica for a remote one (design).
     fn exits(&self, home: usize, away: usize) -> bool {
-        let (here, there) = (self.load(home), self.load(away));
+        let (here, there) = (self.load_of_all(home), self.load_of_all(away));
         here > EXIT_MULTIPLE * there && here >= there + EXIT_MARGIN
     }
 
@@ -838,7 +840,7 @@
         for n in held {
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
             let consistency = self.settings.classes[request.class].consistency;
-            let bound = matches!(consistency, Consistency::Write | Consistency::Fresh);
+            let bound = matches!(consistency, Consistency::Write | Consistency::Fresh) || request.unknown();
             let crowd = primary.is_some_and(|m| self.members[m].in_flight >= RELEASE_UP_TO);
             if bound && crowd && request.aim_at > self.now {
                 waiting.push_back(n);
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::Calls;
 use crate::demand::{Demand, Share};
+use crate::hearsay::Said;
 use crate::interface::{MemberId, Phase, RequestId, Settings};
 use crate::latency::Latency;
 use crate::pace::Pace;
@@ -57,6 +58,8 @@
     pub probing: bool,
     /// Not asked before then unless its answer is needed.
     pub quiet_until: f64,
+    /// What other instances say of it, where they talk.
+    pub said: Said,
 }
 
 impl Member {
@@ -174,6 +177,11 @@
         }
     }
 
+    /// Whether only the primary can serve it, whatever its class: what it must see is not known here.
+    pub fn unknown(&self) -> bool {
+        self.token == f64::INFINITY
+    }
+
     /// Whether it has been sent to a member.
     pub fn tried(&self, m: usize) -> bool {
         self.attempts.iter().any(|a| a.member == m)
