--- a/crates/daemon/src/net/peers.rs
+++ b/crates/daemon/src/net/peers.rs
@@ -170,6 +170,7 @@
         for (name, to) in self.node.to_stream(context.reactor.now()) {
             self.streams.open(name, to, &mut self.node, context);
         }
+        self.node.flush_due(context.reactor.now());
         for (to, bytes) in self.node.take_out() {
             // What does not go out is as lost as what does not arrive.
             let _ = self.socket.send_to(&bytes, to);
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -42,7 +42,7 @@
 /// Datagrams pushed to one instance at a time, before it says that it has read them.
 const WINDOW: usize = 16;
 /// Pushes are gathered for so long (seconds).
-const GATHER: f64 = 0.002;
+const GATHER: f64 = 0.000_5;
 /// How long a session's write is stated (seconds): far past what a replica lags by, as in the decisions.
 const LIFE: f64 = 60.0;
 /// Sessions that an instance states at the most.
@@ -865,6 +865,13 @@
         }
     }
 
+    /// Pushes what has gathered for long enough.
+    pub fn flush_due(&mut self, now: f64) {
+        if self.next_flush.is_some_and(|at| at <= now) {
+            self.flush(now);
+        }
+    }
+
     /// Facts gather for a moment, so that many writes go in few datagrams.
     fn flush_soon(&mut self, now: f64) {
         if self.next_flush.is_none() {
--- a/crates/rig/examples/reads.rs
+++ b/crates/rig/examples/reads.rs
@@ -24,7 +24,11 @@
     while begun.elapsed() < Duration::from_secs(seconds) {
         std::thread::sleep(Duration::from_millis(1_500));
         let (n, kind) = (rng.usize(..instances), rng.u8(..if talk { 4 } else { 2 }));
-        println!("{:.1} s: {} n{n}", begun.elapsed().as_secs_f64(), ["kill", "stop", "cut", "stop"][kind as usize]);
+        println!(
+            "{:.1} s: {} n{n}",
+            begun.elapsed().as_secs_f64(),
+            ["kill", "stop", "cut", "stop"][kind as usize]
+        );
         match kind {
             0 => rig.kill(n),
             2 => rig.between(&[n], |faults| faults.cut = true),
@@ -40,7 +44,10 @@
     let sums = load.end();
     let count = |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
     let (near, far) = (count(&rig.store.at_replica), count(&rig.store.at_primary));
-    println!("reads at once {} stale {}; later {} stale {}", sums.reads, sums.stale, sums.later, sums.later_stale);
+    println!(
+        "reads at once {} stale {}; later {} stale {}",
+        sums.reads, sums.stale, sums.later, sums.later_stale
+    );
     println!("at the replica {near}, at the primary {far}");
     let took = |q| sums.took.value_at_quantile(q) as f64 / 1e3;
     println!("writes {} p50 {:.1} ms p99 {:.1} ms", sums.writes, took(0.5), took(0.99));
