--- a/crates/simulation/src/instances.rs
+++ b/crates/simulation/src/instances.rs
@@ -81,6 +81,8 @@
     /// What has come while it was stopped.
     backlog: Vec<std::rc::Rc<Vec<u8>>>,
     ticks_at: f64,
+    /// Its disk, where it has one.
+    disk: Option<Vec<u8>>,
 }
 
 /// All instances, the network and the sessions.
@@ -189,12 +191,18 @@
                 stopped: false,
                 backlog: Vec::new(),
                 ticks_at: f64::INFINITY,
+                disk: None,
             };
             all.seats.push(seat);
         }
         all
     }
 
+    /// Gives each a disk.
+    pub fn with_disks(&mut self) {
+        self.seats.iter_mut().for_each(|seat| seat.disk = Some(Vec::new()));
+    }
+
     /// What instances go by; takes effect at their next start.
     pub fn set_terms(&mut self, change: impl Fn(&mut Terms)) {
         change(&mut self.terms);
@@ -208,12 +216,8 @@
 
     /// Starts an instance, anew if it was there before.
     pub fn start(&mut self, n: usize) {
-        self.start_with(n, None);
-    }
-
-    /// Starts one with what is on its disk.
-    pub fn start_with(&mut self, n: usize, kept: Option<replication::disk::Kept>) {
         let seat = &mut self.seats[n];
+        let kept = seat.disk.as_deref().map(replication::disk::read);
         seat.life += 1;
         seat.identity.start = replication::disk::next_start(kept.as_ref(), self.now).max(seat.life);
         seat.stopped = false;
@@ -236,6 +240,23 @@
         self.writes.retain(|_, w| w.at != n || w.life >= life);
     }
 
+    /// Ends an instance as it should: its writes are answered first, then it says so until all have read it, for 0.3 s at
+    /// the most.
+    pub fn leave(&mut self, n: usize) {
+        let begun = self.now;
+        while self.writes.values().any(|write| write.at == n) && self.now - begun < 1.0 {
+            self.run(0.005);
+        }
+        if self.writes.values().any(|write| write.at == n) || !self.runs(n) {
+            return self.kill(n);
+        }
+        let until = self.now + 0.3;
+        while self.now < until && self.with(n, |node, now| node.leave(now)) == Some(false) {
+            self.run(0.01);
+        }
+        self.kill(n);
+    }
+
     /// Stops an instance's process, which goes on later as if nothing had been.
     pub fn stop(&mut self, n: usize) {
         self.seats[n].stopped = true;
@@ -304,7 +325,10 @@
         let life = self.seats[n].life;
         let Some(node) = self.seats[n].node.as_mut() else { return };
         let (out, notices, due) = (node.take_out(), node.take_notices(), node.next_due());
-        node.take_records();
+        let records = node.take_records();
+        if let Some(disk) = &mut self.seats[n].disk {
+            disk.extend(records.iter().flat_map(replication::disk::Record::bytes));
+        }
         if self.keep_notices {
             self.notices.extend(notices.into_iter().map(|notice| (now, n, notice)));
         }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod instances;
 mod machine;
+pub mod storm;
 
 use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
--- a/crates/simulation/tests/instances.rs
+++ b/crates/simulation/tests/instances.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use simulation::instances::{Instances, Net};
+use simulation::storm::Storm;
 
 fn rough() -> Net {
     Net { loss: 0.1, twice: 0.1, way: (0.000_2, 0.003), late: (0.05, 0.4) }
@@ -9,52 +10,8 @@
 
 /// Random sessions over random instances under random faults, drawn by the seed.
 fn storm(seed: u64, count: usize, net: Net, seconds: f64, faults: bool) -> Instances {
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let mut all = Instances::new(seed, count, 2, count.min(3), net);
-    for n in 0..count {
-        all.start(n);
-        all.run(0.02 * rng.f64());
-    }
-    all.run(1.0);
-    let until = all.now + seconds;
-    let (mut fault_at, mut mend): (f64, Vec<(f64, usize, u8)>) = (all.now + 0.5, Vec::new());
-    while all.now < until {
-        all.run(0.001 + 0.004 * rng.f64());
-        let session = rng.usize(..200);
-        let (a, b) = (rng.usize(..count), rng.usize(..count));
-        match rng.u8(..4) {
-            0 => all.write(a, session),
-            _ => all.read(b, session),
-        }
-        let now = all.now;
-        let due: Vec<(f64, usize, u8)> = mend.iter().filter(|(at, _, _)| *at <= now).copied().collect();
-        mend.retain(|(at, _, _)| *at > now);
-        for (_, n, kind) in due {
-            match kind {
-                0 => all.start(n),
-                1 => all.go_on(n),
-                2 => all.split(&[n], false),
-                _ => all.cut.retain(|(a, _)| *a != n),
-            }
-        }
-        if faults && now >= fault_at {
-            fault_at = now + 0.5 + 2.0 * rng.f64();
-            let (n, kind) = (rng.usize(..count), rng.u8(..4));
-            if mend.iter().any(|(_, other, _)| *other == n) {
-                continue;
-            }
-            match kind {
-                0 => all.kill(n),
-                1 => all.stop(n),
-                2 => all.split(&[n], true),
-                _ => (0..count).filter(|m| *m != n).for_each(|m| {
-                    all.cut.insert((n, m));
-                }),
-            }
-            mend.push((now + 0.1 + 5.0 * rng.f64(), n, kind));
-        }
-    }
-    all
+    let shape = Storm { instances: count, seeds: count.min(3), sessions: 200, seconds, faults };
+    simulation::storm::storm(seed, net, shape)
 }
 
 #[test]
