--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -30,6 +30,9 @@
 const MISSING: f64 = 0.3;
 /// One from whom nothing has come for so long (seconds) is not counted on for a majority: longer than the idle pause.
 const HEARD: f64 = 1.5;
+/// One that has left so many questions in a row unanswered is missing; they follow each other quickly (seconds).
+const UNANSWERED: usize = 4;
+const ASK_AGAIN: f64 = 0.12;
 /// Most that a question names as missing; beyond it reads go to the primary.
 const MOST_MISSING: usize = 16;
 /// A lessee further behind than so many facts gets no lease until it has caught up: writes would wait for it.
@@ -1304,8 +1307,11 @@
         if peer.asked.len() > 32 {
             peer.asked.pop_front();
         }
-        let unanswered = peer.asked.front().is_some_and(|(_, at)| now - at > MISSING * 2.0 / 3.0);
-        if !peer.missing && peer.heard.is_finite() && now - peer.heard > MISSING && unanswered {
+        let silent = peer.heard.is_finite() && now - peer.heard > MISSING;
+        if silent && !gone && peer.asked.len() > 1 {
+            peer.next_ask = peer.next_ask.min(now + jitter * ASK_AGAIN.max(count / ASKS_PER_S));
+        }
+        if !peer.missing && silent && peer.asked.len() > UNANSWERED {
             peer.missing = true;
             self.notices.push(Notice::Missing(name.clone()));
         }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -579,7 +579,7 @@
             (self.healthy(*m) || self.trial_due(*m)) && self.cold_room(request, *m, self.cold_most())
         };
         let zone = self.settings.zone;
-        let checked = self.settings.when_behind != WhenBehind::Silent;
+        let checked = self.settings.when_behind != WhenBehind::Silent && !request.unknown();
         // Not known fresh, but may be: as little behind as when last heard, or left alone since for as long
         // as it was behind, or never heard.
         let hopeful = |m: usize| {
--- /dev/null
+++ b/crates/routing/tests/hearsay.rs
@@ -0,0 +1,147 @@
+//! What other instances say of members: stricter at once, never laxer where it would cost more than a miss.
+
+use routing::hearsay::Heard;
+use routing::interface::*;
+use routing::Policy;
+
+fn entry(name: &str, zone: u32) -> Entry {
+    Entry { member: name.into(), zone, group: 0, phase: Phase::Active, started_at: 0.0, primary: name == "p" }
+}
+
+/// A primary and two replicas at home, one elsewhere; classes: a session's reads, writes.
+fn policy(now: f64) -> (Policy, Vec<Action>) {
+    let session = Class { consistency: Consistency::Session, ..Class::default() };
+    let write = Class { consistency: Consistency::Write, effect: Effect::Keyed, ..Class::default() };
+    let any = Class::default();
+    let settings =
+        Settings { classes: vec![session, write, any], tokens_carried: false, ..Settings::default() };
+    let (mut policy, mut out) = (Policy::new(settings, 1).unwrap(), Vec::new());
+    let entries = vec![entry("p", 0), entry("a", 0), entry("b", 0), entry("far", 1)];
+    policy.handle(now, Event::Members { kind: ListKind::Saved, entries }, &mut out);
+    (policy, out)
+}
+
+fn arrive(policy: &mut Policy, now: f64, id: &str, class: usize, own: Option<f64>) -> Option<String> {
+    let Event::Arrival(arrival) = Event::arrival(id, class, 0, 1.0) else { unreachable!() };
+    let mut out = Vec::new();
+    policy.handle(now, Event::Arrival(Arrival { own, ..arrival }), &mut out);
+    out.iter().find_map(|action| match action {
+        Action::Send { member, .. } => Some(member.to_string()),
+        _ => None,
+    })
+}
+
+fn done(policy: &mut Policy, now: f64, id: &str, member: &str, outcome: Outcome, position: Option<f64>) {
+    let done = Done {
+        id: id.into(),
+        member: member.into(),
+        attempt: 0,
+        outcome,
+        finished: outcome == Outcome::Ok,
+        elapsed: 0.01,
+        position,
+        primary: Some(member == "p"),
+        report: Report::default(),
+    };
+    policy.handle(now, Event::Done(done), &mut Vec::new());
+}
+
+fn heard(member: &str) -> Heard {
+    Heard { member: member.into(), ..Heard::default() }
+}
+
+#[test]
+fn a_read_of_what_is_not_known_goes_to_the_primary_and_one_of_what_is_known_stays_near() {
+    let (mut policy, _) = policy(100.0);
+    assert_eq!(arrive(&mut policy, 100.1, "1", 0, Some(f64::INFINITY)).as_deref(), Some("p"));
+    done(&mut policy, 100.2, "1", "p", Outcome::Ok, Some(100.19));
+    for n in 0..40 {
+        let id = format!("any{n}");
+        let member = arrive(&mut policy, 100.3, &id, 2, None).unwrap();
+        done(&mut policy, 100.31, &id, &member, Outcome::Ok, Some(99.0));
+    }
+    // Known to have come to 99: what needs 98.5 stays near, what needs more does not go there unasked.
+    let near = arrive(&mut policy, 100.4, "2", 0, Some(98.5)).unwrap();
+    assert!(["a", "b"].contains(&near.as_str()), "{near}");
+    assert!(policy.reaches(&near.as_str().into(), 98.5) && !policy.reaches(&near.as_str().into(), 99.5));
+}
+
+#[test]
+fn an_answer_that_may_have_seen_less_is_a_miss() {
+    let at = |primary, position| Policy::looked_at(primary, position, 50.0, 0.2);
+    assert_eq!(at(Some(false), Some(50.1)), Outcome::Miss);
+    assert_eq!(at(Some(false), Some(50.3)), Outcome::Ok);
+    assert_eq!(at(None, None), Outcome::Miss);
+    assert_eq!(at(Some(true), None), Outcome::Ok);
+}
+
+#[test]
+fn a_drain_heard_of_holds_at_once_and_ends_with_its_word() {
+    let (mut policy, mut out) = policy(100.0);
+    let drained = Heard { drained: true, ..heard("a") };
+    policy.hear(100.1, &[drained, Heard { drained: true, ..heard("b") }], 3, &mut out);
+    for n in 0..10 {
+        let member = arrive(&mut policy, 100.2, &format!("{n}"), 2, None).unwrap();
+        assert!(!["a", "b"].contains(&member.as_str()), "{member}");
+    }
+    policy.hear(100.3, &[], 3, &mut out);
+    let members: Vec<String> =
+        (0..10).map(|n| arrive(&mut policy, 100.4, &format!("m{n}"), 2, None).unwrap()).collect();
+    assert!(members.iter().any(|member| member == "a" || member == "b"), "{members:?}");
+}
+
+#[test]
+fn one_observer_alone_ejects_nobody_and_two_do_unless_it_has_just_been_heard() {
+    let suspected = |count| Heard { suspected_by: count, ..heard("a") };
+    let ejected = |count, hears: bool| {
+        let (mut policy, mut out) = policy(100.0);
+        if hears {
+            // It answers this one: whoever else does not hear it.
+            let member = (0..40).find_map(|n| {
+                let id = format!("h{n}");
+                let member = arrive(&mut policy, 100.1, &id, 2, None)?;
+                done(&mut policy, 100.11, &id, &member, Outcome::Ok, Some(100.0));
+                (member == "a").then_some(member)
+            });
+            assert!(member.is_some());
+        }
+        policy.hear(100.2, &[suspected(count)], 3, &mut out);
+        out.iter().any(|action| matches!(action, Action::Log(text) if text.contains("a suspected")))
+    };
+    assert!(!ejected(1, false));
+    assert!(ejected(2, false));
+    assert!(!ejected(5, true));
+}
+
+#[test]
+fn hearsay_that_ejected_is_no_evidence_for_others() {
+    let (mut policy, mut out) = policy(100.0);
+    policy.hear(100.2, &[Heard { suspected_by: 2, ..heard("a") }], 3, &mut out);
+    let found = policy.found();
+    let a = found.iter().find(|found| &*found.learned.member == "a").unwrap();
+    assert!(!a.suspected);
+}
+
+#[test]
+fn the_load_of_others_makes_a_read_leave_its_zone() {
+    let (mut policy, mut out) = policy(100.0);
+    // Both at home are full of what others sent there, which this one does not see by itself.
+    let full = |member| Heard { in_flight: 20.0, ..heard(member) };
+    policy.hear(100.1, &[full("a"), full("b")], 3, &mut out);
+    assert_eq!(arrive(&mut policy, 100.1, "1", 2, None).as_deref(), Some("far"));
+    // It fades where nobody renews it.
+    assert!(["a", "b"].contains(&arrive(&mut policy, 104.0, "2", 2, None).unwrap().as_str()));
+}
+
+#[test]
+fn who_is_said_to_be_the_primary_is_tried_first_where_nobody_is_known() {
+    for seed in 0..5 {
+        let write = Class { consistency: Consistency::Write, effect: Effect::Keyed, ..Class::default() };
+        let settings = Settings { classes: vec![write], ..Settings::default() };
+        let (mut policy, mut out) = (Policy::new(settings, seed).unwrap(), Vec::new());
+        let entries = ["a", "b", "c", "d"].map(|name| entry(name, 0)).to_vec();
+        policy.handle(100.0, Event::Members { kind: ListKind::Saved, entries }, &mut out);
+        policy.hear(100.0, &[Heard { primary: true, ..heard("c") }], 1, &mut out);
+        assert_eq!(arrive(&mut policy, 100.1, "1", 0, None).as_deref(), Some("c"));
+    }
+}
