The rig's ports lie below those that the kernel hands out

Cause: a test's process found its port taken by somebody's connection (rig/src/lib.rs, free: bound and let go, from the ephemeral range). Ruled out: the program, which said so and ended. Change: ports from 12,000 to 30,000, tried on UDP and TCP.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -67,12 +67,14 @@
     peers: Vec<SocketAddr>,
 }
 
-/// An address that nobody has at the moment, on UDP and TCP.
+/// An address that nobody has, on UDP and TCP: below those that the kernel hands out, or a connection of somebody's could take
+/// it while its process is down.
 fn free() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("an address");
-        let address = tcp.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let place = std::process::id() as usize * 131 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], 12_000 + (place % 18_000) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
