--- a/crates/replication/src/merge.rs
+++ b/crates/replication/src/merge.rs
@@ -29,24 +29,6 @@
     }
 }
 
-/// Where a member stood: the later position of the same start; a later start makes words of an earlier one void.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Place {
-    /// The member's start that this is of (Unix seconds by the list; 0 for long ago).
-    pub since: f64,
-    /// Its position then.
-    pub position: f64,
-}
-
-impl Join for Place {
-    fn join(&mut self, other: &Place) {
-        let newer = other.since.total_cmp(&self.since).then(other.position.total_cmp(&self.position));
-        if newer.is_gt() {
-            *self = *other;
-        }
-    }
-}
-
 /// What the lists say of a member: of one list the later version, of one version the strictest word; of several lists,
 /// whose versions say nothing of each other, the strictest.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -110,18 +92,6 @@
     }
 }
 
-/// Since when a member has been cold: the later start. To be wrong only spares it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Cold(pub f64);
-
-impl Join for Cold {
-    fn join(&mut self, other: &Cold) {
-        if other.0.total_cmp(&self.0).is_gt() {
-            *self = *other;
-        }
-    }
-}
-
 /// One observer's words of one thing: his newest, by his own start and number. Kept by observer: evidence, not fact.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Observed<T> {
--- /dev/null
+++ b/crates/replication/src/node/logs.rs
@@ -0,0 +1,323 @@
+//! Logs on their way: what is pushed, read, acknowledged, streamed, and swept once it has aged.
+
+use std::sync::Arc;
+
+use super::*;
+
+impl Node {
+    /// Instances whose logs are better read from a stream than by datagrams, and where they are.
+    pub fn to_stream(&mut self, now: f64) -> Vec<(Arc<str>, SocketAddr)> {
+        let terms = &self.terms;
+        let far = |p: &&mut Peer| {
+            p.here()
+                && !p.streams
+                && !p.missing
+                && now - p.heard < MISSING
+                && p.told > p.copy.upto() + STREAM_BEHIND
+        };
+        let mut all = Vec::new();
+        for peer in self.peers.values_mut().filter(far) {
+            peer.streams = true;
+            let to = terms.routes.get(&peer.who.name).copied().unwrap_or(peer.who.address);
+            all.push((peer.who.name.clone(), to));
+        }
+        all
+    }
+
+    /// The first message on a stream to an instance: it goes on from what has been read.
+    pub fn fetch(&mut self, name: &str) -> Option<Vec<u8>> {
+        let (start, from) = self.peers.get(name).map(|peer| (peer.who.start, peer.copy.upto()))?;
+        let head = self.head(start);
+        Some(self.keys.seal(message::encode(&head, &Body::Fetch { from })))
+    }
+
+    /// The stream to an instance has ended; what came of it stays.
+    pub fn stream_ended(&mut self, name: &str) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.streams = false;
+        }
+    }
+
+    /// A message on a stream that another has opened: from which number on it wants the log. None where it is not
+    /// authentic, or asks for something else.
+    pub fn fetched(&mut self, now: f64, bytes: &[u8]) -> Option<(Arc<str>, u64)> {
+        let Some(opened) = self.keys.open(bytes) else {
+            self.counts.forged += 1;
+            return None;
+        };
+        let (head, body) = message::decode(opened)?;
+        // A replayed one would make this one write its log to a stranger who can't make use of it.
+        let fresh = head.to == self.me.start && self.numbered(now, &head);
+        match body {
+            Some(Body::Fetch { from }) if fresh => Some((head.from.name, from)),
+            _ => None,
+        }
+    }
+
+    /// The next piece of the own log for a stream, and up to which number it goes; none where it has all, or where the
+    /// bound of bytes has no room for now.
+    pub fn stream_piece(&mut self, now: f64, name: &str, from: u64) -> Option<(Vec<u8>, u64)> {
+        let start = self.peers.get(name).filter(|peer| peer.here())?.who.start;
+        if !self.room(now, LONGEST_PIECE) {
+            return None;
+        }
+        let room = LONGEST_PIECE - SEAL - message::HEAD;
+        let (upto, facts) = message::piece(from, self.log.upto(), self.log.after(from), room)?;
+        let head = self.head(start);
+        let sealed =
+            self.keys.seal(message::encode(&head, &Body::Push { from, upto, end: self.log.upto(), facts }));
+        self.counts.sent_bytes += sealed.len() as u64;
+        Some((sealed, upto))
+    }
+
+    /// The highest number of the own log.
+    pub fn upto(&self) -> u64 {
+        self.log.upto()
+    }
+
+    /// Pushes what is new to those who have not read it, and says how far they have been read.
+    pub fn flush(&mut self, now: f64) {
+        (self.next_flush, self.flushed) = (None, now);
+        let names: Vec<Arc<str>> = self.here().map(|peer| peer.who.name.clone()).collect();
+        for name in names {
+            self.admit(now, &name);
+            self.push(now, &name);
+            let own = self.roster;
+            let Some(peer) = self.peers.get_mut(&name) else { continue };
+            if peer.held.is_some_and(|(until, _)| now >= until) {
+                (peer.held, peer.owed) = (None, true);
+            }
+            if std::mem::take(&mut peer.owed) {
+                let read = peer.reading(now);
+                self.send(now, &name, &Body::Read { read, own }, false);
+            }
+        }
+    }
+
+    /// Pushes what has gathered for long enough.
+    pub fn flush_due(&mut self, now: f64) {
+        if self.next_flush.is_some_and(|at| at <= now) {
+            self.flush(now);
+        }
+    }
+
+    /// Facts gather for a moment, so that many writes go in few datagrams.
+    pub(super) fn flush_soon(&mut self, now: f64) {
+        if self.next_flush.is_none() {
+            self.next_flush = Some(now.max(self.flushed + GATHER));
+        }
+    }
+
+    pub(super) fn push(&mut self, now: f64, name: &Arc<str>) {
+        let end = self.log.upto();
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if peer.got >= end || peer.heard == f64::NEG_INFINITY {
+            return;
+        }
+        // To one that does not answer a piece is sent now and then; questions go on beside it.
+        let lost = peer.missing || now - peer.heard > 1.0;
+        if peer.pushed > peer.got && now >= peer.pushed_at + peer.again {
+            peer.again = (peer.again * 2.0).min(AGAIN_MOST);
+            peer.pushed = peer.got;
+        } else if lost && now < peer.pushed_at + AGAIN_MOST {
+            return;
+        }
+        // Far behind: it reads from a stream, and is asked of nothing here but what keeps a lease.
+        let far = end - peer.got > STREAM_BEHIND;
+        let window = if lost || far { 1 } else { WINDOW };
+        let mut from = peer.pushed.max(peer.got);
+        let mut sent = false;
+        for _ in 0..window {
+            let Some((upto, facts)) = message::piece(from, end, self.log.after(from), BODY) else { break };
+            // What is strict and new goes at once; what is caught up with keeps to the bound.
+            let old = end - from > LEASE_BEHIND;
+            if !self.send(now, name, &Body::Push { from, upto, end, facts }, old) {
+                break;
+            }
+            (from, sent) = (upto, true);
+        }
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.pushed = from;
+            if sent {
+                peer.pushed_at = now;
+            }
+        }
+    }
+
+    /// Another has read this one's log so far.
+    pub(super) fn has_read(&mut self, now: f64, name: &Arc<str>, read: Reading, own: u64) {
+        let end = self.log.upto();
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.told = peer.told.max(own);
+        if read.got.min(end) > peer.got {
+            (peer.got, peer.again) = (read.got.min(end), AGAIN);
+            peer.pushed = peer.pushed.max(peer.got);
+        }
+        peer.claims.push((read.sound.min(end), own));
+        if peer.claims.len() > 64 {
+            peer.claims.remove(0);
+        }
+        self.count_reads(now, name);
+    }
+
+    /// What another says to have read counts once this one knows whom that one knows of. [R4]
+    pub(super) fn count_reads(&mut self, now: f64, name: &Arc<str>) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let known = peer.copy.sound();
+        let read = peer.claims.iter().filter(|(_, own)| known >= *own).map(|(upto, _)| *upto).max();
+        peer.claims.retain(|(_, own)| known < *own);
+        let Some(read) = read.filter(|read| *read > peer.read) else { return };
+        peer.read = read;
+        self.flush_soon(now);
+        self.count_joined();
+    }
+
+    /// Who has joined counts for majorities once one knows of him. [R4]
+    pub(super) fn count_joined(&mut self) {
+        let waiting: Vec<Arc<str>> =
+            self.here().filter(|peer| !peer.counted).map(|peer| peer.who.name.clone()).collect();
+        for name in waiting {
+            let number = self.log.number(&Key::Seen(name.clone()));
+            if number.is_some_and(|number| self.by_majority(number)) {
+                if let Some(peer) = self.peers.get_mut(&name) {
+                    peer.counted = true;
+                }
+            }
+        }
+    }
+
+    /// Takes in facts of another's log.
+    pub(super) fn read(
+        &mut self,
+        now: f64,
+        name: &Arc<str>,
+        (from, upto, end): (u64, u64, u64),
+        facts: message::Facts,
+    ) {
+        let Some(peer) = self.peers.get_mut(name).filter(|peer| peer.here()) else { return };
+        peer.told = peer.told.max(end);
+        let mut changed = BTreeSet::new();
+        let mut copy = std::mem::take(&mut peer.copy);
+        let taken = copy.take((from, upto, end), message::facts(facts), |key| {
+            changed.insert(key);
+        });
+        if let Some(floor) = copy.floor() {
+            self.floor = self.floor.max(floor);
+        }
+        let (mut seen, mut roles) = (Vec::new(), false);
+        for key in &changed {
+            match (key, copy.get(key)) {
+                (Key::Written(session), Some(Fact::Written { open, position, .. })) => {
+                    let mark = Mark { open: *open, position: *position };
+                    self.unlist(session, name);
+                    self.sessions.entry(session.clone()).or_default().push((name.clone(), mark));
+                }
+                (Key::Written(session), _) => self.unlist(session, name),
+                (Key::Seen(_), Some(Fact::Seen { who, over })) => seen.push((who.clone(), *over)),
+                (Key::Told(member), fact) => {
+                    let word = match fact {
+                        Some(Fact::Told { since, source, version, stand, .. }) => {
+                            Some(Standing::of(*source, *since, *version, *stand))
+                        }
+                        _ => None,
+                    };
+                    place(&mut self.standings, member.clone(), name, word);
+                    self.news = true;
+                }
+                (Key::Role(group), fact) => {
+                    let word = match fact {
+                        Some(Fact::Role { member, position, .. }) => {
+                            Some(Claim::of(member.clone(), *position))
+                        }
+                        _ => None,
+                    };
+                    place(&mut self.roles, *group, name, word);
+                    (self.news, roles) = (true, true);
+                }
+                _ => {}
+            }
+        }
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.copy = copy;
+        }
+        for (who, over) in seen {
+            if !over {
+                self.know(now, &who);
+            } else if who.name == self.me.name && who.start == self.me.start {
+                self.renew(now);
+            } else if who.name != self.me.name {
+                let earlier = self.peers.get(&who.name).is_some_and(|peer| peer.who.start <= who.start);
+                if earlier {
+                    let start = self.peers.get(&who.name).map_or(0, |peer| peer.who.start);
+                    self.end(now, &who.name, start, Over::Ended);
+                }
+            }
+        }
+        if taken {
+            self.count_leases(name);
+            self.count_reads(now, name);
+        }
+        if roles {
+            self.conflicts();
+        }
+    }
+
+    /// Two members that claim to be one group's primary are told of.
+    pub(super) fn conflicts(&mut self) {
+        for (group, claim) in self.claims() {
+            if let [(first, _), (second, _), ..] = claim.all()[..] {
+                let notice = Notice::TwoPrimaries(group, first.clone(), second.clone());
+                if !self.notices.contains(&notice) {
+                    self.notices.push(notice);
+                }
+            }
+        }
+    }
+
+    /// Facts that have aged: sessions are no longer stated, what still holds is stated anew.
+    pub(super) fn sweep(&mut self, now: f64) {
+        self.views.age(now);
+        let known: Vec<Identity> = self.here().map(|peer| peer.who.clone()).collect();
+        known.iter().for_each(|who| self.swim.met(now, who));
+        let mut position = f64::NEG_INFINITY;
+        let mut below = 0;
+        while let Some((number, at)) = self.stated.front().copied() {
+            let crowded = self.log.len() > SESSIONS + MOST;
+            if now - at < LIFE && !crowded {
+                break;
+            }
+            self.stated.pop_front();
+            let fact =
+                self.log.after(number - 1).next().filter(|(n, _)| *n == number).map(|(_, f)| f.clone());
+            below = number;
+            match fact {
+                Some(Fact::Written { open: false, position: written, .. }) => {
+                    position = written.map_or(position, |written| position.max(written));
+                }
+                Some(Fact::Told { stand: Stand::Serving, .. }) | Some(Fact::Floor { .. }) | None => {}
+                Some(Fact::Seen { who, over: true }) if !self.shown(now, &who.name) => {}
+                Some(fact) => {
+                    self.state(now, fact);
+                }
+            }
+        }
+        if below > 0 {
+            let known = self.log.floor().unwrap_or(f64::NEG_INFINITY);
+            self.state(now, Fact::Floor { below, position: position.max(known) });
+            self.floor = self.floor.max(position);
+        }
+        let old: Vec<Arc<str>> = self
+            .peers
+            .values()
+            .filter(|peer| peer.over.is_some_and(|(_, at)| now - at > SHOWN))
+            .map(|peer| peer.who.name.clone())
+            .collect();
+        for name in old {
+            self.peers.remove(&name);
+        }
+    }
+
+    pub(super) fn shown(&self, now: f64, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.over.is_some_and(|(_, at)| now - at <= SHOWN))
+    }
+}
--- a/crates/replication/tests/laws.rs
+++ b/crates/replication/tests/laws.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use replication::fact::{Fact, Key, Stand};
 use replication::log::Log;
-use replication::merge::{Claim, Cold, Join, Mark, Observed, Place, Standing};
+use replication::merge::{Claim, Join, Mark, Observed, Standing};
 
 fn position() -> impl Strategy<Value = f64> {
     (0..6u8).prop_map(f64::from)
@@ -16,10 +16,6 @@
     (any::<bool>(), prop::option::of(position())).prop_map(|(open, position)| Mark { open, position })
 }
 
-fn place() -> impl Strategy<Value = Place> {
-    (position(), position()).prop_map(|(since, position)| Place { since, position })
-}
-
 fn standing() -> impl Strategy<Value = Standing> {
     let stand = prop_oneof![Just(Stand::Serving), Just(Stand::Draining), Just(Stand::Gone)];
     (0..3u64, position(), 0..4u64, stand)
@@ -60,12 +56,6 @@
         prop_assert!(joined(&a, &b).position >= a.position);
     }
 
-    #[test]
-    fn a_place_is_of_the_latest_start(a in place(), b in place(), c in place()) {
-        lawful(&a, &b, &c)?;
-        prop_assert_eq!(joined(&a, &b).since, a.since.max(b.since));
-    }
-
     #[test]
     fn a_standing_is_the_strictest_of_a_version(a in standing(), b in standing(), c in standing()) {
         lawful(&a, &b, &c)?;
@@ -79,11 +69,6 @@
         prop_assert_eq!(both.only().is_none(), a.only() != b.only());
     }
 
-    #[test]
-    fn cold_is_the_later_start(a in position(), b in position(), c in position()) {
-        lawful(&Cold(a), &Cold(b), &Cold(c))?;
-    }
-
     #[test]
     fn an_observers_newest_word_counts(a in observed(), b in observed(), c in observed()) {
         lawful(&a, &b, &c)?;
--- a/crates/routing/src/hearsay.rs
+++ b/crates/routing/src/hearsay.rs
@@ -2,7 +2,7 @@
 //! make a decision stricter at once, and laxer only within its age and only where to be wrong costs a miss or a detour,
 //! never a stale read or a write sent on hearsay alone.
 
-use crate::interface::{Action, MemberId, Outcome, Phase};
+use crate::interface::{Action, MemberId, Outcome};
 use crate::learned::Learned;
 use crate::policy::EJECT_AT;
 use crate::state::Policy;
@@ -152,9 +152,4 @@
         let others = if age < LIFE { said.in_flight * 0.5f64.powf(age.max(0.0) / HALF_LIFE) } else { 0.0 };
         self.load(m) + others.round() as u32
     }
-
-    /// Phases of the members that do not simply serve, as the own list says.
-    pub fn standing(&self, member: &MemberId) -> Option<Phase> {
-        self.by_id.get(member).map(|&m| self.members[m].phase)
-    }
 }
