Where instances do not talk no request is looked up for them; one fading serves

Need: on rereading, `sends` and `look_at` (net/proxy/sharing.rs) looked each request up though there are no peers; `hearsay.rs` had written `demand::faded` again and kept `suspected_by`, which nothing reads. Change: both return at once without peers, `faded` is called, the field is gone. Nothing that is decided changes. Measured: tests of hearsay, instances, stories, scenarios and size as before.

--- a/crates/daemon/src/net/proxy/sharing.rs
+++ b/crates/daemon/src/net/proxy/sharing.rs
@@ -64,6 +64,9 @@
 
     /// An attempt of a request goes to a member.
     pub(super) fn sends(&mut self, id: &RequestId, member: &MemberId, attempt: usize) {
+        if self.peers.is_none() {
+            return;
+        }
         let Some(shared) = self.requests.get_mut(id).map(|request| &mut request.shared) else { return };
         if shared.floor.is_some_and(|floor| !self.policy.reaches(member, floor)) {
             shared.unsure.push(attempt);
@@ -78,6 +81,9 @@
         outcome: Outcome,
         (position, primary): (Option<f64>, Option<bool>),
     ) -> Outcome {
+        if self.peers.is_none() {
+            return outcome;
+        }
         let Some(shared) = self.requests.get(id).map(|request| &request.shared) else { return outcome };
         let Some(floor) = shared.floor.filter(|_| outcome == Outcome::Ok) else { return outcome };
         // One that says itself that it is no primary has not seen what only that one has.
--- a/crates/routing/src/hearsay.rs
+++ b/crates/routing/src/hearsay.rs
@@ -2,6 +2,7 @@
 //! make a decision stricter at once, and laxer only within its age and only where to be wrong costs a miss or a detour,
 //! never a stale read or a write sent on hearsay alone.
 
+use crate::demand::faded;
 use crate::interface::{Action, MemberId, Outcome};
 use crate::learned::Learned;
 use crate::policy::EJECT_AT;
@@ -40,7 +41,6 @@
     /// It was ejected by the word of others: that is no evidence for anybody else.
     pub ejected: bool,
     in_flight: f64,
-    suspected_by: u32,
     at: f64,
 }
 
@@ -85,14 +85,7 @@
             if told != drained.contains(&m) {
                 groups.push(member.group);
             }
-            member.said = Said {
-                drained: told,
-                primary,
-                in_flight,
-                suspected_by,
-                at: now,
-                ejected: member.said.ejected,
-            };
+            member.said = Said { drained: told, primary, in_flight, at: now, ejected: member.said.ejected };
             // To be wrong only spares it.
             member.cold_since = word.cold_since.map_or(member.cold_since, |at| member.cold_since.max(at));
             // Whoever hears the member himself goes by that.
@@ -149,7 +142,7 @@
     pub(crate) fn load_of_all(&self, m: usize) -> u32 {
         let said = &self.members[m].said;
         let age = self.now - said.at;
-        let others = if age < LIFE { said.in_flight * 0.5f64.powf(age.max(0.0) / HALF_LIFE) } else { 0.0 };
+        let others = if age < LIFE { said.in_flight * faded(age, HALF_LIFE) } else { 0.0 };
         self.load(m) + others.round() as u32
     }
 }
