Tests of drains in a fleet of 350: silence, resets, an outage, calls that hang, bad lists

`simulation` now plays the very follower of the daemon: 350 poolers before one discovery that answers in turn (3.85 s for all), lines every 2 s, watches that fall silent, are reset, end, and calls that hang; the oracle counts a drain as told 6 s after the silence, whether heard or not.

Found by it: a look that comes a rounding before its time was the last one of its pooler (`Follower::due` compared with the time it had armed): 58 of 350 never noticed the silence. Timers count as due a millisecond early now.

Over loopback: a watch that falls silent is reopened and kept, six kinds of bad list take nothing away and are logged once, 1,024 indented machines are read whole, what waits for a connection to a machine that drains goes elsewhere.

--- /dev/null
+++ b/crates/daemon/tests/drains.rs
@@ -0,0 +1,181 @@
+//! Stories over loopback of drains that must be heard, whatever becomes of the watch on the list, and of requests that
+//! are under way when one is.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use peers::*;
+use rstest::rstest;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
+
+const VALUE: &[u8] = b"\x9f\x00\x03";
+
+fn tell(watch: &mut TcpStream, text: &str) {
+    let _ = watch.write_all(&chunks([text.as_bytes()]));
+}
+
+/// A call that is answered with nothing new: the list is followed from then on.
+fn followed(discovery: &Discovery) -> TcpStream {
+    let mut watch = discovery.call().0;
+    watch.write_all(HEAD.as_bytes()).unwrap();
+    tell(&mut watch, "\n");
+    watch
+}
+
+fn draining(db: &Db, name: &str) -> String {
+    db.line(name, "here").replace("SERVING", "DRAINING")
+}
+
+/// One read, answered by the next connection of this machine.
+fn read_from(db: &Db, client: &mut Wire, id: &str) -> Wire {
+    client.send(&query(&ask(id, "reports")));
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains(&format!("id={id},")));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    wire
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_in_time_and_kept_until_that_is_answered() {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+    let mut silent = followed(&discovery);
+    let from = Instant::now();
+    let (mut watch, line) = discovery.call();
+    assert!(line.contains("follow=1&since=41 "), "{line}");
+    let took = from.elapsed();
+    assert!(took > Duration::from_secs(2) && took < Duration::from_secs(4), "{took:?}");
+    // The old one is open still, and what it says counts while nobody has answered the new call.
+    tell(&mut silent, &(list(42, false, &[draining(&near, "s-1")]) + "\n"));
+    while !pooler.counters().contains(" lists=3") {}
+    let mut client = client(&pooler);
+    read_from(&far, &mut client, "1");
+    watch.write_all(HEAD.as_bytes()).unwrap();
+    tell(&mut watch, &(list(43, false, &[draining(&far, "s-2")]) + "\n"));
+    assert_eq!(silent.read(&mut [0]).unwrap(), 0, "it ends once the new one has answered");
+    client.send(&query(&ask("2", "reports")));
+    assert_eq!(client.error().0, "53300");
+}
+
+/// What a list may be that is of no use.
+fn spoil(bad: u8, watch: &mut TcpStream, whole: &str) {
+    match bad {
+        // It is cut off, and the answer ends, ...
+        0 => {
+            tell(watch, &whole[..whole.len() / 2]);
+            let _ = watch.write_all(b"0\r\n\r\n");
+        }
+        // ... it is no list, ...
+        1 => tell(watch, "{\"index\":50}\n"),
+        2 => tell(watch, "gone fishing\n"),
+        // ... it has no end, ...
+        3 => {
+            let part = "[".repeat(64 * 1024);
+            (0..65).for_each(|_| tell(watch, &part));
+        }
+        // ... it names nobody, ...
+        4 => tell(watch, &(list(50, true, &[]) + "\n")),
+        // ... or it stops in the middle, and the connection stays open.
+        _ => tell(watch, &whole[..whole.len() / 2]),
+    }
+}
+
+#[rstest]
+#[case::cut_off(0)]
+#[case::no_list(1)]
+#[case::no_json(2)]
+#[case::over_long(3)]
+#[case::of_nobody(4)]
+#[case::stops_in_the_middle(5)]
+fn a_list_of_no_use_takes_nothing_away_and_is_asked_for_again_and_logged_once(#[case] bad: u8) {
+    let (db, discovery) = (Db::listen(), Discovery::listen());
+    let pooler = Pooler::start(PROGRAM, &list(41, true, &[db.line("s-1", "here")]), &discovery, &[]);
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let (mut watch, line) = discovery.call();
+        assert!(line.contains("since=41 "), "{line}");
+        watch.write_all(HEAD.as_bytes()).unwrap();
+        spoil(bad, &mut watch, &list(50, true, &[db.line("s-9", "here")]));
+        held.push(watch);
+    }
+    let mut watch = followed(&discovery);
+    read_from(&db, &mut client(&pooler), "1");
+    tell(&mut watch, &(list(42, false, &[draining(&db, "s-1")]) + "\n"));
+    while !pooler.counters().contains(" lists=3") {}
+    pooler.signal("TERM");
+    let mut said = 0;
+    loop {
+        let line = pooler.logged("");
+        said += usize::from(line.contains("discovery: "));
+        if line.contains(" ends: ") {
+            break;
+        }
+    }
+    assert!(said <= 1, "{said} lines for one fault");
+}
+
+/// JSON with a line for each of its parts.
+fn indented(text: &str) -> String {
+    let mut out = String::new();
+    let mut depth = 0;
+    for part in text.chars() {
+        match part {
+            '{' | '[' => depth += 1,
+            '}' | ']' => depth -= 1,
+            _ => {}
+        }
+        let line = format!("\n{}", "  ".repeat(depth));
+        match part {
+            '{' | '[' | ',' => out += &format!("{part}{line}"),
+            '}' | ']' => out += &format!("{line}{part}"),
+            _ => out.push(part),
+        }
+    }
+    out + "\n"
+}
+
+#[test]
+fn a_list_of_1024_machines_that_comes_indented_is_read_whole() {
+    let (db, discovery) = (Db::listen(), Discovery::listen());
+    let pooler = Pooler::start(PROGRAM, &list(41, true, &[]), &discovery, &[]);
+    let others = (1..1024).map(|n| {
+        let line = line(([127, 0, 0, 1], 1).into(), &format!("s-{n}"), "here", "SERVING");
+        line.replace("\"group\":2", &format!("\"group\":{}", 1000 + n))
+    });
+    let mut lines: Vec<String> = others.chain([db.line("s-1024", "here")]).collect();
+    let mut watch = discovery.call().0;
+    watch.write_all(HEAD.as_bytes()).unwrap();
+    tell(&mut watch, &indented(&list(42, true, &lines)));
+    while !pooler.counters().contains(" lists=2") {}
+    let mut client = client(&pooler);
+    read_from(&db, &mut client, "1");
+    lines[1023] = draining(&db, "s-1024");
+    tell(&mut watch, &indented(&list(43, true, &lines)));
+    while !pooler.counters().contains(" lists=3") {}
+    client.send(&query(&ask("2", "reports")));
+    assert_eq!(client.error().0, "53300");
+}
+
+#[test]
+fn what_waits_for_a_connection_to_a_machine_that_drains_goes_elsewhere() {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+    let mut watch = followed(&discovery);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    // The connection is there, and its startup goes on for longer than the drain takes to be heard.
+    let mut slow = near.connection();
+    tell(&mut watch, &(list(42, false, &[draining(&near, "s-1")]) + "\n"));
+    let mut wire = far.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    let mut written = Vec::new();
+    slow.0.read_to_end(&mut written).unwrap();
+    assert!(!String::from_utf8_lossy(&written).contains("id=1"), "only its startup was written");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+}
--- a/crates/listing/src/follow.rs
+++ b/crates/listing/src/follow.rs
@@ -11,6 +11,9 @@
 /// Pause before an agent is asked again (seconds).
 const PAUSE_AT_AGENT: f64 = 0.25;
 
+/// A timer may come early by what rounding takes off its time (seconds).
+const ROUNDING: f64 = 0.001;
+
 /// Number of a connection to discovery, given out once.
 pub type Line = u64;
 
@@ -205,6 +208,7 @@
 
     /// Looks whether anything has been silent for too long: what is cut off would stay open for ever.
     pub fn due(&mut self, now: f64, out: &mut Vec<Step>) {
+        let now = now + ROUNDING;
         if self.armed.is_some_and(|at| now >= at) {
             self.armed = None;
         }
--- a/crates/listing/tests/follow.rs
+++ b/crates/listing/tests/follow.rs
@@ -135,3 +135,13 @@
     }
     assert!(timers.len() <= 2, "{timers:?}");
 }
+
+/// Guards against a look that comes a rounding too early and is the last.
+#[test]
+fn a_timer_that_comes_early_by_its_rounding_is_not_lost() {
+    let mut drive = Drive::following(false);
+    drive.tell(|f, now, out| f.blank(1, now, out));
+    drive.now = 102.3 - 1e-9;
+    drive.tell(|f, now, out| f.due(now, out));
+    assert_eq!(drive.out, [Step::Silent("silent")]);
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -14,15 +14,18 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
+use listing::follow::{self, Follower, Line};
 pub use machine::Machine;
 use routing::interface::*;
 use routing::Policy;
 
 /// One way over the network (seconds).
 const WAY: f64 = 0.000_5;
-/// Time that discovery needs for a call, and that a call may wait in line (seconds).
-const CALL: f64 = 0.02;
+/// How long a call for the list may wait in line, and how often a watch brings an empty line (seconds).
 const CALL_PATIENCE: f64 = 2.0;
+const BEAT: f64 = 2.0;
+/// What a silent watch misses counts as told so long after it fell silent (seconds).
+const SILENCE_COUNTS: f64 = 6.0;
 /// How long after a drain was told something new may still go there, and an answer after its time (seconds).
 const GRACE: f64 = 0.25;
 const SLACK: f64 = 0.05;
@@ -49,6 +52,8 @@
     pub capacity: f64,
     /// How late a change of the list comes (seconds, at the most).
     pub list_delay: f64,
+    /// Time that discovery needs for a call (seconds); it answers them in turn.
+    pub call: f64,
     /// The settings of each pooler; its zone is set here.
     pub settings: Settings,
 }
@@ -70,6 +75,14 @@
     Cut(u32, bool),
     /// A replica's copy stands still, or goes on.
     Freeze(usize, bool),
+    /// All connections to discovery that are open now fall silent without closing.
+    Hush,
+    /// All connections to discovery break.
+    Reset,
+    /// Discovery goes down, which ends all connections to it and turns calls down, or comes back.
+    Down(bool),
+    /// Discovery takes calls and never answers them, or does again.
+    Hang(bool),
 }
 
 /// What was seen of a run.
@@ -102,7 +115,13 @@
     Timer(usize, u32, u64),
     Told(usize, u32, Event),
     Ended(u64, usize),
-    Listed(usize, u32),
+    /// A pooler's follower looks after its connections to discovery.
+    Look(usize, u32),
+    /// On a connection to discovery: the call is answered, or turned down, an empty line is due, a change comes.
+    Listed(Place),
+    TurnedDown(Place),
+    Beat(Place),
+    Changed(Place, Entry),
     Late(u64),
     Trouble(Trouble),
 }
@@ -111,14 +130,28 @@
     policy: Policy,
     life: u32,
     zone: u32,
-    follows: bool,
+    follower: Follower,
+    /// Its connections to discovery.
+    lines: BTreeMap<Line, Wire>,
+    /// Since when a connection has been silent, with no answer since.
+    hushed: Option<f64>,
     /// When the last change that is on its way to it arrives: a watch keeps its order.
     news: f64,
-    /// Machines that it was told to leave alone, and when.
+    /// Machines that it was told to leave alone, and when that counts from.
     told: HashMap<MemberId, f64>,
     met: HashSet<usize>,
 }
 
+/// A connection to discovery: the pooler, its life and the number there.
+type Place = (usize, u32, Line);
+
+/// How it is with one.
+#[derive(Clone, Copy, Default)]
+struct Wire {
+    answered: bool,
+    hushed: bool,
+}
+
 struct Asked {
     pooler: usize,
     class: usize,
@@ -152,6 +185,10 @@
     next: u64,
     cut: HashSet<u32>,
     discovery_free: f64,
+    /// Discovery is down, or takes calls and never answers; when it last came back.
+    down: bool,
+    hangs: bool,
+    back: f64,
     arrivals: fastrand::Rng,
     work: fastrand::Rng,
     delays: fastrand::Rng,
@@ -182,6 +219,9 @@
             next: 0,
             cut: HashSet::new(),
             discovery_free: 0.0,
+            down: false,
+            hangs: false,
+            back: 0.0,
             arrivals: stream(shape.seed, "arrivals"),
             work: stream(shape.seed, "work"),
             delays: stream(shape.seed, "delays"),
@@ -214,7 +254,18 @@
         let settings = Settings { zone, ..self.shape.settings.clone() };
         let seed = stream(self.shape.seed, &format!("pooler {n} {life}")).u64(..);
         let policy = Policy::new(settings, seed).expect("the shape's settings are in range");
-        Pooler { policy, life, zone, follows: false, news: 0.0, told: HashMap::new(), met: HashSet::new() }
+        let follower = Follower::new(false, 0);
+        Pooler {
+            policy,
+            life,
+            zone,
+            follower,
+            lines: BTreeMap::new(),
+            hushed: None,
+            news: 0.0,
+            told: HashMap::new(),
+            met: HashSet::new(),
+        }
     }
 
     fn begin(&mut self, n: usize) {
@@ -258,12 +309,23 @@
             }
             Step::Told(n, life, event) if self.poolers[n].life == life => self.feed(n, event),
             Step::Ended(request, attempt) => self.ended(request, attempt, None),
-            Step::Listed(n, life) if self.poolers[n].life == life => {
-                self.poolers[n].follows = true;
-                let entries = self.listed();
-                self.feed(n, Event::Members { kind: ListKind::Full, entries });
+            Step::Timer(..) | Step::Told(..) => {}
+            Step::Look(n, life) if self.poolers[n].life == life => {
+                self.follow(n, |follower, now, out| follower.due(now, out));
+            }
+            Step::Look(..) => {}
+            Step::Listed(place) => self.answered(place),
+            Step::TurnedDown(place) if self.speaks(place) => {
+                self.follow(place.0, |follower, now, out| follower.broke(place.2, now, "turned down", out));
             }
-            Step::Timer(..) | Step::Told(..) | Step::Listed(..) => {}
+            Step::Beat(place) if self.speaks(place) => {
+                self.follow(place.0, |follower, now, out| follower.blank(place.2, now, out));
+                self.at(self.now + BEAT, Step::Beat(place));
+            }
+            Step::Changed(place, entry) if self.speaks(place) => {
+                self.news(place, ListKind::Incremental, vec![entry]);
+            }
+            Step::TurnedDown(_) | Step::Beat(_) | Step::Changed(..) => {}
             Step::Late(request) => {
                 if self.requests.get(&request).is_some_and(|r| !r.done) {
                     self.breach(format!("request {request} has no final answer"));
@@ -314,7 +376,8 @@
                 if entry.phase == Phase::Active {
                     told.remove(&entry.member);
                 } else {
-                    told.entry(entry.member.clone()).or_insert(self.now);
+                    let at = told.entry(entry.member.clone()).or_insert(self.now);
+                    *at = at.min(self.now);
                 }
             }
         }
@@ -344,7 +407,7 @@
                     self.ended(request, attempt, Some(Outcome::Cancelled));
                 }
             }
-            Action::Listen => self.call(n, life),
+            Action::Listen => self.follow(n, |follower, now, out| follower.listen(now, out)),
             _ => {}
         }
     }
@@ -364,7 +427,11 @@
         self.seen.pairs += usize::from(pooler.met.insert(m));
         let told = pooler.told.get(&self.machines[m].name).copied();
         if told.is_some_and(|at| self.now > at + GRACE) {
-            self.breach(format!("{what} to {} after its drain was told", self.machines[m].name));
+            let late = told.map_or(0.0, |at| self.now - at);
+            self.breach(format!(
+                "{what} of pooler {n} to {} {late:.2} s after its drain was told",
+                self.machines[m].name
+            ));
         }
     }
 
@@ -470,29 +537,108 @@
         self.at(self.now + after, Step::Told(n, life, Event::Probed { member, outcome, report }));
     }
 
+    /// Tells a pooler's follower of something and carries out what follows from it.
+    fn follow(&mut self, n: usize, tell: impl FnOnce(&mut Follower, f64, &mut Vec<follow::Step>)) {
+        let mut steps = Vec::new();
+        tell(&mut self.poolers[n].follower, self.now, &mut steps);
+        let life = self.poolers[n].life;
+        for step in steps {
+            let kind = match step {
+                follow::Step::Open(line, _) => {
+                    self.call(n, line);
+                    continue;
+                }
+                follow::Step::Close(line) => {
+                    self.poolers[n].lines.remove(&line);
+                    continue;
+                }
+                follow::Step::Timer(at) => {
+                    self.at(at, Step::Look(n, life));
+                    continue;
+                }
+                follow::Step::Unchanged => ListKind::Incremental,
+                follow::Step::Failed(_) => ListKind::Failed,
+                follow::Step::Silent(_) => ListKind::Silent,
+            };
+            self.feed(n, Event::Members { kind, entries: Vec::new() });
+        }
+    }
+
     /// Discovery answers calls in turn; one that waits too long has failed and takes its time all the same.
-    fn call(&mut self, n: usize, life: u32) {
+    fn call(&mut self, n: usize, line: Line) {
         self.seen.calls += 1;
-        self.discovery_free = self.discovery_free.max(self.now) + CALL;
-        let good = self.discovery_free - self.now <= CALL_PATIENCE;
-        if good {
-            self.at(self.discovery_free, Step::Listed(n, life));
+        let wire = Wire { answered: false, hushed: self.hangs };
+        let pooler = &mut self.poolers[n];
+        pooler.lines.insert(line, wire);
+        let place = (n, pooler.life, line);
+        if self.hangs {
+            pooler.hushed.get_or_insert(self.now);
+        } else if self.down {
+            self.at(self.now + 2.0 * WAY, Step::TurnedDown(place));
         } else {
-            let event = Event::Members { kind: ListKind::Failed, entries: Vec::new() };
-            self.at(self.now + CALL_PATIENCE, Step::Told(n, life, event));
+            self.discovery_free = self.discovery_free.max(self.now) + self.shape.call;
+            if self.discovery_free - self.now <= CALL_PATIENCE {
+                self.at(self.discovery_free, Step::Listed(place));
+            } else {
+                self.at(self.now + CALL_PATIENCE, Step::TurnedDown(place));
+            }
+        }
+    }
+
+    /// Whether what discovery writes on a connection arrives.
+    fn speaks(&self, (n, life, line): Place) -> bool {
+        let pooler = &self.poolers[n];
+        pooler.life == life && pooler.lines.get(&line).is_some_and(|wire| !wire.hushed)
+    }
+
+    /// A call is answered, with the list as it is now.
+    fn answered(&mut self, place: Place) {
+        if self.speaks(place) {
+            let pooler = &mut self.poolers[place.0];
+            pooler.hushed = None;
+            pooler.lines.insert(place.2, Wire { answered: true, hushed: false });
+            self.at(self.now + BEAT, Step::Beat(place));
+            let entries = self.listed();
+            self.news(place, ListKind::Full, entries);
         }
     }
 
-    /// A change of a machine's line is on its way to those that follow the list.
+    fn news(&mut self, (n, _, line): Place, kind: ListKind, entries: Vec<Entry>) {
+        let mut counts = false;
+        self.follow(n, |follower, now, out| counts = follower.news(line, now, 0, out));
+        if counts {
+            self.feed(n, Event::Members { kind, entries });
+        }
+    }
+
+    /// A change of a machine's line is on its way to those that follow the list. To those that hear nothing it counts
+    /// as told later.
     fn list(&mut self, m: usize) {
+        let entry = self.machines[m].entry();
         for n in 0..self.poolers.len() {
             let late = self.now + self.shape.list_delay * self.delays.f64();
             let pooler = &mut self.poolers[n];
-            if pooler.follows {
+            let open = pooler.lines.iter().filter(|(_, wire)| wire.answered && !wire.hushed);
+            let open: Vec<Line> = open.map(|(line, _)| *line).collect();
+            if open.is_empty() && entry.phase != Phase::Active {
+                let anew = self.now.max(self.back) + self.shape.settings.ask_within;
+                let counts = pooler.hushed.map_or(anew, |at| self.now.max(at + SILENCE_COUNTS));
+                pooler.told.entry(entry.member.clone()).or_insert(counts);
+            }
+            if let Some(&line) = open.last() {
                 pooler.news = pooler.news.max(late);
-                let (news, life, entries) = (pooler.news, pooler.life, vec![self.machines[m].entry()]);
-                let event = Event::Members { kind: ListKind::Incremental, entries };
-                self.at(news, Step::Told(n, life, event));
+                let (news, life) = (pooler.news, pooler.life);
+                self.at(news, Step::Changed((n, life, line), entry.clone()));
+            }
+        }
+    }
+
+    /// Ends all connections to discovery.
+    fn part(&mut self) {
+        for n in 0..self.poolers.len() {
+            let lines: Vec<Line> = self.poolers[n].lines.keys().copied().collect();
+            for line in lines {
+                self.follow(n, |follower, now, out| follower.broke(line, now, "the connection broke", out));
             }
         }
     }
@@ -535,6 +681,22 @@
                 (machine.up, machine.phase, machine.started) = (true, Phase::Active, now);
                 self.list(m);
             }
+            Trouble::Hush => {
+                for pooler in self.poolers.iter_mut().filter(|pooler| !pooler.lines.is_empty()) {
+                    pooler.hushed.get_or_insert(self.now);
+                    pooler.lines.values_mut().for_each(|wire| wire.hushed = true);
+                }
+            }
+            Trouble::Reset => self.part(),
+            Trouble::Down(down) => {
+                self.down = down;
+                if down {
+                    self.part();
+                } else {
+                    self.back = self.now;
+                }
+            }
+            Trouble::Hang(hangs) => self.hangs = hangs,
             Trouble::Freeze(m, on) => self.machines[m].frozen = on.then_some(self.now),
             Trouble::Cut(zone, true) => drop(self.cut.insert(zone)),
             Trouble::Cut(zone, false) => drop(self.cut.remove(&zone)),
--- /dev/null
+++ b/crates/simulation/tests/drains.rs
@@ -0,0 +1,101 @@
+//! Drains kept by the whole fleet, whatever becomes of the watch on the list: 350 poolers, one discovery that answers
+//! calls in turn and needs nearly four seconds for all of them. The oracle lets a drain count as heard 6 s after the
+//! watch fell silent, and 0.25 s of grace after that.
+
+use routing::interface::*;
+use rstest::rstest;
+use simulation::{Seen, Shape, Trouble, World};
+
+const POOLERS: usize = 350;
+const MACHINES: usize = 120;
+
+fn world(seed: u64) -> World {
+    let class = |consistency, effect| Class {
+        consistency,
+        effect,
+        deadline: 1.5,
+        dedup_window: 1.0,
+        ..Class::default()
+    };
+    let classes = vec![
+        class(Consistency::Bounded(3.0), Effect::Safe),
+        class(Consistency::Any, Effect::Safe),
+        class(Consistency::Write, Effect::Keyed),
+    ];
+    let settings = Settings {
+        classes,
+        fleet_size: POOLERS as u32,
+        probes: true,
+        subscribe: true,
+        when_behind: WhenBehind::Silent,
+        tip_multiple: 2.5,
+        ..Settings::default()
+    };
+    let (zones, groups, replicas) = (3, 30, 3);
+    let (rate, service, capacity) = (1_500.0, 0.05, 40.0);
+    let (poolers, list_delay, call) = (POOLERS, 0.1, 0.011);
+    World::new(Shape {
+        seed,
+        poolers,
+        zones,
+        groups,
+        replicas,
+        rate,
+        service,
+        capacity,
+        list_delay,
+        call,
+        settings,
+    })
+}
+
+/// A quarter of the machines, replicas all, are told to drain so many seconds after the start; they stay up.
+fn drain(world: &mut World, at: f64) {
+    (1..MACHINES).step_by(4).for_each(|m| world.trouble(at, Trouble::Drain(m)));
+}
+
+fn kept(seen: &Seen, calls: usize) {
+    assert_eq!(seen.breaches, [] as [String; 0], "{seen:?}");
+    assert!(seen.served as f64 >= 0.8 * seen.asked as f64, "{seen:?}");
+    assert!(seen.calls <= calls, "calls for the list: {seen:?}");
+}
+
+/// Early on many calls are still in line and hang; later all have a watch.
+#[rstest]
+#[case::while_calls_are_in_line(1, 1.5)]
+#[case::while_half_have_a_watch(2, 2.5)]
+#[case::with_all_watches_open(3, 7.0)]
+#[case::with_all_watches_open(4, 9.1)]
+fn watches_that_fall_silent_right_before_a_drain(#[case] seed: u64, #[case] at: f64) {
+    let mut world = world(seed);
+    world.trouble(at, Trouble::Hush);
+    drain(&mut world, at + 0.1);
+    kept(&world.run(at + 12.0), POOLERS * 3);
+}
+
+#[test]
+fn watches_that_are_reset_before_a_drain() {
+    let mut world = world(5);
+    world.trouble(7.0, Trouble::Reset);
+    drain(&mut world, 9.0);
+    kept(&world.run(25.0), POOLERS * 5);
+}
+
+#[test]
+fn discovery_that_is_down_and_machines_that_drain_within_a_second_of_its_return() {
+    let mut world = world(6);
+    world.trouble(7.0, Trouble::Down(true));
+    world.trouble(11.0, Trouble::Down(false));
+    drain(&mut world, 11.5);
+    kept(&world.run(27.0), POOLERS * 8);
+}
+
+/// Calls made in these two seconds are never answered; a drain comes in the middle.
+#[test]
+fn calls_that_hang_around_a_drain() {
+    let mut world = world(7);
+    world.trouble(0.5, Trouble::Hang(true));
+    world.trouble(2.5, Trouble::Hang(false));
+    drain(&mut world, 1.5);
+    kept(&world.run(14.0), POOLERS * 3);
+}
--- a/crates/simulation/tests/mass.rs
+++ b/crates/simulation/tests/mass.rs
@@ -34,8 +34,8 @@
 fn shape(seed: u64, poolers: usize, fleet_size: u32) -> Shape {
     let (zones, groups, replicas) = (3, 30, 3);
     let (rate, service, capacity, list_delay) = (1_500.0, 0.05, 40.0, 1.0);
-    let settings = settings(fleet_size);
-    Shape { seed, poolers, zones, groups, replicas, rate, service, capacity, list_delay, settings }
+    let (call, settings) = (0.02, settings(fleet_size));
+    Shape { seed, poolers, zones, groups, replicas, rate, service, capacity, list_delay, call, settings }
 }
 
 fn kept(seen: &Seen, least: f64) {
