Who is there is told by a sum, so that a start of 300 instances that talk ends

Cause: each instance stated each other as a fact to all (`Node::know`), the cube of their number when all start: of 300 that start within a second, 150 had sent 287.7 MB after half of it and 52 s of real time. Besides, each turn looked at all lessees of all who wait to be admitted (`admit`, `all_know`), and at all peers for each datagram (perf: memcmp, admit and flush 45%).

Change: questions, grants and words of what was read carry the number of those that their speaker has come to know and a sum over names and starts. An equal sum shows that they are known; who differs for longer is told by name (`Body::Roster`). R4 goes by these numbers in place of the log's. Ends stay facts. Lessees are passed once, questions due within a twentieth of a lease go together, word of who is there gathers for 20 ms among more than 64. Messages are version 2; version 1 was never released.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,7 +4,7 @@
 #![warn(missing_docs)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::net::SocketAddr;
 use std::num::{NonZeroU32, NonZeroUsize};
 use std::sync::Arc;
@@ -204,6 +204,13 @@
         }
     }
 
+    /// Others that are there; those that membership has lost sight of are met anew.
+    pub fn met_all(&mut self, now: f64, all: &[Identity]) {
+        let key = |who: &Identity| (who.name.clone(), who.start);
+        let known: HashSet<_> = self.foca.iter_membership_state().map(|member| key(member.id())).collect();
+        all.iter().filter(|who| !known.contains(&key(who))).for_each(|who| self.met(now, who));
+    }
+
     /// A datagram of another's.
     pub fn receive(&mut self, now: f64, bytes: &[u8]) {
         if self.stood_down {
--- a/crates/replication/src/fact.rs
+++ b/crates/replication/src/fact.rs
@@ -39,12 +39,11 @@
         /// The position.
         position: f64,
     },
-    /// Another instance is there, or this start of it is over.
-    Seen {
+    /// This start of another instance is over: left, followed by a later start, or forgotten by an operator. Who is there
+    /// is no fact but told by sums, [`crate::message::Whom`].
+    Over {
         /// Who.
         who: Identity,
-        /// Whether it is over: left, followed by a later start, or forgotten by an operator.
-        over: bool,
     },
     /// What the list says of a member that does not simply serve.
     Told {
@@ -85,7 +84,7 @@
 pub enum Key {
     Written(Arc<str>),
     Floor,
-    Seen(Arc<str>),
+    Over(Arc<str>),
     Told(Arc<str>),
     Role(u32),
     Versions,
@@ -97,7 +96,7 @@
         match self {
             Fact::Written { session, .. } => Key::Written(session.clone()),
             Fact::Floor { .. } => Key::Floor,
-            Fact::Seen { who, .. } => Key::Seen(who.name.clone()),
+            Fact::Over { who } => Key::Over(who.name.clone()),
             Fact::Told { member, .. } => Key::Told(member.clone()),
             Fact::Role { group, .. } => Key::Role(*group),
             Fact::Versions { .. } => Key::Versions,
@@ -119,7 +118,7 @@
             Fact::Floor { position, .. } => !position.is_nan(),
             Fact::Told { since, .. } => since.is_finite(),
             Fact::Role { position, .. } => position.is_finite(),
-            Fact::Seen { .. } | Fact::Versions { .. } => true,
+            Fact::Over { .. } | Fact::Versions { .. } => true,
         };
         sound.then_some(fact)
     }
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -5,13 +5,15 @@
 
 use membership::Identity;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use crate::auth::SEAL;
 use crate::fact::Fact;
 use crate::view::{Use, View};
 
-/// The version of the head. Bodies change by new kinds and by fields at their ends.
-pub const VERSION: u8 = 1;
+/// The version of the head. Bodies change by new kinds and by fields at their ends. Of version 1, which stated who is
+/// there as facts, nothing was released.
+pub const VERSION: u8 = 2;
 /// Longest datagram (bytes), its seal included.
 pub const LONGEST: usize = 1_200;
 /// Longest message on a stream (bytes), its seal included.
@@ -43,9 +45,8 @@
         question: u64,
         /// How far he has read the log of whom he asks; 0 for another start of it.
         read: Reading,
-        /// The number in his own log of the newest word on who is there: what he says to have read counts once that
-        /// is known.
-        own: u64,
+        /// Whom he knows: what he says to have read counts once they are known.
+        own: Whom,
         /// Whether he wants a lease: without one it is only to hear of each other.
         lease: bool,
         /// Instances that do not answer him, their starts, and how far he has read their logs.
@@ -57,6 +58,8 @@
         question: u64,
         /// The highest number of the log.
         upto: u64,
+        /// Whom the speaker knows: the lease counts once they are known.
+        own: Whom,
         /// How long (milliseconds); 0 for not at all.
         lease_ms: u32,
         /// For so long (milliseconds) after that moment the speaker answers no write without a majority.
@@ -80,7 +83,7 @@
         /// How far.
         read: Reading,
         /// As in [`Body::Ask`].
-        own: u64,
+        own: Whom,
     },
     /// How members look to the speaker.
     Views {
@@ -121,6 +124,36 @@
         /// As in [`Body::Push`].
         facts: Vec<(u64, Vec<u8>)>,
     },
+    /// Instances that the speaker knows and that are there, of the numbers from `from`, not included, to `upto`.
+    Roster {
+        /// See above.
+        from: u64,
+        /// See above.
+        upto: u64,
+        /// They.
+        who: Vec<Identity>,
+    },
+}
+
+/// Whom the speaker knows, himself included, as far as they are there. Where the sums of two are equal they know the same,
+/// and nobody has to be named.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Whom {
+    /// How many he has come to know so far; rises by one with each.
+    pub upto: u64,
+    /// A sum over their names and starts.
+    pub sum: u64,
+}
+
+/// What one instance adds to a sum.
+pub fn weight(who: &Identity) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update(who.name.as_bytes());
+    hash.update([0]);
+    hash.update(who.start.to_be_bytes());
+    let mut eight = [0; 8];
+    eight.copy_from_slice(&hash.finalize()[..8]);
+    u64::from_be_bytes(eight)
 }
 
 /// How far a log has been read.
@@ -130,6 +163,10 @@
     pub sound: u64,
     /// The next piece begins here.
     pub got: u64,
+    /// Those whom its author knows are known up to this number of his.
+    pub whom: u64,
+    /// The next of them begin here.
+    pub met: u64,
 }
 
 /// What the speaker knows of one who answers neither him nor the asker. While it lasts, the speaker acknowledges nothing
@@ -159,6 +196,7 @@
             Body::Fetch { .. } => 8,
             Body::Passed { .. } => 9,
             Body::Over { .. } => 10,
+            Body::Roster { .. } => 11,
         }
     }
 }
@@ -178,7 +216,7 @@
         return None;
     }
     let (kind, body) = rest.split_first()?;
-    if !(1..=10).contains(kind) {
+    if !(1..=11).contains(kind) {
         return Some((head, None));
     }
     let (body, _) = postcard::take_from_bytes::<Body>(body).ok()?;
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -17,8 +17,9 @@
 use crate::fact::{session, Fact, Key, Stand};
 use crate::log::Log;
 use crate::merge::{Claim, Join, Mark, Standing};
-use crate::message::{self, Body, Cover, Head, Reading, BODY, LONGEST_PIECE, VERSION};
+use crate::message::{self, Body, Cover, Head, Reading, Whom, BODY, LONGEST_PIECE, VERSION};
 use crate::view::{Together, Use, View, Views};
+use peer::{Claimed, Covering};
 pub(crate) use peer::{Over, Peer};
 
 /// A lessor's clock may run so much faster than its lessee's: his promise lasts longer by this share, and by a moment.
@@ -28,6 +29,8 @@
 const ASKS_PER_LEASE: f64 = 3.0;
 /// Questions a second at the most, whoever is there. Bounds the cost of a large installation.
 const ASKS_PER_S: f64 = 4_000.0;
+/// A question may be put so much earlier than it is due (in leases), so that many go in one turn.
+const ASK_EARLY: f64 = 0.05;
 /// Pause between questions while no session reads here (seconds).
 const IDLE_ASK: f64 = 1.0;
 /// For how long after a session's read leases are asked for (seconds).
@@ -69,6 +72,13 @@
 const FAR_BEATS: u64 = 4;
 /// Datagrams with views for one instance in one beat.
 const VIEWS_AT_ONCE: usize = 2;
+/// Up to so many others each is told at once whom this one has come to know; beyond it after a while (seconds), which grows
+/// by a little with each.
+const FEW: usize = 64;
+const WAIT_TO_TELL: f64 = 0.1;
+const WAIT_EACH: f64 = 0.002;
+/// Word of who is there is gathered for so long among more (seconds).
+const GATHER_WHOM: f64 = 0.02;
 /// Bytes a second that views and pieces may take together, and saved up at most.
 pub const BYTES_PER_S: f64 = 4_000_000.0;
 
@@ -162,7 +172,7 @@
 /// A write under way, or another fact that has to be known before something goes on.
 #[derive(Debug)]
 struct Waiting {
-    number: u64,
+    awaited: Awaited,
     /// Whose leases from before it are not over: each until it has read the fact, or the lease has ended.
     lessees: Vec<(Arc<str>, f64)>,
     session: Option<Arc<str>>,
@@ -170,6 +180,23 @@
     sent: bool,
 }
 
+/// What has to be known to others: a fact of the own log, or one that has become known, by its place.
+#[derive(Clone, Copy, Debug)]
+enum Awaited {
+    Fact(u64),
+    Place(u64),
+}
+
+impl Awaited {
+    /// Whether another knows it, as far as that counts.
+    fn known_to(self, peer: &Peer) -> bool {
+        match self {
+            Awaited::Fact(number) => peer.read >= number,
+            Awaited::Place(place) => peer.knows >= place,
+        }
+    }
+}
+
 /// What is counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[allow(missing_docs)]
@@ -225,8 +252,11 @@
     past_order: VecDeque<(f64, Arc<str>)>,
     /// Any session may have written up to here.
     pub(crate) floor: f64,
-    /// The newest word in the own log on who is there.
+    /// How many have become known so far, their names by their places, and the sum over those that are there, this one
+    /// included.
     roster: u64,
+    places: BTreeMap<u64, Arc<str>>,
+    sum: u64,
     question: u64,
     number: u64,
     /// Whether this start is known to others: nothing is answered before.
@@ -294,6 +324,8 @@
             // One that has just started remembers nothing: any session may have written until now, here too.
             floor: now + terms.clock_error,
             roster: 0,
+            places: BTreeMap::new(),
+            sum: message::weight(&me),
             question: 0,
             number: 0,
             admitted: unmet.is_empty(),
@@ -350,7 +382,7 @@
                 self.state(now, Fact::Written { session: session.clone(), open: true, position })
             }
         };
-        self.wait_for(now, number, Some(session))
+        self.wait_for(now, Awaited::Fact(number), Some(session))
     }
 
     /// That write has ended: with a commit at this position, or without one that its client will hear of.
@@ -388,7 +420,7 @@
         self.turn(now);
         let Some(waiting) = self.waiting.get(&ticket) else { return true };
         let may =
-            self.admitted(now) && !self.stood_down && (self.by_majority(waiting.number) || self.free(now));
+            self.admitted(now) && !self.stood_down && (self.by_majority(waiting.awaited) || self.free(now));
         if let Some(waiting) = self.waiting.get_mut(&ticket).filter(|_| may) {
             waiting.sent = true;
         }
@@ -608,13 +640,16 @@
     fn look_ahead(&self) -> f64 {
         let asks = self.here().map(|peer| peer.next_ask);
         let again = self.here().filter(|p| p.got < p.pushed).map(|p| p.pushed_at + p.again);
-        let held = self.here().filter_map(|p| p.held.map(|(until, _)| until));
+        let held = self.here().filter_map(|p| p.held.map(|(until, _, _)| until));
+        let met = |p: &&Peer| p.met_got < self.roster && p.heard > f64::NEG_INFINITY;
+        let whom = self.here().filter(met).map(|p| p.tell_whom);
         let seeds = (!self.unmet.is_empty()).then_some(self.next_seed);
         let waits = self.waiting.values().flat_map(|w| w.lessees.iter().map(|(_, until)| *until));
         let waits = waits.filter(|until| *until > self.last_turn).min_by(f64::total_cmp);
         let free = (self.free_at > self.last_turn).then_some(self.free_at);
         let admit = (!self.admitted).then_some(self.admit_by);
-        let all = asks.chain(again).chain(held).chain(seeds).chain(waits).chain(free).chain(admit);
+        let all =
+            asks.chain(again).chain(whom).chain(held).chain(seeds).chain(waits).chain(free).chain(admit);
         let all = all.chain(self.swim.next_due()).chain([self.next_sweep]);
         // A loop that is late by half a lease doubts itself: it turns often enough not to.
         all.fold(self.last_turn + self.terms.lease / 4.0, f64::min).max(self.last_turn + GATHER)
@@ -634,7 +669,7 @@
                 let body = Body::Ask {
                     question,
                     read: Reading::default(),
-                    own: self.roster,
+                    own: self.whom(),
                     lease: false,
                     missing: Vec::new(),
                 };
@@ -643,8 +678,10 @@
                 self.post(seed, sealed, false);
             }
         }
+        // Those due soon go along: each turn looks at all that there are.
+        let soon = now + self.terms.lease * ASK_EARLY;
         let due: Vec<Arc<str>> =
-            self.here().filter(|peer| now >= peer.next_ask).map(|peer| peer.who.name.clone()).collect();
+            self.here().filter(|peer| soon >= peer.next_ask).map(|peer| peer.who.name.clone()).collect();
         for name in due {
             self.ask(now, &name);
         }
@@ -735,8 +772,8 @@
         self.electorate() / 2 + 1
     }
 
-    fn by_majority(&self, number: u64) -> bool {
-        1 + self.here().filter(|peer| peer.counted && peer.read >= number).count() >= self.majority()
+    fn by_majority(&self, awaited: Awaited) -> bool {
+        1 + self.here().filter(|peer| peer.counted && awaited.known_to(peer)).count() >= self.majority()
     }
 
     /// How long this one promises to answer no write without a majority. Of two, one that is lost leaves no majority, and
@@ -751,23 +788,19 @@
     }
 
     fn state(&mut self, now: f64, fact: Fact) -> u64 {
-        let roster = matches!(fact, Fact::Seen { .. });
         let number = self.log.state(fact);
-        if roster {
-            self.roster = number;
-        }
         self.stated.push_back((number, now));
         self.flush_soon(now);
         number
     }
 
-    fn wait_for(&mut self, now: f64, number: u64, session: Option<Arc<str>>) -> Ticket {
+    fn wait_for(&mut self, now: f64, awaited: Awaited, session: Option<Arc<str>>) -> Ticket {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
         // [R2] Leases that are granted from now on reach up to this fact and need not be waited for.
-        let lent = self.here().filter(|peer| peer.lent > now && peer.read < number);
+        let lent = self.here().filter(|peer| peer.lent > now && !awaited.known_to(peer));
         let lessees = lent.map(|peer| (peer.who.name.clone(), peer.lent)).collect();
-        self.waiting.insert(ticket, Waiting { number, lessees, session, sent: false });
+        self.waiting.insert(ticket, Waiting { awaited, lessees, session, sent: false });
         ticket
     }
 
--- a/crates/replication/src/node/leases.rs
+++ b/crates/replication/src/node/leases.rs
@@ -32,7 +32,7 @@
             if !self.covered(now, peer) {
                 return Some(if peer.missing { Why::Missing } else { Why::CatchingUp });
             }
-            let ends = peer.covers.values().flat_map(|(_, end, long)| [*end, *long]).chain([peer.long]);
+            let ends = peer.covers.values().flat_map(|cover| [cover.until, cover.long]).chain([peer.long]);
             until = ends.filter(|end| *end > now).fold(until, f64::min);
         }
         // What holds now holds until the first of these ends.
@@ -59,12 +59,13 @@
                 lost += 1;
                 continue;
             }
-            let cover = missing.covers.get(&other.who.name);
-            match cover {
-                Some((upto, until, promise)) if now < *until && missing.copy.sound() >= *upto => {
-                    long = long.max(*promise);
-                }
-                _ => return false,
+            // Whoever it may have told of others has been told of them by the one who covers. [R4]
+            let holds = |cover: &&Covering| {
+                now < cover.until && missing.copy.sound() >= cover.upto && other.whom >= cover.whom
+            };
+            match missing.covers.get(&other.who.name).filter(holds) {
+                Some(cover) => long = long.max(cover.long),
+                None => return false,
             }
         }
         2 * lost < all && now < long
@@ -95,7 +96,7 @@
             .collect();
         let missing = if missing.len() > MOST_MISSING { Vec::new() } else { missing };
         self.question += 1;
-        let (question, own) = (self.question, self.roster);
+        let (question, own) = (self.question, self.whom());
         let Some(peer) = self.peers.get_mut(name) else { return };
         let every = (lease / ASKS_PER_LEASE).max(count / ASKS_PER_S);
         // One that has not answered for long is asked at the idle pace.
@@ -128,6 +129,7 @@
     ) {
         let upto = self.log.upto();
         self.admit(now, name);
+        let own = self.whom();
         let admitted = self.peers.get(name).is_some_and(|peer| peer.admission.is_none());
         let behind = self.peers.get(name).map_or(u64::MAX, |peer| upto - peer.read.min(upto));
         let lends = lease && admitted && behind <= LEASE_BEHIND && !self.stood_down;
@@ -148,7 +150,7 @@
         }
         let milliseconds = |s: f64| (s * 1_000.0).clamp(0.0, f64::from(u32::MAX)) as u32;
         let lease_ms = if lends { milliseconds(term) } else { 0 };
-        let body = Body::Grant { question, upto, lease_ms, long_ms: milliseconds(long), covers };
+        let body = Body::Grant { question, upto, own, lease_ms, long_ms: milliseconds(long), covers };
         self.send(now, name, &body, false);
     }
 
@@ -167,9 +169,9 @@
         if now - peer.heard <= MISSING || !unanswered {
             return None;
         }
-        let upto = peer.read_so_far(now);
-        let kept = peer.held.map_or(until, |(held, _)| held.max(until));
-        peer.held = Some((kept, upto));
+        let (upto, whom) = peer.read_so_far(now);
+        let kept = peer.held.map_or(until, |(held, _, _)| held.max(until));
+        peer.held = Some((kept, upto, whom));
         let long_ms = ((peer.long - now).max(0.0) * 1_000.0) as u32;
         // One that has a part only does not know how far it knows.
         let sound = peer.copy.sound() == peer.copy.upto();
@@ -190,11 +192,18 @@
     }
 
     /// Whether all who go by an older copy know of a fact, or go by it no more.
-    pub(super) fn all_know(&self, now: f64, ticket: Ticket) -> bool {
-        let Some(waiting) = self.waiting.get(&ticket) else { return true };
-        waiting.lessees.iter().all(|(name, until)| {
-            now >= *until || self.peers.get(name).is_none_or(|p| !p.here() || p.read >= waiting.number)
-        })
+    pub(super) fn all_know(&mut self, now: f64, ticket: Ticket) -> bool {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else { return true };
+        let awaited = waiting.awaited;
+        // Who knows it, or whose lease is over, need not be looked at again: each is passed once.
+        while let Some((name, until)) = waiting.lessees.last() {
+            let knows = self.peers.get(name).is_none_or(|peer| !peer.here() || awaited.known_to(peer));
+            if now < *until && !knows {
+                return false;
+            }
+            waiting.lessees.pop();
+        }
+        true
     }
 
     pub(super) fn granted(
@@ -202,7 +211,7 @@
         now: f64,
         name: &Arc<str>,
         question: u64,
-        (upto, lease_ms, long_ms): (u64, u32, u32),
+        (upto, whom, lease_ms, long_ms): (u64, u64, u32, u32),
         covers: Vec<Cover>,
     ) {
         if let Some(at) = self.seed_asked.iter().position(|(asked, _)| *asked == question) {
@@ -231,14 +240,15 @@
         }
         // [R2] From the moment of the question, by this one's own clock.
         let until = asked + seconds(lease_ms).min(own);
-        peer.promised.push((upto, until, asked + seconds(long_ms)));
+        peer.promised.push((upto, whom, until, asked + seconds(long_ms)));
         if peer.promised.len() > 8 {
             peer.promised.remove(0);
         }
         for Cover { name: other, start, upto, long_ms } in covers {
             let fits = |p: &&mut Peer| p.who.start == start && p.here();
             if let Some(missing) = self.peers.get_mut(&other).filter(fits) {
-                missing.covers.insert(name.clone(), (upto, until, asked + seconds(long_ms)));
+                let long = asked + seconds(long_ms);
+                missing.covers.insert(name.clone(), Covering { upto, whom, until, long });
                 missing.told = missing.told.max(upto);
             }
         }
@@ -247,11 +257,12 @@
 
     pub(super) fn count_leases(&mut self, name: &Arc<str>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
-        let read = peer.copy.sound();
-        let (counts, waits): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut peer.promised).into_iter().partition(|(upto, _, _)| read >= *upto);
+        let (read, known) = (peer.copy.sound(), peer.whom);
+        let (counts, waits): (Vec<_>, Vec<_>) = std::mem::take(&mut peer.promised)
+            .into_iter()
+            .partition(|(upto, whom, _, _)| read >= *upto && known >= *whom);
         peer.promised = waits;
-        for (_, until, long) in counts {
+        for (_, _, until, long) in counts {
             peer.met = true;
             peer.lease = peer.lease.max(until);
             // Only with what it had stated by then: what it answered alone before is no part of the promise.
--- a/crates/replication/src/node/logs.rs
+++ b/crates/replication/src/node/logs.rs
@@ -78,13 +78,19 @@
     /// Pushes what is new to those who have not read it, and says how far they have been read.
     pub fn flush(&mut self, now: f64) {
         (self.next_flush, self.flushed) = (None, now);
-        let names: Vec<Arc<str>> = self.here().map(|peer| peer.who.name.clone()).collect();
+        let (end, last) = (self.log.upto(), self.roster);
+        let wants = |peer: &&Peer| {
+            let untold = peer.met_got < last && now >= peer.tell_whom;
+            peer.got < end || untold || peer.admission.is_some() || peer.owed || peer.held.is_some()
+        };
+        let names: Vec<Arc<str>> = self.here().filter(wants).map(|peer| peer.who.name.clone()).collect();
         for name in names {
             self.admit(now, &name);
             self.push(now, &name);
-            let own = self.roster;
+            self.tell_whom(now, &name);
+            let own = self.whom();
             let Some(peer) = self.peers.get_mut(&name) else { continue };
-            if peer.held.is_some_and(|(until, _)| now >= until) {
+            if peer.held.is_some_and(|(until, _, _)| now >= until) {
                 (peer.held, peer.owed) = (None, true);
             }
             if std::mem::take(&mut peer.owed) {
@@ -103,11 +109,22 @@
 
     /// Facts gather for a moment, so that many writes go in few datagrams.
     pub(super) fn flush_soon(&mut self, now: f64) {
-        if self.next_flush.is_none() {
-            self.next_flush = Some(now.max(self.flushed + GATHER));
+        self.flush_by(now.max(self.flushed + GATHER));
+    }
+
+    /// Word of who is there may gather for longer among many: where many start together each changes what all know.
+    pub(super) fn flush_later(&mut self, now: f64) {
+        if self.peers.len() <= FEW {
+            self.flush_soon(now);
+        } else {
+            self.flush_by(now + GATHER_WHOM);
         }
     }
 
+    fn flush_by(&mut self, at: f64) {
+        self.next_flush = Some(self.next_flush.map_or(at, |next| next.min(at)));
+    }
+
     pub(super) fn push(&mut self, now: f64, name: &Arc<str>) {
         let end = self.log.upto();
         let Some(peer) = self.peers.get_mut(name) else { return };
@@ -145,15 +162,15 @@
     }
 
     /// Another has read this one's log so far.
-    pub(super) fn has_read(&mut self, now: f64, name: &Arc<str>, read: Reading, own: u64) {
-        let end = self.log.upto();
+    pub(super) fn has_read(&mut self, now: f64, name: &Arc<str>, read: Reading, knew: u64) {
+        let (end, last) = (self.log.upto(), self.roster);
         let Some(peer) = self.peers.get_mut(name) else { return };
-        peer.told = peer.told.max(own);
+        peer.met_got = peer.met_got.max(read.met.min(last));
         if read.got.min(end) > peer.got {
             (peer.got, peer.again) = (read.got.min(end), AGAIN);
             peer.pushed = peer.pushed.max(peer.got);
         }
-        peer.claims.push((read.sound.min(end), own));
+        peer.claims.push(Claimed { sound: read.sound.min(end), whom: read.whom.min(last), knew });
         if peer.claims.len() > 64 {
             peer.claims.remove(0);
         }
@@ -163,26 +180,42 @@
     /// What another says to have read counts once this one knows whom that one knows of. [R4]
     pub(super) fn count_reads(&mut self, now: f64, name: &Arc<str>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
-        let known = peer.copy.sound();
-        let read = peer.claims.iter().filter(|(_, own)| known >= *own).map(|(upto, _)| *upto).max();
-        peer.claims.retain(|(_, own)| known < *own);
-        let Some(read) = read.filter(|read| *read > peer.read) else { return };
-        peer.read = read;
-        self.flush_soon(now);
+        let known = peer.whom;
+        let (mut read, mut knows) = (peer.read, peer.knows);
+        peer.claims.retain(|claim| {
+            if known >= claim.knew {
+                (read, knows) = (read.max(claim.sound), knows.max(claim.whom));
+            }
+            known < claim.knew
+        });
+        if (read, knows) == (peer.read, peer.knows) {
+            return;
+        }
+        let reads = read > std::mem::replace(&mut peer.read, read);
+        peer.knows = knows;
+        if reads {
+            self.flush_soon(now);
+        } else {
+            self.flush_later(now);
+        }
         self.count_joined();
     }
 
-    /// Who has joined counts for majorities once one knows of him. [R4]
+    /// Who has joined counts for majorities once one knows of him, one after another. [R4]
     pub(super) fn count_joined(&mut self) {
-        let waiting: Vec<Arc<str>> =
-            self.here().filter(|peer| !peer.counted).map(|peer| peer.who.name.clone()).collect();
-        for name in waiting {
-            let number = self.log.number(&Key::Seen(name.clone()));
-            if number.is_some_and(|number| self.by_majority(number)) {
-                if let Some(peer) = self.peers.get_mut(&name) {
-                    peer.counted = true;
-                }
-            }
+        while self.here().any(|peer| !peer.counted) {
+            let mut knows: Vec<u64> =
+                self.here().filter(|peer| peer.counted).map(|peer| peer.knows).collect();
+            knows.sort_unstable_by(|a, b| b.cmp(a));
+            // This one knows them all.
+            let others = self.majority() - 1;
+            let Some(most) = others.checked_sub(1).map_or(Some(u64::MAX), |last| knows.get(last).copied())
+            else {
+                return;
+            };
+            let known = |peer: &&mut Peer| peer.here() && !peer.counted && peer.place <= most;
+            let Some(peer) = self.peers.values_mut().find(known) else { return };
+            peer.counted = true;
         }
     }
 
@@ -204,7 +237,7 @@
         if let Some(floor) = copy.floor() {
             self.floor = self.floor.max(floor);
         }
-        let (mut seen, mut roles) = (Vec::new(), false);
+        let (mut over, mut roles) = (Vec::new(), false);
         for key in &changed {
             match (key, copy.get(key)) {
                 (Key::Written(session), Some(Fact::Written { open, position, .. })) => {
@@ -213,7 +246,7 @@
                     self.sessions.entry(session.clone()).or_default().push((name.clone(), mark));
                 }
                 (Key::Written(session), _) => self.unlist(session, name),
-                (Key::Seen(_), Some(Fact::Seen { who, over })) => seen.push((who.clone(), *over)),
+                (Key::Over(_), Some(Fact::Over { who })) => over.push(who.clone()),
                 (Key::Told(member), fact) => {
                     let word = match fact {
                         Some(Fact::Told { since, source, version, stand, .. }) => {
@@ -240,10 +273,8 @@
         if let Some(peer) = self.peers.get_mut(name) {
             peer.copy = copy;
         }
-        for (who, over) in seen {
-            if !over {
-                self.know(now, &who);
-            } else if who.name == self.me.name && who.start == self.me.start {
+        for who in over {
+            if who.name == self.me.name && who.start == self.me.start {
                 self.renew(now);
             } else if who.name != self.me.name {
                 let earlier = self.peers.get(&who.name).is_some_and(|peer| peer.who.start <= who.start);
@@ -278,7 +309,7 @@
     pub(super) fn sweep(&mut self, now: f64) {
         self.views.age(now);
         let known: Vec<Identity> = self.here().map(|peer| peer.who.clone()).collect();
-        known.iter().for_each(|who| self.swim.met(now, who));
+        self.swim.met_all(now, &known);
         let mut position = f64::NEG_INFINITY;
         let mut below = 0;
         while let Some((number, at)) = self.stated.front().copied() {
@@ -295,7 +326,7 @@
                     position = written.map_or(position, |written| position.max(written));
                 }
                 Some(Fact::Told { stand: Stand::Serving, .. }) | Some(Fact::Floor { .. }) | None => {}
-                Some(Fact::Seen { who, over: true }) if !self.shown(now, &who.name) => {}
+                Some(Fact::Over { who }) if !self.shown(now, &who.name) => {}
                 Some(fact) => {
                     self.state(now, fact);
                 }
@@ -313,7 +344,9 @@
             .map(|peer| peer.who.name.clone())
             .collect();
         for name in old {
-            self.peers.remove(&name);
+            if let Some(peer) = self.peers.remove(&name) {
+                self.places.remove(&peer.place);
+            }
         }
     }
 
--- a/crates/replication/src/node/roster.rs
+++ b/crates/replication/src/node/roster.rs
@@ -25,16 +25,20 @@
             return;
         }
         let counted = self.peers.get(&who.name).is_some_and(|old| old.counted) || self.fresh;
+        let place = self.place(now, who);
         let mut peer = Peer::new(who.clone(), now);
+        (peer.place, peer.tell_whom) = (place, now + self.wait_to_tell());
         // [R4] Who joins counts once a majority knows of him; who has just started himself counts all that he hears
         // of. One that comes back under its name takes its own place.
         peer.counted = counted;
-        self.peers.insert(who.name.clone(), peer);
+        if let Some(old) = self.peers.insert(who.name.clone(), peer) {
+            self.places.remove(&old.place);
+        }
         self.due = self.due.min(now);
         self.whole_until = f64::NEG_INFINITY;
-        let number = self.state(now, Fact::Seen { who: who.clone(), over: false });
+        self.flush_later(now);
         // [R3]
-        let admission = self.wait_for(now, number, None);
+        let admission = self.wait_for(now, Awaited::Place(place), None);
         if let Some(peer) = self.peers.get_mut(&who.name) {
             peer.admission = Some(admission);
         }
@@ -45,6 +49,83 @@
         self.swim.met(now, who);
     }
 
+    /// Gives one that has become known the next place among those that this one knows.
+    fn place(&mut self, now: f64, who: &Identity) -> u64 {
+        let (before, wait) = (self.roster, self.wait_to_tell());
+        self.roster += 1;
+        self.sum = self.sum.wrapping_add(message::weight(who));
+        self.places.insert(self.roster, who.name.clone());
+        for peer in self.peers.values_mut().filter(|peer| peer.met_got >= before) {
+            peer.tell_whom = now + wait;
+        }
+        self.roster
+    }
+
+    /// How long others have to come to know by themselves whom this one knows, before they are told by name. Where many
+    /// start together all would name all to all; there membership spreads the word, and equal sums show that it has.
+    fn wait_to_tell(&self) -> f64 {
+        match self.peers.len() {
+            few if few <= FEW => 0.0,
+            many => WAIT_TO_TELL + WAIT_EACH * many as f64,
+        }
+    }
+
+    /// Whom this one knows.
+    pub(super) fn whom(&self) -> Whom {
+        Whom { upto: self.roster, sum: self.sum }
+    }
+
+    /// Another has said whom it knows: with an equal sum they are the same.
+    pub(super) fn knows(&mut self, now: f64, name: &Arc<str>, theirs: Whom) {
+        let same = theirs.sum == self.sum;
+        if let Some(peer) = self.peers.get_mut(name).filter(|peer| same && peer.whom < theirs.upto) {
+            peer.whom = theirs.upto;
+            peer.owed = true;
+            self.flush_later(now);
+            self.count_leases(name);
+            self.count_reads(now, name);
+        }
+    }
+
+    /// Tells another whom this one knows, as far as it does not know them.
+    pub(super) fn tell_whom(&mut self, now: f64, name: &Arc<str>) {
+        let last = self.roster;
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        if peer.met_got >= last || peer.heard == f64::NEG_INFINITY || now < peer.tell_whom {
+            return;
+        }
+        let from = peer.met_got;
+        peer.tell_whom = now + if peer.missing { AGAIN_LOST } else { AGAIN_MOST };
+        let (mut who, mut upto, mut used) = (Vec::new(), last, 32);
+        let mut before = from;
+        for (place, known) in self.places.range(from + 1..) {
+            let Some(peer) = self.peers.get(known).filter(|peer| peer.here()) else { continue };
+            used += peer.who.name.len() + peer.who.zone.len() + 40;
+            if used > BODY {
+                upto = before;
+                break;
+            }
+            before = *place;
+            who.push(peer.who.clone());
+        }
+        self.send(now, name, &Body::Roster { from, upto, who }, true);
+    }
+
+    /// Another has told whom it knows.
+    fn told_whom(&mut self, now: f64, name: &Arc<str>, from: u64, upto: u64, who: &[Identity]) {
+        if self.peers.get(name).is_none_or(|peer| peer.whom < from) {
+            return;
+        }
+        who.iter().for_each(|who| self.know(now, who));
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.whom = peer.whom.max(upto);
+            peer.owed = true;
+        }
+        self.flush_later(now);
+        self.count_leases(name);
+        self.count_reads(now, name);
+    }
+
     /// Somebody has this one's name. Of an earlier start it is old word; a later one, elsewhere, has taken the name.
     pub(super) fn namesake(&mut self, now: f64, who: &Identity) {
         if who.start == self.me.start {
@@ -98,7 +179,8 @@
         self.whole_until = f64::NEG_INFINITY;
         self.views.gone(name);
         self.news = true;
-        self.state(now, Fact::Seen { who: who.clone(), over: true });
+        self.sum = self.sum.wrapping_sub(message::weight(&who));
+        self.state(now, Fact::Over { who: who.clone() });
         if self.keeps {
             self.records.push(crate::disk::Record::Over(who.clone()));
         }
@@ -185,14 +267,17 @@
         let name = head.from.name.clone();
         match body {
             Body::Ask { question, read, own, lease, missing } => {
+                self.knows(now, &name, own);
                 if head.to == self.me.start {
-                    self.has_read(now, &name, read, own);
+                    self.has_read(now, &name, read, own.upto);
                 }
                 self.grant(now, &name, question, lease, &missing);
             }
-            Body::Grant { question, upto, lease_ms, long_ms, covers } => {
-                self.granted(now, &name, question, (upto, lease_ms, long_ms), covers);
+            Body::Grant { question, upto, own, lease_ms, long_ms, covers } => {
+                self.knows(now, &name, own);
+                self.granted(now, &name, question, (upto, own.upto, lease_ms, long_ms), covers);
             }
+            Body::Roster { from, upto, who } => self.told_whom(now, &name, from, upto, &who),
             Body::Push { from, upto, end, facts } => {
                 self.read(now, &name, (from, upto, end), facts);
                 if let Some(peer) = self.peers.get_mut(&name) {
@@ -207,7 +292,10 @@
                     self.read(now, &author.name, (from, upto, end), facts);
                 }
             }
-            Body::Read { read, own } => self.has_read(now, &name, read, own),
+            Body::Read { read, own } => {
+                self.knows(now, &name, own);
+                self.has_read(now, &name, read, own.upto);
+            }
             Body::Views { round, views, uses } => {
                 let start = head.from.start;
                 self.views.take(now, &name, start, round, views);
@@ -222,8 +310,8 @@
                     if let Some(peer) = self.peers.get_mut(&name) {
                         peer.lease = f64::INFINITY;
                     }
-                    let own = self.roster;
-                    let read = Reading { sound: upto, got: upto };
+                    let own = self.whom();
+                    let read = Reading { sound: upto, got: upto, ..Reading::default() };
                     self.send(now, &name, &Body::Read { read, own }, false);
                     self.end(now, &name, start, Over::Left);
                 }
@@ -235,24 +323,31 @@
 
     /// Others have called this start over: it goes on as a new one, whose writes wait until they know of it.
     pub(super) fn renew(&mut self, now: f64) {
+        self.sum = self.sum.wrapping_sub(message::weight(&self.me));
         self.me.start += 1;
+        self.sum = self.sum.wrapping_add(message::weight(&self.me));
         let own = Identity { renewal: 0, ..self.me.clone() };
         self.swim = Swim::new(own, self.rng);
         (self.admitted, self.admit_by) = (false, now + self.terms.lease);
         self.free_at = self.free_at.max(now + self.long() * (1.0 + RATE_ERROR) + MOMENT);
         for peer in self.peers.values_mut() {
             (peer.read, peer.got, peer.pushed) = (0, 0, 0);
+            (peer.knows, peer.met_got) = (0, 0);
             (peer.lent, peer.next_ask) = (f64::NEG_INFINITY, now);
             peer.claims.clear();
             peer.asked.clear();
         }
+        let until = now + self.terms.lease * (1.0 + RATE_ERROR) + MOMENT;
+        let lessees: Vec<(Arc<str>, f64)> = self.here().map(|p| (p.who.name.clone(), until)).collect();
         // All that is under way is stated anew: who knew it of the earlier start has dropped it.
         let open: Vec<Arc<str>> = self.open.keys().cloned().collect();
         for session in open {
             let position = self.own_mark(&Key::Written(session.clone())).position;
             let number = self.state(now, Fact::Written { session: session.clone(), open: true, position });
             for waiting in self.waiting.values_mut().filter(|w| w.session.as_ref() == Some(&session)) {
-                waiting.number = number;
+                waiting.awaited = Awaited::Fact(number);
+                // Who knew it of the earlier start has to read it of this one.
+                waiting.lessees = lessees.clone();
             }
         }
         let known: Vec<Identity> = self.here().map(|peer| peer.who.clone()).collect();
--- a/crates/simulation/tests/instances.rs
+++ b/crates/simulation/tests/instances.rs
@@ -1,5 +1,6 @@
 //! Instances that talk, through crashes, stops and cuts: no session reads what is older than its own write.
 
+use replication::Need;
 use rstest::rstest;
 use simulation::instances::{Instances, Net};
 use simulation::storm::Storm;
@@ -37,3 +38,28 @@
     let run = || storm(5, 4, rough(), 5.0, true).trace();
     assert_eq!(run(), run());
 }
+
+/// Guards against a start of many that grows with the cube of their number: each named all that it met to all.
+#[test]
+fn many_that_start_together_know_each_other_without_naming_all_to_all() {
+    let count = 80;
+    let mut all = Instances::new(1, count, 3, 3, Net { loss: 0.1, ..Net::default() });
+    for n in 0..count {
+        all.start(n);
+        all.run(0.5 / count as f64);
+    }
+    let begun = all.now;
+    while !all.equal() && all.now - begun < 10.0 {
+        all.run(0.1);
+    }
+    assert!(all.equal(), "they know the same");
+    let each = all.bytes().0 as f64 / (count * count) as f64;
+    // And that is enough for leases: a read of a session goes by what is known.
+    let knows = |all: &mut Instances| all.with(7, |node, now| matches!(node.need(now, "s"), Need::From(_)));
+    while knows(&mut all) != Some(true) && all.now - begun < 10.0 {
+        all.run(0.05);
+    }
+    assert_eq!(knows(&mut all), Some(true));
+    println!("{each:.0} bytes for each pair, equal after {:.1} s", all.now - begun);
+    assert!(each < 4_200.0, "{each:.0} bytes for each pair");
+}
