--- a/crates/daemon/tests/deployments.rs
+++ b/crates/daemon/tests/deployments.rs
@@ -19,16 +19,6 @@
     watch.write_all(&[head, &chunks([news.as_bytes(), b"\n"])].concat()).unwrap();
 }
 
-/// One read, answered by the next connection of this machine.
-fn read_from(db: &Db, client: &mut Wire, id: &str) -> Wire {
-    client.send(&query(&ask(id, "reports")));
-    let mut wire = db.accept();
-    assert!(asked(&mut wire).contains(&format!("id={id},")));
-    wire.send(&served(VALUE, "reader"));
-    assert_eq!(client.answer()[0].0, b'T');
-    wire
-}
-
 #[rstest]
 #[case::refuses(0)]
 #[case::ends_the_watch(1)]
--- a/crates/daemon/tests/drains.rs
+++ b/crates/daemon/tests/drains.rs
@@ -28,16 +28,6 @@
     db.line(name, "here").replace("SERVING", "DRAINING")
 }
 
-/// One read, answered by the next connection of this machine.
-fn read_from(db: &Db, client: &mut Wire, id: &str) -> Wire {
-    client.send(&query(&ask(id, "reports")));
-    let mut wire = db.accept();
-    assert!(asked(&mut wire).contains(&format!("id={id},")));
-    wire.send(&served(VALUE, "reader"));
-    assert_eq!(client.answer()[0].0, b'T');
-    wire
-}
-
 #[test]
 fn a_watch_that_falls_silent_is_opened_anew_in_time_and_kept_until_that_is_answered() {
     let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -374,6 +374,16 @@
     }
 }
 
+/// One read, answered by the next connection of this machine.
+pub fn read_from(db: &Db, client: &mut Wire, id: &str) -> Wire {
+    client.send(&query(&ask(id, "reports")));
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains(&format!("id={id},")));
+    wire.send(&served(b"\x9f\x00\x03", "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    wire
+}
+
 /// The next query that a db machine gets on a connection.
 pub fn asked(wire: &mut Wire) -> String {
     let (kind, body) = wire.message().expect("a query");
--- a/crates/simulation/tests/drains.rs
+++ b/crates/simulation/tests/drains.rs
@@ -2,7 +2,9 @@
 //! calls in turn and needs nearly four seconds for all of them. The oracle lets a drain count as heard 6 s after the
 //! watch fell silent, and 0.25 s of grace after that.
 
-use routing::interface::*;
+mod fleet;
+
+use fleet::settings;
 use rstest::rstest;
 use simulation::{Seen, Shape, Trouble, World};
 
@@ -10,27 +12,7 @@
 const MACHINES: usize = 120;
 
 fn world(seed: u64) -> World {
-    let class = |consistency, effect| Class {
-        consistency,
-        effect,
-        deadline: 1.5,
-        dedup_window: 1.0,
-        ..Class::default()
-    };
-    let classes = vec![
-        class(Consistency::Bounded(3.0), Effect::Safe),
-        class(Consistency::Any, Effect::Safe),
-        class(Consistency::Write, Effect::Keyed),
-    ];
-    let settings = Settings {
-        classes,
-        fleet_size: POOLERS as u32,
-        probes: true,
-        subscribe: true,
-        when_behind: WhenBehind::Silent,
-        tip_multiple: 2.5,
-        ..Settings::default()
-    };
+    let settings = settings(POOLERS as u32);
     let (zones, groups, replicas) = (3, 30, 3);
     let (rate, service, capacity) = (1_500.0, 0.05, 40.0);
     let (poolers, list_delay, call) = (POOLERS, 0.1, 0.011);
--- /dev/null
+++ b/crates/simulation/tests/fleet/mod.rs
@@ -0,0 +1,30 @@
+//! What the fleets of the tests go by.
+
+use routing::interface::*;
+
+/// Classes: bounded, session and any reads, keyed writes.
+pub fn settings(fleet_size: u32) -> Settings {
+    let class = |consistency, effect| Class {
+        consistency,
+        effect,
+        deadline: 1.5,
+        dedup_window: 1.0,
+        ..Class::default()
+    };
+    let classes = vec![
+        class(Consistency::Bounded(3.0), Effect::Safe),
+        class(Consistency::Session, Effect::Safe),
+        class(Consistency::Any, Effect::Safe),
+        class(Consistency::Write, Effect::Keyed),
+    ];
+    Settings {
+        classes,
+        fleet_size,
+        probes: true,
+        subscribe: true,
+        when_behind: WhenBehind::Silent,
+        tokens_carried: false,
+        tip_multiple: 2.5,
+        ..Settings::default()
+    }
+}
--- a/crates/simulation/tests/mass.rs
+++ b/crates/simulation/tests/mass.rs
@@ -1,35 +1,12 @@
 //! Hundreds of poolers that share nothing, through the troubles of a large fleet.
 
+mod fleet;
+
+use fleet::settings;
 use routing::interface::*;
 use routing::Policy;
 use simulation::{Seen, Shape, Trouble, World};
 
-fn settings(fleet_size: u32) -> Settings {
-    let class = |consistency, effect| Class {
-        consistency,
-        effect,
-        deadline: 1.5,
-        dedup_window: 1.0,
-        ..Class::default()
-    };
-    let classes = vec![
-        class(Consistency::Bounded(3.0), Effect::Safe),
-        class(Consistency::Session, Effect::Safe),
-        class(Consistency::Any, Effect::Safe),
-        class(Consistency::Write, Effect::Keyed),
-    ];
-    Settings {
-        classes,
-        fleet_size,
-        probes: true,
-        subscribe: true,
-        when_behind: WhenBehind::Silent,
-        tokens_carried: false,
-        tip_multiple: 2.5,
-        ..Settings::default()
-    }
-}
-
 /// Three hundred poolers before 120 machines in 30 groups and three zones, at under a third of what these can do.
 fn shape(seed: u64, poolers: usize, fleet_size: u32) -> Shape {
     let (zones, groups, replicas) = (3, 30, 3);
