--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -136,7 +136,7 @@
                 ),
                 ListSource::Pushed => format!(
                     "pushed: the agent at {} is followed, and asked again {} s after it was lost",
-                    config.discovery, s.connect_timeout
+                    config.discovery, listing::follow::PAUSE_AT_AGENT
                 ),
             },
         );
--- a/crates/listing/src/follow.rs
+++ b/crates/listing/src/follow.rs
@@ -10,7 +10,7 @@
 /// once. It is called again after so long without an answer (seconds), below any grace ...
 const CALL_AT_AGENT: f64 = 0.2;
 /// ... and so long after it turned a call down, or ended a connection (seconds).
-const PAUSE_AT_AGENT: f64 = 0.25;
+pub const PAUSE_AT_AGENT: f64 = 0.25;
 
 /// A timer may come early by what rounding takes off its time (seconds).
 const ROUNDING: f64 = 0.001;
