--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -356,7 +356,7 @@
         for who in kept.into_iter().flat_map(|kept| kept.seen) {
             node.know(now, &who);
         }
-        node.free_at = now + node.long() * (1.0 + RATE_ERROR) + MOMENT;
+        node.free_at = lessor_end(now, node.long());
         node
     }
 
@@ -852,6 +852,11 @@
     }
 }
 
+/// When what was promised for so long is over by the clock of whoever promised it.
+fn lessor_end(now: f64, lasts: f64) -> f64 {
+    now + lasts * (1.0 + RATE_ERROR) + MOMENT
+}
+
 /// Puts an author's word of a thing in its place, or takes it away.
 fn place<K: Ord, V>(
     all: &mut BTreeMap<K, BTreeMap<Arc<str>, V>>,
--- a/crates/replication/src/node/leases.rs
+++ b/crates/replication/src/node/leases.rs
@@ -138,8 +138,8 @@
         let term = self.terms.lease;
         let mut covers = Vec::new();
         if lends {
-            let until = now + term * (1.0 + RATE_ERROR) + MOMENT;
-            self.free_at = self.free_at.max(now + long * (1.0 + RATE_ERROR) + MOMENT);
+            let until = lessor_end(now, term);
+            self.free_at = self.free_at.max(lessor_end(now, long));
             if let Some(peer) = self.peers.get_mut(name) {
                 peer.lent = peer.lent.max(until);
             }
--- a/crates/replication/src/node/roster.rs
+++ b/crates/replication/src/node/roster.rs
@@ -329,7 +329,7 @@
         let own = Identity { renewal: 0, ..self.me.clone() };
         self.swim = Swim::new(own, self.rng);
         (self.admitted, self.admit_by) = (false, now + self.terms.lease);
-        self.free_at = self.free_at.max(now + self.long() * (1.0 + RATE_ERROR) + MOMENT);
+        self.free_at = self.free_at.max(lessor_end(now, self.long()));
         for peer in self.peers.values_mut() {
             (peer.read, peer.got, peer.pushed) = (0, 0, 0);
             (peer.knows, peer.met_got) = (0, 0);
@@ -337,7 +337,7 @@
             peer.claims.clear();
             peer.asked.clear();
         }
-        let until = now + self.terms.lease * (1.0 + RATE_ERROR) + MOMENT;
+        let until = lessor_end(now, self.terms.lease);
         let lessees: Vec<(Arc<str>, f64)> = self.here().map(|p| (p.who.name.clone(), until)).collect();
         // All that is under way is stated anew: who knew it of the earlier start has dropped it.
         let open: Vec<Arc<str>> = self.open.keys().cloned().collect();
@@ -351,7 +351,7 @@
             }
         }
         let known: Vec<Identity> = self.here().map(|peer| peer.who.clone()).collect();
-        known.iter().for_each(|who| self.swim.met(now, who));
+        self.swim.met_all(now, &known);
         self.notices.push(Notice::Renewed(self.me.start));
         if self.keeps {
             self.records.push(crate::disk::Record::Start(self.me.start));
