Sessions read what they may have written: a write in doubt binds their reads

At fault: policy.rs `done` remembered a session's write only where it was served (`write && outcome == Outcome::Ok`), and `arrival` looked up what a read must see once, when it came, though it may be held or sent again later. Ruled out: an answer that is cut before its position (it counts as written now, tests before); a primary that lags; sessions that roam (all seven wrote and read through one pooler).

Mend: `own_writes.rs`, beside the policy. A write that ended in any way but proof that nothing ran binds its session's reads as of its end; while one is out they need what is as of now, which only the primary has; looked up at each sending. Sites whose sessions carry their positions are as before.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod knowledge;
 mod latency;
 mod learned;
+mod own_writes;
 mod pace;
 mod policy;
 mod ramp;
--- /dev/null
+++ b/crates/routing/src/own_writes.rs
@@ -0,0 +1,66 @@
+//! Read your writes: the position that a session's reads must see. It is the commit of its last write that was answered,
+//! and, where a write of it may have run without an answer, the moment at which that was found out.
+
+use std::sync::Arc;
+
+use crate::interface::{Consistency, Outcome};
+use crate::state::{Policy, Request};
+
+/// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
+const SESSIONS: usize = 20_000;
+/// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
+const SESSION_AGE: f64 = 60.0;
+
+impl Policy {
+    /// The position that a session read must see now. Looked up whenever one is sent: a write of its session may have been
+    /// answered, or lost, while it waited.
+    pub(crate) fn own_writes(&self, request: &Request) -> f64 {
+        if self.settings.tokens_carried {
+            return request.token;
+        }
+        let known = request.session.as_ref().and_then(|session| self.sessions.get(session));
+        let known = known.copied().unwrap_or(self.forgotten).max(request.token);
+        // Guards against a commit whose answer got lost on the way: until the write has ended, it may be as late as now.
+        if request.session.as_ref().is_some_and(|session| self.is_writing(session)) {
+            return known.max(self.now);
+        }
+        known
+    }
+
+    /// Whether a write of the session is at a member, its answer still to come.
+    fn is_writing(&self, session: &Arc<str>) -> bool {
+        self.requests.values().any(|request| {
+            let write = self.settings.classes[request.class].consistency == Consistency::Write;
+            write && request.session.as_ref() == Some(session) && request.attempts.iter().any(|a| a.open)
+        })
+    }
+
+    /// An attempt of a session's write has ended: the session's reads must see it from now on if it has run, or may have.
+    pub(crate) fn wrote_once(&mut self, session: Arc<str>, outcome: Outcome, commit: Option<f64>) {
+        if outcome.proves_untouched() {
+            return;
+        }
+        // An answer that does not tell the commit, or none at all, leaves no doubt that it was before now.
+        let told = commit.filter(|commit| outcome == Outcome::Ok && *commit <= self.now);
+        self.remember(session, told.unwrap_or(self.now));
+    }
+
+    /// Remembers a session's last commit; what is forgotten raises the floor for all unknown sessions.
+    pub(crate) fn remember(&mut self, session: Arc<str>, commit: f64) {
+        if self.settings.tokens_carried {
+            return;
+        }
+        let known = self.sessions.entry(session.clone()).or_insert(commit);
+        *known = known.max(commit);
+        self.session_order.push_back((session, commit));
+        let over = |(n, commit): (usize, f64)| n > SESSIONS || commit < self.now - SESSION_AGE;
+        while self.session_order.front().is_some_and(|(_, commit)| over((self.session_order.len(), *commit)))
+        {
+            let Some((old, commit)) = self.session_order.pop_front() else { break };
+            if self.sessions.get(&old).is_some_and(|last| *last <= commit) {
+                self.sessions.remove(&old);
+                self.forgotten = self.forgotten.max(commit);
+            }
+        }
+    }
+}
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -13,7 +13,6 @@
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, Terms};
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 /// Housekeeping period, as a share of the shortest aim: fine enough to rescue work within its aim.
 const TICK_SHARE: f64 = 0.1;
@@ -65,10 +64,6 @@
 const BACKOFF_AIM: f64 = 0.12;
 /// A member that left is forgotten after this multiple of `ask_within`, far past every deadline.
 const FORGET_AFTER: f64 = 3.0;
-/// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
-const SESSIONS: usize = 20_000;
-/// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
-const SESSION_AGE: f64 = 60.0;
 /// Cookie of the housekeeping timer; requests use their own number, from 1.
 const HOUSEKEEPING: u64 = 0;
 
@@ -348,11 +343,7 @@
         let now = self.now;
         let c = &self.settings.classes[class];
         // What the request says it must see holds on every site; what is remembered adds to it.
-        let mut token = token.unwrap_or(f64::NEG_INFINITY).max(own.unwrap_or(f64::NEG_INFINITY));
-        if c.consistency == Consistency::Session && !self.settings.tokens_carried {
-            let known = session.as_ref().and_then(|s| self.sessions.get(s));
-            token = token.max(known.copied().unwrap_or(self.forgotten));
-        }
+        let token = token.unwrap_or(f64::NEG_INFINITY).max(own.unwrap_or(f64::NEG_INFINITY));
         // Nobody waits longer than a class's clients do; guards against a request that says it would.
         let left = left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted.unwrap_or(0.0)).min(left);
@@ -570,7 +561,8 @@
     pub(crate) fn needed(&self, request: &Request) -> f64 {
         match self.settings.classes[request.class].consistency {
             Consistency::Bounded(bound) => request.token.max(self.now - bound),
-            Consistency::Any | Consistency::Session => request.token,
+            Consistency::Session => self.own_writes(request),
+            Consistency::Any => request.token,
             Consistency::Write | Consistency::Fresh => f64::INFINITY,
         }
     }
@@ -734,7 +726,7 @@
         if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
             request.risky = Some((sent, m));
         }
-        let session = request.session.clone().filter(|_| write && outcome == Outcome::Ok);
+        let session = request.session.clone().filter(|_| write);
         let Latency { mean, deviation, .. } = self.latency[class];
         let member = &mut self.members[m];
         member.in_flight = member.in_flight.saturating_sub(1);
@@ -798,8 +790,7 @@
             out.push(Action::LetGo { member: self.members[m].id.clone() });
         }
         if let Some(session) = session {
-            // An answer that does not tell the commit leaves no doubt that it was before now.
-            self.remember(session, position.filter(|p| *p <= self.now).unwrap_or(self.now));
+            self.wrote_once(session, outcome, position);
         }
         if finished || self.requests.get(&n).is_none_or(|r| r.done) {
             return self.finish(n, out);
@@ -824,25 +815,6 @@
         self.advance(n, out);
     }
 
-    /// Remembers a session's last commit; what is forgotten raises the floor for all unknown sessions.
-    pub(crate) fn remember(&mut self, session: Arc<str>, commit: f64) {
-        if self.settings.tokens_carried {
-            return;
-        }
-        let known = self.sessions.entry(session.clone()).or_insert(commit);
-        *known = known.max(commit);
-        self.session_order.push_back((session, commit));
-        let over = |(n, commit): (usize, f64)| n > SESSIONS || commit < self.now - SESSION_AGE;
-        while self.session_order.front().is_some_and(|(_, commit)| over((self.session_order.len(), *commit)))
-        {
-            let Some((old, commit)) = self.session_order.pop_front() else { break };
-            if self.sessions.get(&old).is_some_and(|last| *last <= commit) {
-                self.sessions.remove(&old);
-                self.forgotten = self.forgotten.max(commit);
-            }
-        }
-    }
-
     /// Moves held requests: those whose primary is known go out, paced; those out of time are answered.
     fn release(&mut self, group: u32, out: &mut Vec<Action>) {
         let Some(state) = self.groups.get_mut(&group) else { return };
