Calls for the list come every 4 to 5 s at the longest, so that the fleet hears within 6 s

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before. Found by reading, then confirmed in simulation: `routing/calls.rs` `failed` backed off to half of `askWithin` times 0.5 to 1.5 (7.5 s at 10 s), and `silent` put a call that hung (3 s) on the same back-off: up to 10.5 s from call to call.

Mend: from call to call, waits in line and hung calls included, 4 s and up to one more by a draw of its own. All of a fleet then come evenly spread over that time, the most that a service which has just come back can take: shorter waits collapse it, since a call that waited in vain takes its time all the same. Options: U[1.4, 4.2] s (107 a second at 300: lines of dead calls at a slow service), growth as before (breaks the term), one fixed period (poolers that fell out together stay together).

Simulated: the oracle of `simulation` now counts a change as told 6 s after discovery can be reached again (10 s before), also what was on its way when connections broke. New cases: outages of 3 and 40 s, silence of 40 s, for 1 and 350 poolers; all kept. What cannot be done in time: 100 poolers at a service of 20 calls a second need 5 s of it alone; some are answered after 8 s.

Tests: routing/src/calls/tests.rs (moved out of calls.rs). The two that pinned the old waits (0.625 to 5 s; fewer than 18 calls in 100 s where calls hang) contradict the term; in their place: the waits to 4.5 s, at most 27 calls in 100 s, and 1, 20, 300 and 350 callers answered within 6 s of the return with the calls a second bounded.

--- /dev/null
+++ b/crates/routing/src/calls/tests.rs
@@ -0,0 +1,200 @@
+use super::*;
+
+/// A service that answers so many calls a second in turn; one that has waited `PATIENCE` fails, and takes its time.
+struct Service {
+    rate: f64,
+    free: f64,
+    /// It turns calls down at once until then, or takes them and says nothing.
+    down_until: f64,
+    hangs_until: f64,
+}
+
+const PATIENCE: f64 = 1.0;
+/// A call without an answer for so long is given up.
+const GIVEN_UP: f64 = 3.0;
+
+/// What became of a call.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Answered,
+    TurnedDown,
+    Hung,
+}
+
+impl Service {
+    /// When a call made now comes to its end, and to which.
+    fn call(&mut self, now: f64) -> (f64, End) {
+        if now < self.hangs_until {
+            return (now + GIVEN_UP, End::Hung);
+        }
+        if now < self.down_until {
+            return (now + 0.001, End::TurnedDown);
+        }
+        self.free = self.free.max(now) + 1.0 / self.rate;
+        let waits = self.free - now;
+        if waits <= PATIENCE {
+            (self.free, End::Answered)
+        } else {
+            (now + PATIENCE, End::TurnedDown)
+        }
+    }
+}
+
+/// What was seen of so many proxies at a service.
+struct Seen {
+    /// How long after 100 s the last of them followed the list.
+    last: f64,
+    /// Calls that came to nothing.
+    vain: usize,
+    /// Most calls in any second.
+    most: usize,
+}
+
+/// So many proxies call until all follow the list; `begin` says how each of them begins at 100 s.
+fn together(fleet: u32, mut service: Service, begin: impl Fn(&mut Calls, f64), seed: u64) -> Seen {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut calls = vec![Calls::default(); fleet as usize];
+    calls.iter_mut().for_each(|c| begin(c, rng.f64()));
+    let mut ends: Vec<(f64, usize, End)> = Vec::new();
+    let (mut last, mut vain, mut made) = (100.0, 0, Vec::new());
+    for step in 0..9_000u32 {
+        let now = 100.0 + f64::from(step) * 0.01;
+        for (n, c) in calls.iter_mut().enumerate().filter(|_| step % 10 == 0) {
+            if c.due(now) {
+                let (at, end) = service.call(now);
+                ends.push((at, n, end));
+                made.push(now);
+            }
+        }
+        ends.retain(|&(at, n, end)| {
+            if at <= now {
+                match end {
+                    End::Answered => {
+                        calls[n].told();
+                        last = now;
+                    }
+                    End::TurnedDown => {
+                        calls[n].failed(now, 10.0, rng.f64());
+                    }
+                    End::Hung => {
+                        calls[n].silent(now, fleet, rng.f64());
+                    }
+                }
+                vain += usize::from(end != End::Answered);
+            }
+            at > now
+        });
+    }
+    assert!(calls.iter().all(|c| c.following), "{fleet} proxies, seed {seed}");
+    let most = made.iter().map(|from| made.iter().filter(|at| (*from..from + 1.0).contains(*at)).count());
+    Seen { last: last - 100.0, vain, most: most.max().unwrap_or(0) }
+}
+
+fn at_once(rate: f64) -> Service {
+    Service { rate, free: 0.0, down_until: 0.0, hangs_until: 0.0 }
+}
+
+/// A hundred at 20 calls a second need five seconds for themselves alone, so that some of them fail.
+/// Of a hundred proxies sixty failed together, called together again, and none was answered for ten seconds.
+#[test]
+fn proxies_that_start_together_are_all_answered() {
+    for seed in 0..20 {
+        for (fleet, rate, within) in
+            [(100, 20.0, 10.0), (100, 30.0, 6.0), (300, 80.0, 5.0), (350, 77.0, 6.0), (5, 20.0, 1.0)]
+        {
+            let start = |c: &mut Calls, draw| c.started(100.0, fleet, draw);
+            let seen = together(fleet, at_once(rate), start, seed);
+            assert!(seen.last < within, "{} s for {fleet}, {} in vain, seed {seed}", seen.last, seen.vain);
+            assert!(seen.vain * 2 < fleet as usize, "{} of {fleet} in vain, seed {seed}", seen.vain);
+        }
+    }
+}
+
+/// A change that was made while calls were turned down counts as told 6 s after discovery is back, however long it was away.
+#[test]
+fn after_an_outage_the_whole_fleet_hears_within_six_seconds() {
+    for seed in 0..10 {
+        for (fleet, away) in
+            [(1, 3.0), (1, 60.0), (20, 60.0), (300, 4.0), (300, 20.0), (300, 60.0), (350, 60.0)]
+        {
+            let service = Service { down_until: 100.0 + away, ..at_once(80.0) };
+            let lost = |c: &mut Calls, draw| assert!(c.failed(100.0, 10.0, draw));
+            let seen = together(fleet, service, lost, seed);
+            assert!(seen.last < away + 6.0, "{} s for {fleet}, away {away} s, seed {seed}", seen.last);
+            // Its price while discovery is away: the first ones come soon, later a quarter of the fleet a second.
+            assert!(seen.most <= 3 + fleet as usize * 2, "{} calls in a second of {fleet}", seen.most);
+        }
+    }
+}
+
+/// The same where discovery takes calls and says nothing: each is given up after 3 s.
+#[test]
+fn after_a_silence_the_whole_fleet_hears_within_six_seconds() {
+    for seed in 0..10 {
+        for (fleet, away) in [(1, 3.0), (1, 60.0), (20, 60.0), (300, 20.0), (300, 60.0), (350, 60.0)] {
+            let service = Service { hangs_until: 100.0 + away, ..at_once(80.0) };
+            let lost = |c: &mut Calls, draw| assert!(c.silent(100.0, fleet, draw));
+            let seen = together(fleet, service, lost, seed);
+            assert!(seen.last < away + 6.0, "{} s for {fleet}, away {away} s, seed {seed}", seen.last);
+        }
+    }
+}
+
+/// Calls of one proxy grow rarer, and stay as frequent as what counts as told needs.
+#[test]
+fn what_fails_is_asked_again_soon_and_then_every_four_to_five_seconds() {
+    let mut calls = Calls::default();
+    let mut waits = Vec::new();
+    let mut now = 100.0;
+    for _ in 0..8 {
+        assert!(calls.due(now));
+        calls.failed(now, 10.0, 0.5);
+        waits.push(calls.again - now);
+        now = calls.again;
+    }
+    assert_eq!(waits, [0.625, 1.25, 2.5, 4.5, 4.5, 4.5, 4.5, 4.5]);
+    assert!(calls.due(now) && calls.told() && !calls.due(now + 100.0));
+    // Over a fleet of 300: 67 calls a second where they are turned down, and where they hang.
+    for hangs in [false, true] {
+        let (mut calls, mut now, mut made) = (Calls::default(), 100.0f64, 0);
+        while now < 200.0 {
+            now = now.max(calls.again);
+            assert!(calls.due(now));
+            made += 1;
+            let from = now;
+            if hangs {
+                now += GIVEN_UP;
+                calls.silent(now, 300, 0.5);
+            } else {
+                calls.failed(now, 10.0, 0.5);
+            }
+            assert!(calls.again - from <= 5.0, "{calls:?}");
+        }
+        assert!(made <= 27, "{made} calls in 100 s");
+    }
+}
+
+/// A call that hung counted as one that had stood in line for five seconds, and the next came 5.5 s after it.
+#[test]
+fn what_falls_silent_is_called_for_within_what_counts_as_told() {
+    for (fleet, draw) in [(1, 1.0), (6, 0.0), (6, 1.0), (350, 1.0)] {
+        let mut calls = Calls::default();
+        assert!(calls.due(100.0));
+        assert!(calls.silent(103.0, fleet, draw), "a call that hangs");
+        assert!(calls.again <= 103.5, "{calls:?}");
+        calls.told();
+        assert!(calls.silent(110.0, fleet, draw), "a watch");
+        assert!(calls.again <= 112.0 && (fleet > 1 || calls.again == 110.0), "{calls:?}");
+        assert!(fleet == 1 || draw == 0.0 || calls.again > 111.5, "they leave each other room: {calls:?}");
+        // Turned down again and again: the calls keep coming until what was hidden counts as told.
+        let (mut now, mut made) = (calls.again, 0);
+        while now < 113.0 {
+            assert!(calls.due(now));
+            calls.failed(now, 10.0, draw);
+            assert!(calls.again - now < 1.0, "{calls:?}");
+            now = calls.again;
+            made += 1;
+        }
+        assert!((1..=10).contains(&made), "{made} calls of one proxy");
+    }
+}
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -142,7 +142,7 @@
             // The old list holds; a failing registry is asked again with a growing, jittered back-off.
             let (within, fleet, draw) = (self.settings.ask_within, self.settings.fleet_size, self.rng.f64());
             let lost = match kind {
-                ListKind::Silent => self.calls.silent(self.now, within, fleet, draw),
+                ListKind::Silent => self.calls.silent(self.now, fleet, draw),
                 _ => self.calls.failed(self.now, within, draw),
             };
             if lost {
@@ -152,7 +152,7 @@
         }
         if kind == ListKind::Saved {
             let draw = self.rng.f64();
-            self.calls.started(self.now, self.settings.ask_within, self.settings.fleet_size, draw);
+            self.calls.started(self.now, self.settings.fleet_size, draw);
         } else if self.calls.told() {
             out.push(Action::Log("member list is back".into()));
         }
@@ -843,7 +843,7 @@
     fn housekeep(&mut self, out: &mut Vec<Action>) {
         self.ticking = false;
         let settings = &self.settings;
-        if settings.subscribe && self.calls.due(self.now, settings.ask_within) {
+        if settings.subscribe && self.calls.due(self.now) {
             out.push(Action::Listen);
         }
         let silence = self.silence();
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,8 +24,11 @@
 /// How long a call for the list may wait in line, and how often a watch brings an empty line (seconds).
 const CALL_PATIENCE: f64 = 2.0;
 const BEAT: f64 = 2.0;
-/// What a silent watch misses counts as told so long after it fell silent (seconds).
+/// What a silent watch misses counts as told so long after it fell silent (seconds), and what discovery has, whatever became of
+/// the calls for it, so long after it could be reached again.
 const SILENCE_COUNTS: f64 = 6.0;
+/// A silence that has lasted for so long when discovery answers again (seconds) counts by that return.
+const OUTLASTED: f64 = 2.0;
 /// How long after a drain was told something new may still go there, and an answer after its time (seconds).
 const GRACE: f64 = 0.25;
 const SLACK: f64 = 0.05;
@@ -621,8 +624,13 @@
             let open = pooler.lines.iter().filter(|(_, wire)| wire.answered && !wire.hushed);
             let open: Vec<Line> = open.map(|(line, _)| *line).collect();
             if open.is_empty() && entry.phase != Phase::Active {
-                let anew = self.now.max(self.back) + self.shape.settings.ask_within;
-                let counts = pooler.hushed.map_or(anew, |at| self.now.max(at + SILENCE_COUNTS));
+                let anew = self.now.max(self.back) + SILENCE_COUNTS;
+                let counts = match pooler.hushed {
+                    // Not before it can be reached: see `reachable`.
+                    _ if self.down || self.hangs => f64::INFINITY,
+                    Some(at) => self.now.max(at + SILENCE_COUNTS),
+                    None => anew,
+                };
                 pooler.told.entry(entry.member.clone()).or_insert(counts);
             }
             if let Some(&line) = open.last() {
@@ -633,8 +641,27 @@
         }
     }
 
-    /// Ends all connections to discovery.
+    /// Discovery can be reached again: what it had to tell meanwhile counts from now on.
+    fn reachable(&mut self) {
+        self.back = self.now;
+        for pooler in &mut self.poolers {
+            let counts = match pooler.hushed {
+                Some(at) if at + OUTLASTED >= self.now => at + SILENCE_COUNTS,
+                _ => self.now + SILENCE_COUNTS,
+            };
+            pooler.told.values_mut().filter(|at| **at == f64::INFINITY).for_each(|at| *at = counts);
+        }
+    }
+
+    /// Ends all connections to discovery. What was on its way over them counts as told all the same.
     fn part(&mut self) {
+        let counts = if self.down { f64::INFINITY } else { self.now + SILENCE_COUNTS };
+        let unlisted: Vec<MemberId> =
+            self.machines.iter().filter(|m| m.phase != Phase::Active).map(|m| m.name.clone()).collect();
+        for pooler in &mut self.poolers {
+            unlisted.iter().for_each(|name| drop(pooler.told.entry(name.clone()).or_insert(counts)));
+        }
+
         for n in 0..self.poolers.len() {
             let lines: Vec<Line> = self.poolers[n].lines.keys().copied().collect();
             for line in lines {
@@ -693,10 +720,15 @@
                 if down {
                     self.part();
                 } else {
-                    self.back = self.now;
+                    self.reachable();
+                }
+            }
+            Trouble::Hang(hangs) => {
+                self.hangs = hangs;
+                if !hangs {
+                    self.reachable();
                 }
             }
-            Trouble::Hang(hangs) => self.hangs = hangs,
             Trouble::Freeze(m, on) => self.machines[m].frozen = on.then_some(self.now),
             Trouble::Cut(zone, true) => drop(self.cut.insert(zone)),
             Trouble::Cut(zone, false) => drop(self.cut.remove(&zone)),
--- a/crates/simulation/tests/drains.rs
+++ b/crates/simulation/tests/drains.rs
@@ -12,10 +12,14 @@
 const MACHINES: usize = 120;
 
 fn world(seed: u64) -> World {
-    let settings = settings(POOLERS as u32);
+    sized(seed, POOLERS)
+}
+
+fn sized(seed: u64, poolers: usize) -> World {
+    let settings = settings(poolers as u32);
     let (zones, groups, replicas) = (3, 30, 3);
     let (rate, service, capacity) = (1_500.0, 0.05, 40.0);
-    let (poolers, list_delay, call) = (POOLERS, 0.1, 0.011);
+    let (list_delay, call) = (0.1, 0.011);
     World::new(Shape {
         seed,
         poolers,
@@ -72,6 +76,37 @@
     kept(&world.run(27.0), POOLERS * 8);
 }
 
+/// However long discovery was away, what changed meanwhile is heard within 6 s of its return: by one pooler, by the whole fleet.
+#[rstest]
+#[case::one_alone(11, 1, 3.0, 7_000)]
+#[case::after_a_short_outage(12, POOLERS, 3.0, POOLERS * 9)]
+#[case::after_a_long_outage(13, POOLERS, 40.0, POOLERS * 15)]
+fn discovery_that_was_down_while_machines_began_to_drain(
+    #[case] seed: u64,
+    #[case] poolers: usize,
+    #[case] away: f64,
+    #[case] calls: usize,
+) {
+    let mut world = sized(seed, poolers);
+    world.trouble(7.0, Trouble::Down(true));
+    world.trouble(7.0 + away, Trouble::Down(false));
+    drain(&mut world, 7.0 + away - 0.5);
+    kept(&world.run(16.0 + away), calls);
+}
+
+/// The same where it takes calls and says nothing, so that each of them is given up.
+#[rstest]
+#[case::one_alone(14, 1)]
+#[case::the_fleet(15, POOLERS)]
+fn discovery_that_said_nothing_while_machines_began_to_drain(#[case] seed: u64, #[case] poolers: usize) {
+    let mut world = sized(seed, poolers);
+    world.trouble(7.0, Trouble::Hang(true));
+    world.trouble(7.0, Trouble::Reset);
+    world.trouble(47.0, Trouble::Hang(false));
+    drain(&mut world, 46.5);
+    kept(&world.run(56.0), poolers * 16);
+}
+
 /// Calls made in these two seconds are never answered; a drain comes in the middle.
 #[test]
 fn calls_that_hang_around_a_drain() {
