--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -659,7 +659,9 @@
         let unlisted: Vec<MemberId> =
             self.machines.iter().filter(|m| m.phase != Phase::Active).map(|m| m.name.clone()).collect();
         for pooler in &mut self.poolers {
-            unlisted.iter().for_each(|name| drop(pooler.told.entry(name.clone()).or_insert(counts)));
+            for name in &unlisted {
+                pooler.told.entry(name.clone()).or_insert(counts);
+            }
         }
 
         for n in 0..self.poolers.len() {
