Clients: a lingering close, an end seen behind unread bytes, and requests that can be cancelled

Over unread bytes that is a reset, and a request that had just come on an evicted connection was dropped unread.
Now what has come is looked at first; then the sending is ended and what comes is read and thrown away for 0.3 s (1 s after an error), never sent on.
At most four linger beyond the limit, on spare descriptors.
- While a request is busy and the buffer full of pipelined input, `turn` saw no end of the connection.
The poll's word that the peer has ended its sending counts now.
Beyond what the system takes in besides (its window) TCP does not deliver the end: that cannot be seen.
- `Startup::Cancel` dropped the connection, and BackendKeyData was zeros.
A CancelRequest with the key of a connection now ends its request like a client that has gone, which is told 57014.
A key that fits nobody does nothing.
- After SIGTERM a message that has begun is waited for, 2 s at the most: a part of it had been read here and was dropped.

Ruled out: requests that are held, connecting or to be repeated are not sent for a client that has left (stories pass before and after); descriptors for discovery and machines are kept free with clients in all places (at most 22 of 22 open); 60 starts at once answer a front without discovery.

--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -14,8 +14,16 @@
 
 /// Pause before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_AGAIN: f64 = 0.1;
-/// How long a client that is told of its fault may take to read it before the connection ends (seconds).
+/// How long a connection that is ended from here is still read from, what comes being thrown away (seconds): a lingering close,
+/// for a client that is told something, ...
 const LINGER: f64 = 1.0;
+/// ... and for one at rest, which is to see the end. Guards what was written last against the reset that a close over
+/// unread bytes would be.
+const PARTING: f64 = 0.3;
+/// Pause between two buffers that are thrown away on one that lingers (seconds): some 8 MiB a second.
+const DISCARD: f64 = 0.02;
+/// Connections that linger beside as many as the limit admits; each takes one of the spare descriptors.
+const LINGERERS: usize = 4;
 /// How long a client may take to ask for the first time, to complete a message that it has begun, and to read
 /// what it is told (seconds). Guards against those who come to hold a place.
 const PROMPT: f64 = 2.0;
@@ -65,6 +73,13 @@
     asked: bool,
     /// There may be more to read, which no event will announce.
     more: bool,
+    /// The client has ended its sending: what is unread of it is all that comes.
+    half_closed: bool,
+    /// The sending has been ended from here, and how long the connection lingers.
+    shut: bool,
+    ends_at: f64,
+    /// By this, together with its place, it may ask on another connection for its request to be cancelled.
+    secret: u32,
     /// When it was last heard of.
     active: f64,
     /// Since when something has been due from the client: a first query, the rest of a message, or that it
@@ -77,6 +92,16 @@
     fn turn(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
         self.active = context.reactor.now();
         self.more = false;
+        self.turn_once(slot, serving, context)?;
+        // Its end may lie behind more unread bytes than a buffer holds: nothing more is begun for a client that has gone.
+        let waits = matches!(self.stage, Stage::Busy | Stage::Unready);
+        if self.half_closed && waits {
+            return Err(Over);
+        }
+        Ok(())
+    }
+
+    fn turn_once(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
         while self.stage != Stage::Ending {
             let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
             if fill == Fill::Ended {
@@ -99,13 +124,17 @@
                 return if stuck { self.fatal(slot, code::NO_MEMORY, "no memory", context) } else { Ok(()) };
             }
         }
-        // One buffer is thrown away and the rest is left unread until the time is over: guards the loop against
-        // a sender that does not stop.
+        // A buffer at a time is thrown away, with a pause between: guards the loop against a sender that does not stop.
         self.flush()?;
-        if self.inbox.fill(&mut self.stream).map_err(|_| Over)? == Fill::Ended {
+        let fill = self.inbox.fill(&mut self.stream).map_err(|_| Over)?;
+        if fill == Fill::Ended {
             return Err(Over);
         }
         self.inbox.skip(self.inbox.len());
+        if fill == Fill::Full {
+            self.more = true;
+            context.reactor.timer(self.active + DISCARD, Due::Client(slot));
+        }
         Ok(())
     }
 
@@ -151,9 +180,9 @@
     /// Whether something is due from the client.
     fn owes(&self) -> bool {
         match self.stage {
-            Stage::Startup | Stage::Ending => true,
+            Stage::Startup => true,
             Stage::Idle => !self.asked || !self.inbox.is_empty() || !self.outbox.is_empty(),
-            Stage::Busy | Stage::Unready => false,
+            Stage::Busy | Stage::Unready | Stage::Ending => false,
         }
     }
 
@@ -161,10 +190,13 @@
         match first {
             Startup::Encryption => self.outbox.push(b"N")?,
             Startup::Session => {
-                self.outbox.push(&pgwire::welcome())?;
+                self.outbox.push(&pgwire::welcome((slot.number() as u32, self.secret)))?;
                 self.stage = Stage::Idle;
             }
-            Startup::Cancel => return Err(Over),
+            Startup::Cancel(key) => {
+                context.events.push_back(Event::Cancel(key));
+                return Err(Over);
+            }
             Startup::Unknown => self.fatal(slot, code::UNSUPPORTED, "unknown protocol", context)?,
         }
         Ok(())
@@ -228,15 +260,22 @@
     fn fatal(&mut self, slot: Slot, code: &str, what: &str, context: &mut Context) -> Result<(), Over> {
         context.counters.malformed += 1;
         self.outbox.push(&pgwire::error("FATAL", code, what, None))?;
-        self.end(slot, context);
+        self.end(slot, LINGER, context);
         Ok(())
     }
 
-    /// From now on the client is only given the time to read what it was told.
-    fn end(&mut self, slot: Slot, context: &mut Context) {
-        let now = context.reactor.now();
-        (self.stage, self.owing) = (Stage::Ending, Some(now));
-        context.reactor.timer(now + LINGER, Due::Client(slot));
+    /// From now on the client is only given the time to read what it was told, and to see that this is all: nothing that comes
+    /// is taken up any more.
+    fn end(&mut self, slot: Slot, within: f64, context: &mut Context) {
+        (self.stage, self.ends_at) = (Stage::Ending, context.reactor.now() + within);
+        context.reactor.timer(self.ends_at, Due::Client(slot));
+    }
+
+    /// Ends a connection on which nothing is owed.
+    fn part(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
+        let within = if self.outbox.is_empty() { PARTING } else { LINGER };
+        self.end(slot, within, context);
+        self.turn(slot, serving, context)
     }
 
     /// Writes what there is to write; true when all is written.
@@ -247,7 +286,8 @@
             // Who reads slowly reads all the same: its time starts anew.
             self.owing = None;
         }
-        if written && self.stage == Stage::Ending {
+        // Once: each further time wakes the loop for this very connection again, without end.
+        if written && self.stage == Stage::Ending && !std::mem::replace(&mut self.shut, true) {
             // Ends the sending only: closing with input unread would reset the connection, and the client
             // might lose the message that says why.
             let _ = self.stream.shutdown(Shutdown::Write);
@@ -292,13 +332,14 @@
     serving: bool,
     /// Another process takes in who comes to the listener.
     paused: bool,
+    rng: fastrand::Rng,
 }
 
 impl Clients {
     pub fn new(
         mut listener: TcpListener,
         limit: usize,
-        budget: Budget,
+        (budget, seed): (Budget, u64),
         context: &mut Context,
     ) -> io::Result<Clients> {
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
@@ -314,6 +355,7 @@
             quiet_until: 0.0,
             serving: false,
             paused: false,
+            rng: fastrand::Rng::with_seed(seed ^ 0x5ec2e7),
         })
     }
 
@@ -342,23 +384,29 @@
     }
 
     fn accept_from(&mut self, previous: bool, context: &mut Context) {
-        while let Some(listener) = if previous { &self.previous } else { &self.listener } {
+        self.full = false;
+        loop {
             // At the limit a connection between requests makes room; where all are busy, new ones wait. It
             // does so only once a new one is there: one descriptor of the spares is used for that moment.
             let now = context.reactor.now();
-            // One that is being ended goes first.
-            let full = self.conns.len() >= self.limit;
-            let ending = || longest(&self.conns, |conn| conn.stage == Stage::Ending);
-            let idlest = if full { ending().or_else(|| longest(&self.conns, Conn::rests)) } else { None };
-            if full && idlest.is_none() {
+            let lingerers = self.lingerers();
+            let full = self.conns.len() >= self.limit + lingerers.min(LINGERERS);
+            let idlest = if full { self.at_rest(context) } else { None };
+            if full && idlest.is_none() && lingerers <= LINGERERS {
                 self.full = true;
-                let clients = self.conns.len();
+                let clients = self.conns.len() - lingerers;
                 return self.complain(now, &format!("{clients} clients, all busy: new connections wait"));
             }
+            let Some(listener) = (if previous { &self.previous } else { &self.listener }) else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if let Some(slot) = idlest {
-                        self.conns.remove(slot);
+                    // Those that have lingered for longest go before there are too many.
+                    if full && lingerers >= LINGERERS {
+                        let longest = longest(&self.conns, |conn| conn.stage == Stage::Ending);
+                        longest.map(|slot| self.conns.remove(slot));
+                    }
+                    if let Some(slot) = idlest.filter(|_| full && lingerers <= LINGERERS) {
+                        self.part(slot, context);
                     }
                     self.admit(stream, context);
                 }
@@ -375,6 +423,34 @@
         }
     }
 
+    /// Connections that linger.
+    fn lingerers(&self) -> usize {
+        self.conns.iter().filter(|(_, conn)| conn.stage == Stage::Ending).count()
+    }
+
+    /// The connection that has been between requests for longest. What has come on it meanwhile is looked at first: a request
+    /// that was about to be read is taken up.
+    fn at_rest(&mut self, context: &mut Context) -> Option<Slot> {
+        while let Some(slot) = longest(&self.conns, Conn::rests) {
+            let conn = self.conns.get_mut(slot)?;
+            let active = conn.active;
+            let result = conn.turn(slot, self.serving, context);
+            if result.is_ok() && conn.rests() {
+                conn.active = active;
+                return Some(slot);
+            }
+            self.settle(slot, result, context);
+        }
+        None
+    }
+
+    /// Ends a connection that is between requests; it lingers.
+    fn part(&mut self, slot: Slot, context: &mut Context) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let result = conn.part(slot, self.serving, context);
+        self.settle(slot, result, context);
+    }
+
     /// Where new clients come in, of the two addresses at most.
     pub fn listen_on(&mut self, mut listener: TcpListener, context: &mut Context) -> io::Result<()> {
         context.reactor.registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
@@ -400,9 +476,9 @@
     /// come to rest.
     pub fn set_limit(&mut self, limit: usize, context: &mut Context) {
         self.limit = limit;
-        while self.conns.len() > self.limit {
-            let Some(slot) = longest(&self.conns, Conn::rests) else { break };
-            self.conns.remove(slot);
+        while self.conns.len() > self.limit + self.lingerers() {
+            let Some(slot) = self.at_rest(context) else { break };
+            self.part(slot, context);
             context.counters.rested += 1;
         }
         if std::mem::replace(&mut self.full, false) {
@@ -415,7 +491,7 @@
         let now = context.reactor.now();
         context.reactor.timer(now + SWEEP, Due::Rested);
         loop {
-            let rest = match self.conns.len() {
+            let rest = match self.conns.len() - self.lingerers() {
                 places if places > self.limit / 2 => RESTING_CROWDED,
                 places if places > self.limit / 4 => RESTING,
                 _ => return,
@@ -423,8 +499,12 @@
             // Those who have not asked yet have their own time limit.
             let rested = |conn: &Conn| conn.asked && conn.rests() && now >= conn.active + rest;
             let Some(slot) = longest(&self.conns, rested) else { return };
-            self.conns.remove(slot);
-            context.counters.rested += 1;
+            // A request that has come meanwhile is taken up: it is no longer at rest then.
+            self.ready(slot, context);
+            if self.conns.get(slot).is_some_and(Conn::rests) {
+                self.part(slot, context);
+                context.counters.rested += 1;
+            }
         }
     }
 
@@ -447,6 +527,10 @@
             skipping: false,
             asked: false,
             more: false,
+            half_closed: false,
+            shut: false,
+            ends_at: f64::INFINITY,
+            secret: self.rng.u32(..),
             active,
             owing: None,
         };
@@ -468,22 +552,43 @@
         self.settle(slot, result, context);
     }
 
+    /// A client has ended its sending, or its connection is reset: it waits for nothing any more.
+    pub fn half_closed(&mut self, slot: Slot, context: &mut Context) {
+        self.conns.get_mut(slot).into_iter().for_each(|conn| conn.half_closed = true);
+        self.ready(slot, context);
+    }
+
+    /// The connection that has been given this key, by which its request may be cancelled.
+    pub fn of_key(&self, (number, secret): (u32, u32)) -> Option<Slot> {
+        let own = |(slot, conn): &(Slot, &Conn)| slot.number() as u32 == number && conn.secret == secret;
+        self.conns.iter().find(own).map(|(slot, _)| slot)
+    }
+
+    /// The request of a connection has been cancelled by its client, which is told so.
+    pub fn cancelled(&mut self, slot: Slot, context: &mut Context) {
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.stage == Stage::Busy) else { return };
+        conn.stage = Stage::Idle;
+        let told = conn.error(code::CANCELLED, "cancelled on request", None);
+        let result = told.and_then(|()| conn.turn(slot, self.serving, context));
+        self.settle(slot, result, context);
+    }
+
     /// Ends a connection that is over, or that is between requests while all are to end.
     fn settle(&mut self, slot: Slot, result: Result<(), Over>, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let busy = conn.stage == Stage::Busy;
-        let closing = self.listener.is_none() && !busy;
-        if closing && !conn.outbox.is_empty() && conn.stage != Stage::Ending {
-            // An answer is still to be written, but not for ever: whoever does not read would keep the end.
-            conn.end(slot, context);
-        }
+        // An answer that is still to be written is, but not for ever: whoever does not read would keep the end. A message that
+        // has begun is waited for, as long as ever: a part of it has been read here already.
+        let begun = conn.stage == Stage::Idle && !conn.inbox.is_empty();
+        let closing = self.listener.is_none() && !busy && !begun && conn.stage != Stage::Ending;
+        let result = if closing && result.is_ok() { conn.part(slot, self.serving, context) } else { result };
         if !conn.owes() {
             conn.owing = None;
         } else if conn.owing.is_none() {
             conn.owing = Some(conn.active);
             context.reactor.timer(conn.active + PROMPT, Due::Client(slot));
         }
-        if result.is_err() || closing && conn.outbox.is_empty() {
+        if result.is_err() {
             if busy {
                 context.events.push_back(Event::Gone(slot));
             }
@@ -540,19 +645,30 @@
         if self.conns.get_mut(slot).is_some_and(|conn| conn.more) {
             self.ready(slot, context);
         }
+        // Guards a request that has come in this instant: it is taken up before it is looked at what is overdue.
+        if self.conns.get(slot).is_some_and(|conn| conn.owing.is_some_and(|since| now >= since + PROMPT)) {
+            self.ready(slot, context);
+        }
         let Some(conn) = self.conns.get_mut(slot) else { return };
         // Timers are not withdrawn: this one may belong to what the client has done meanwhile.
-        let patience = if conn.stage == Stage::Ending { LINGER } else { PROMPT };
-        if conn.owing.is_none_or(|since| now < since + patience) {
+        if conn.stage == Stage::Ending {
+            if now >= conn.ends_at {
+                self.settle(slot, Err(Over), context);
+            }
+            return;
+        }
+        if conn.owing.is_none_or(|since| now < since + PROMPT) {
             return;
         }
-        context.counters.overdue += u64::from(conn.stage != Stage::Ending);
+        context.counters.overdue += 1;
         // A message that does not end is answered; one that was never begun is not, since the end of a
         // connection is no answer to a request that crosses it.
-        let unfinished = !conn.inbox.is_empty() && conn.outbox.is_empty() && conn.stage != Stage::Ending;
+        let unfinished = !conn.inbox.is_empty() && conn.outbox.is_empty();
         let result = if unfinished {
             conn.fatal(slot, code::VIOLATION, "message not completed in time", context)
                 .and_then(|()| conn.turn(slot, self.serving, context))
+        } else if conn.outbox.is_empty() {
+            conn.part(slot, self.serving, context)
         } else {
             Err(Over)
         };
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -258,8 +258,9 @@
 
 /// Whom the loop tells.
 pub(crate) trait Handler {
-    /// A source may be read from or written to, or has ended.
-    fn ready(&mut self, source: Source, context: &mut Context);
+    /// A source may be read from or written to. Where it is a connection `half_closed` by its peer, what that still sends lies
+    /// before the end and is all that will come.
+    fn ready(&mut self, source: Source, half_closed: bool, context: &mut Context);
     /// A timer came due.
     fn due(&mut self, due: Due, context: &mut Context);
     /// Whether there is nothing left to wait for.
@@ -275,7 +276,7 @@
             result => result?,
         }
         for event in &events {
-            handler.ready(event.token().into(), context);
+            handler.ready(event.token().into(), event.is_read_closed(), context);
         }
         let now = context.reactor.now();
         while let Some(due) = context.reactor.due(now) {
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -56,6 +56,8 @@
 pub(crate) enum Event {
     Asked(Slot, Box<Query>),
     Gone(Slot),
+    /// On a connection of its own a client has asked for its request to be cancelled, by this key.
+    Cancel((u32, u32)),
     Ended(Box<Ended>),
     Members(ListKind, Vec<Listing>),
     /// An ordinary client's session wants a server, ...
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -263,7 +263,7 @@
         let mut proxy = Proxy {
             policy,
             sessions,
-            clients: Clients::new(listener, clients, budget.clone(), context)?,
+            clients: Clients::new(listener, clients, (budget.clone(), config.seed), context)?,
             servers: Servers::new(sockets - clients, budget.clone(), keepalive, connect_timeout),
             discovery: Discovery::new(effective.discovery, index, pushed, budget.clone()),
             registry: None,
@@ -314,6 +314,14 @@
             match event {
                 Event::Asked(client, query) => self.asked(client, *query, context),
                 Event::Gone(client) => self.gone(client, context),
+                Event::Cancel(key) => {
+                    // One that has not been taken in yet, or is answered already, is none to cancel.
+                    let client = self.clients.of_key(key).filter(|client| self.asking.contains_key(client));
+                    if let Some(client) = client {
+                        self.gone(client, context);
+                        self.clients.cancelled(client, context);
+                    }
+                }
                 Event::Ended(ended) => self.ended(*ended, context),
                 Event::Members(kind, listings) => self.listed(kind, listings, context),
                 Event::Wanted(slot, wanted) => self.wanted(slot, *wanted, context),
@@ -1025,8 +1033,9 @@
 }
 
 impl Handler for Proxy {
-    fn ready(&mut self, source: Source, context: &mut Context) {
+    fn ready(&mut self, source: Source, half_closed: bool, context: &mut Context) {
         match source {
+            Source::Client(slot) if half_closed => self.clients.half_closed(slot, context),
             Source::Listener => self.clients.accept(context),
             Source::Signals => self.signal(context),
             Source::Client(slot) => self.clients.ready(slot, context),
--- /dev/null
+++ b/crates/daemon/tests/endings.rs
@@ -0,0 +1,311 @@
+//! Stories over loopback of ends that cross something: a client that leaves or cancels in each state of its request,
+//! connections that are closed while bytes are on their way, places that run out while discovery is away, many starts at once.
+
+use std::io::{Read as _, Write as _};
+use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
+
+use peers::*;
+use rstest::rstest;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
+
+const VALUE: &[u8] = b"\x9f\x00\x03";
+/// Room for 3 clients beside the spares.
+const SOCKETS: (&str, &str) = (r#""sockets":1024"#, r#""sockets":22"#);
+
+fn with_one(db: &Db, edits: &[(&str, &str)]) -> (Pooler, Discovery) {
+    let discovery = Discovery::listen();
+    let known = list(41, true, &[db.line("s-1", "here")]);
+    (Pooler::start(PROGRAM, &known, &discovery, edits), discovery)
+}
+
+/// The number that a counter shows.
+fn counted(counters: &str, name: &str) -> u64 {
+    let value = counters.split(&format!(" {name}=")).nth(1).unwrap();
+    value.split(' ').next().unwrap().parse().unwrap()
+}
+
+fn waits_for(pooler: &Pooler, name: &str, value: u64) {
+    while counted(&pooler.counters(), name) < value {}
+}
+
+/// A client whose startup is done, and the key by which its request may be cancelled.
+fn with_key(pooler: &Pooler) -> (Wire, Vec<u8>) {
+    let mut wire = Wire::over(TcpStream::connect(pooler.address).unwrap());
+    wire.send(&startup());
+    let key = wire.answer().into_iter().find(|(kind, _)| *kind == b'K').expect("a key").1;
+    (wire, key)
+}
+
+fn cancel(pooler: &Pooler, key: &[u8]) {
+    let mut wire = Wire::over(TcpStream::connect(pooler.address).unwrap());
+    wire.send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), key].concat());
+    wire.ends();
+}
+
+/// The end of its connection lies behind more unread bytes than a buffer holds.
+#[test]
+fn a_client_that_leaves_behind_what_nobody_has_read_has_gone() {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut client = client(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    // More than the pooler's buffer and less than the system's besides, and the end.
+    let more = query(&ask("2", "reports"));
+    client.send(&more.repeat(200 * 1024 / more.len()));
+    client.0.shutdown(Shutdown::Write).unwrap();
+    let from = Instant::now();
+    wire.ends();
+    assert!(from.elapsed() < Duration::from_secs(4), "given up at its own time only: {:?}", from.elapsed());
+    waits_for(&pooler, "gone", 1);
+    assert_eq!(counted(&pooler.counters(), "taken"), 1);
+}
+
+/// Nothing of a request is written once its client has left while the connection for it was coming up.
+#[rstest]
+#[case::leaves(false)]
+#[case::cancels(true)]
+fn what_waits_for_its_connection_is_not_written_for_a_client_that_has_gone(#[case] cancels: bool) {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let (mut client, key) = with_key(&pooler);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.connection();
+    let mut first = [0; 4];
+    wire.0.read_exact(&mut first).unwrap();
+    if cancels {
+        cancel(&pooler, &key);
+        assert_eq!(client.error().0, "57014");
+    } else {
+        drop(client);
+    }
+    waits_for(&pooler, "gone", 1);
+    // The rest of the startup message, and the end.
+    wire.0.read_exact(&mut vec![0; u32::from_be_bytes(first) as usize - 4]).unwrap();
+    wire.ends();
+}
+
+/// A write waits for the end of the one that looks for the primary, and is not sent for a client that has gone.
+#[rstest]
+#[case::leaves(false)]
+#[case::cancels(true)]
+fn what_is_held_is_not_sent_for_a_client_that_has_gone(#[case] cancels: bool) {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let ((mut first, _), (mut held, key)) = (with_key(&pooler), with_key(&pooler));
+    first.send(&query(&ask("1", "order-write")));
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    held.send(&query(&ask("2", "order-write")));
+    waits_for(&pooler, "taken", 2);
+    if cancels {
+        cancel(&pooler, &key);
+        assert_eq!(held.error().0, "57014");
+    } else {
+        drop(held);
+    }
+    waits_for(&pooler, "gone", 1);
+    wire.send(&served(VALUE, "writer"));
+    assert_eq!(first.answer()[0].0, b'T');
+    first.send(&query(&ask("3", "order-write")));
+    assert!(asked(&mut wire).contains("id=3,"), "the next that the machine gets");
+    assert_eq!(counted(&pooler.counters(), "sent"), 2);
+}
+
+/// A write whose attempt has failed waits for its repeat, which is not sent for a client that has gone.
+#[test]
+fn what_is_to_be_repeated_is_not_sent_for_a_client_that_has_gone() {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let mut writer = client(&pooler);
+    writer.send(&query(&ask("0", "order-write")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    wire.send(&served(VALUE, "writer"));
+    writer.answer();
+    writer.send(&query(&ask("1", "order-write")));
+    asked(&mut wire);
+    // Its connection breaks after the last byte, and no other can be made.
+    drop((wire, db));
+    waits_for(&pooler, "connect_failed", 1);
+    drop(writer);
+    waits_for(&pooler, "gone", 1);
+    let sent = counted(&pooler.counters(), "sent");
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(counted(&pooler.counters(), "sent"), sent);
+}
+
+#[test]
+fn a_request_that_is_out_is_cancelled_by_its_key_alone() {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let (mut client, mut key) = with_key(&pooler);
+    // One that is between requests has nothing to cancel.
+    cancel(&pooler, &key);
+    client.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    key[7] ^= 1;
+    cancel(&pooler, &key);
+    key[7] ^= 1;
+    assert_eq!(counted(&pooler.counters(), "gone"), 0, "another key does nothing");
+    cancel(&pooler, &key);
+    assert_eq!(client.error().0, "57014");
+    // The machine learns of it by the end of the connection; the client's goes on.
+    wire.ends();
+    read_from(&db, &mut client, "2");
+    let counters = pooler.counters();
+    assert_eq!((counted(&counters, "gone"), counted(&counters, "served")), (1, 1));
+}
+
+/// At the limit the one that has rested for longest makes room; a request that it has just sent is taken up first.
+#[test]
+fn a_request_that_crosses_its_eviction_is_served() {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[SOCKETS]);
+    let mut clients: Vec<Wire> = (0..3).map(|_| client(&pooler)).collect();
+    waits_for(&pooler, "clients", 3);
+    pooler.signal("STOP");
+    // The listener is ready before the first client's connection is: the eviction comes first.
+    let mut late = Wire::over(TcpStream::connect(pooler.address).unwrap());
+    late.send(&startup());
+    clients[0].send(&query(&ask("1", "reports")));
+    pooler.signal("CONT");
+    let mut wire = db.accept();
+    assert!(asked(&mut wire).contains("id=1,"));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(clients[0].answer()[0].0, b'T');
+    late.answer();
+    clients[1].ends();
+}
+
+/// A close over unread bytes would be a reset: what comes after the end was told is read, thrown away and never sent on.
+#[test]
+fn what_crosses_the_end_of_a_connection_is_neither_sent_on_nor_answered_with_a_reset() {
+    let db = Db::listen();
+    let (mut pooler, _discovery) = with_one(&db, &[]);
+    let (mut resting, mut busy) = (client(&pooler), client(&pooler));
+    let mut wire = read_from(&db, &mut resting, "0");
+    busy.send(&query(&ask("1", "reports")));
+    asked(&mut wire);
+    pooler.signal("TERM");
+    assert_eq!(resting.0.read(&mut [0]).unwrap(), 0, "told of the end");
+    // A reset would fail the second of them.
+    resting.send(&query(&ask("2", "reports")));
+    resting.send(&query(&ask("3", "reports")));
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(busy.answer()[0].0, b'T');
+    drop((resting, busy));
+    assert_eq!(pooler.ended().code(), Some(0));
+    assert!(pooler.logged(" ends: ").contains("taken=2 "));
+}
+
+/// The sending of a connection that lingers was ended anew at each look, which wakes the loop for it again, without end.
+#[test]
+fn a_connection_that_lingers_does_not_keep_the_loop_busy() {
+    let db = Db::listen();
+    let (pooler, _discovery) = with_one(&db, &[]);
+    let ticks = |pooler: &Pooler| -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", pooler.pid())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    };
+    let mut broken: Vec<Wire> = (0..4).map(|_| client(&pooler)).collect();
+    let before = ticks(&pooler);
+    for wire in &mut broken {
+        wire.send(b"Q\x7f\xff\xff\xff");
+        assert_eq!(wire.error().0, "54000");
+        // It rests until the pooler ends it, which takes a second.
+        wire.ends();
+    }
+    while pooler.counters().contains("clients=0") {}
+    std::thread::sleep(Duration::from_millis(1500));
+    let spent = ticks(&pooler) - before;
+    assert!(spent < 40, "{spent} hundredths of a second of processor time");
+}
+
+/// Clients that wait for the first list take all places; those that discovery and the db machines need are kept.
+#[test]
+fn clients_may_fill_their_places_while_discovery_is_down() {
+    let db = Db::listen();
+    let gone = Discovery::listen();
+    let address = gone.address();
+    let pooler = Pooler::start(PROGRAM, &list(0, true, &[]), &gone, &[SOCKETS]);
+    drop(gone);
+    let descriptors = || std::fs::read_dir(format!("/proc/{}/fd", pooler.pid())).unwrap().count();
+    let mut clients: Vec<Wire> = (0..12)
+        .map(|_| {
+            let mut wire = Wire::over(TcpStream::connect(pooler.address).unwrap());
+            wire.send(&[startup(), query("")].concat());
+            wire
+        })
+        .collect();
+    clients[..3].iter_mut().for_each(|wire| drop(wire.answer()));
+    pooler.logged("all busy: new connections wait");
+    assert!(descriptors() <= 22, "{} descriptors", descriptors());
+    let discovery = Discovery::back_at(address);
+    let (mut watch, _) = discovery.call();
+    let text = list(1, true, &[db.line("s-1", "here")]) + "\n";
+    watch.write_all(&[HEAD.as_bytes(), &chunks([text.as_bytes()])].concat()).unwrap();
+    // Those that waited are told, and make room for the others.
+    for wire in &mut clients[..3] {
+        assert_eq!(wire.answer(), [(b'I', vec![])]);
+    }
+    for wire in &mut clients[3..] {
+        wire.answer();
+        assert_eq!(wire.answer(), [(b'I', vec![])]);
+        assert!(descriptors() <= 22, "{} descriptors", descriptors());
+    }
+    read_from(&db, clients.last_mut().unwrap(), "1");
+}
+
+/// Sixty that start in one instant with a list at hand answer a front, though discovery takes their calls and says nothing.
+#[test]
+fn many_that_are_restarted_at_once_are_ready_without_discovery() {
+    let (db, discovery) = (Db::listen(), Discovery::listen());
+    let known = list(41, true, &[db.line("s-1", "here")]);
+    let begun = Instant::now();
+    let starts: Vec<_> = std::thread::scope(|scope| {
+        let start = || {
+            let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+            let mut front = client(&pooler);
+            front.send(&query(""));
+            assert_eq!(front.answer(), [(b'I', vec![])]);
+            (pooler, begun.elapsed())
+        };
+        let starts: Vec<_> = (0..60).map(|_| scope.spawn(start)).collect();
+        starts.into_iter().map(|start| start.join().unwrap()).collect()
+    });
+    let in_time = starts.iter().filter(|(_, took)| *took < Duration::from_secs(10)).count();
+    assert!(in_time >= 54, "{in_time} of 60 within 10 s");
+}
+
+/// What differs between customers is read from the settings of this start alone; a reload takes the address of discovery only.
+#[test]
+fn nothing_of_one_customers_settings_is_left_in_another_start() {
+    let db = Db::listen();
+    let (mut pooler, discovery) = with_one(&db, &[]);
+    let mut wire = read_from(&db, &mut client(&pooler), "1");
+    pooler.reload("\"reports\"", "\"ledgers\"");
+    pooler.logged("configuration read again");
+    let mut still = client(&pooler);
+    still.send(&query(&ask("2", "ledgers")));
+    assert_eq!(
+        still.error().0,
+        "22023",
+        "what requests in hand were taken in under holds until the next start"
+    );
+    still.send(&query(&ask("3", "reports")));
+    assert!(asked(&mut wire).contains("id=3,"));
+    pooler.kill();
+    let known = list(41, true, &[db.line("s-1", "here")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[("\"reports\"", "\"ledgers\"")]);
+    let mut other = client(&pooler);
+    other.send(&query(&ask("4", "reports")));
+    assert_eq!(other.error().0, "22023");
+    other.send(&query(&ask("5", "ledgers")));
+    assert!(asked(&mut db.accept()).contains("id=5,"));
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -482,6 +482,21 @@
         Discovery(listener())
     }
 
+    /// One that is back where it was before. A process that is just being started may hold a copy of the old socket for
+    /// a moment.
+    pub fn back_at(address: SocketAddr) -> Discovery {
+        let begun = std::time::Instant::now();
+        let listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(error) => assert!(begun.elapsed() < PATIENCE, "{error}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE)).unwrap();
+        Discovery(listener)
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -129,7 +129,8 @@
 pub enum Startup {
     Session,
     Encryption,
-    Cancel,
+    /// What another connection does is to be ended, by that one's key.
+    Cancel((u32, u32)),
     Unknown,
 }
 
@@ -138,7 +139,7 @@
     let Some(body) = untyped(ring)? else { return Ok(None) };
     Ok(Some(match u32::from_be_bytes([body[4], body[5], body[6], body[7]]) {
         SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-        CANCEL_REQUEST => Startup::Cancel,
+        CANCEL_REQUEST => Startup::Cancel(session::read_key(&body[8..]).unwrap_or_default()),
         version if version >> 16 == PROTOCOL >> 16 => Startup::Session,
         _ => Startup::Unknown,
     }))
@@ -185,8 +186,9 @@
     out
 }
 
-/// The answer to a client's startup message, up to and with ReadyForQuery.
-pub fn welcome() -> Vec<u8> {
+/// The answer to a client's startup message, up to and with ReadyForQuery; the key is that by which it may ask for its request to
+/// be cancelled.
+pub fn welcome(key: (u32, u32)) -> Vec<u8> {
     let mut out = Vec::new();
     frame(&mut out, b'R', |out| out.extend([0; 4]));
     for (name, value) in [
@@ -202,7 +204,7 @@
             text(out, value);
         });
     }
-    frame(&mut out, b'K', |out| out.extend([0; 8]));
+    out.extend(session::key(key));
     out.extend(ready());
     out
 }
