A primary that may have been deposed unheard is asked before a read goes there on its role

At fault: `policy.rs` `learn` dated a role by when its answer came, not by when the work began; nothing took account of answers that were lost; after a read was turned away by a former primary it went there once more (11.650 and 11.652: `done` settled the primary for writes only); and what an answer told of its member was not held against what its read needed. Ruled out: passing the answer on as the only fault: discarded answers of that kind still count at the machine.

Mend: `deposed.rs`: while an attempt there, sent since its role was heard, has ended unanswered or is late, a read that relies on the role asks first, where that is allowed (one probe). A claim to be primary is as old as its work. `checked` turns an answer that has seen too little into a miss. Reads settle the primary, too.

--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -602,6 +602,7 @@
             count(&mut context.counters.probes, outcome);
             return self.tell(interface::Event::Probed { member, outcome, report }, context);
         };
+        let outcome = self.policy.checked(&id, (attempt, elapsed), outcome, (position, primary));
         let outcome = self.look_at(&id, (attempt, elapsed), outcome, (position, primary));
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
--- /dev/null
+++ b/crates/routing/src/deposed.rs
@@ -0,0 +1,42 @@
+//! Whether the primary may have been deposed without this proxy having heard of it. A member that is no primary any more says so
+//! with whatever it answers; where an answer got lost on the way, that may have been in it, and what its data lacks is
+//! for no read that needs what only a primary has.
+
+use crate::interface::{Action, Consistency};
+use crate::state::{Policy, Request};
+
+/// Pause before a member is asked once more about its role, in multiples of the connect time-out: what it reports is as old.
+const ASKED_AGAIN: f64 = 0.4;
+/// An attempt is late at this many mean deviations over the mean of its class.
+const LATE: f64 = 4.0;
+
+impl Policy {
+    /// Whether a read is about to go to a primary on the strength of its role alone, while an attempt there, sent since that
+    /// was last heard, has ended without an answer or is late.
+    fn in_doubt(&self, request: &Request, m: usize) -> bool {
+        let member = &self.members[m];
+        let read = self.settings.classes[request.class].consistency != Consistency::Write;
+        let heard = member.role.map_or(f64::NEG_INFINITY, |(_, at)| at);
+        let late = |r: &Request| {
+            let usual = &self.latency[r.class];
+            let limit = usual.mean + LATE * usual.deviation;
+            r.attempts.iter().any(|a| a.open && a.member == m && a.sent > heard && self.now - a.sent > limit)
+        };
+        read && member.position < self.needed(request)
+            && (member.unanswered_at > heard || self.requests.values().any(late))
+    }
+
+    /// Whether a read waits until the primary has said again that it is one: it is asked, if the allowance goes so far.
+    pub(crate) fn asks_whether_primary(&mut self, n: u64, m: usize, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&n).filter(|_| self.settings.probes) else { return false };
+        if !self.in_doubt(request, m) || self.now >= request.hold_until {
+            return false;
+        }
+        let member = &self.members[m];
+        if !member.probing && self.now - member.probed_at >= self.settings.connect_timeout * ASKED_AGAIN {
+            self.ask(m, out);
+        }
+        let member = &self.members[m];
+        member.probing || self.now - member.probed_at < self.settings.connect_timeout * ASKED_AGAIN
+    }
+}
--- a/crates/routing/src/knowledge.rs
+++ b/crates/routing/src/knowledge.rs
@@ -144,7 +144,7 @@
 
     /// Asks a member, if the allowance goes so far: requests earn it, which guards against storms, since
     /// every proxy seeks at the same moment.
-    fn ask(&mut self, m: usize, out: &mut Vec<Action>) {
+    pub(crate) fn ask(&mut self, m: usize, out: &mut Vec<Action>) {
         if self.probes >= 1.0 {
             self.probes -= 1.0;
             let until = self.now + self.quiet();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod check;
 mod crowd;
 mod demand;
+mod deposed;
 pub mod hearsay;
 pub mod interface;
 mod knowledge;
--- a/crates/routing/src/own_writes.rs
+++ b/crates/routing/src/own_writes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::interface::{Consistency, Outcome};
+use crate::interface::{Consistency, Outcome, RequestId};
 use crate::state::{Policy, Request};
 
 /// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
@@ -27,6 +27,26 @@
         known
     }
 
+    /// What an answer comes to once it is held against what it must have seen: one of a member that says itself that it is
+    /// no primary, or where it stands, and has seen less, is a miss. Guards against a primary that was deposed without this
+    /// proxy having heard of it, and one that has fallen behind since its role was told.
+    pub fn checked(
+        &self,
+        id: &RequestId,
+        (attempt, elapsed): (usize, f64),
+        outcome: Outcome,
+        (position, primary): (Option<f64>, Option<bool>),
+    ) -> Outcome {
+        let request = self.numbers.get(id).and_then(|n| self.requests.get(n));
+        let Some(request) = request.filter(|_| outcome == Outcome::Ok) else { return outcome };
+        let read = self.settings.classes[request.class].consistency != Consistency::Write;
+        let told = position.is_some() || primary.is_some();
+        match request.attempts.get(attempt).and_then(|attempt| attempt.needed) {
+            Some(needed) if read && told => Policy::looked_at(primary, position, needed, elapsed),
+            _ => outcome,
+        }
+    }
+
     /// Whether a write of the session is at a member, its answer still to come.
     fn is_writing(&self, session: &Arc<str>) -> bool {
         self.requests.values().any(|request| {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -98,8 +98,10 @@
             Event::Arrival(arrival) => self.arrival(arrival, out),
             Event::Done(done) => {
                 let Some(&m) = self.by_id.get(&done.member) else { return };
-                self.learn(m, done.position, done.primary, true);
-                self.learn(m, done.report.position, done.report.primary, false);
+                // What says that it is the primary may have begun before it was deposed, and is as old.
+                let at = if done.primary == Some(true) { self.now - done.elapsed } else { self.now };
+                self.learn(m, done.position, done.primary, Some(at));
+                self.learn(m, done.report.position, done.report.primary, None);
                 self.done(m, &done, out);
                 self.settle(self.members[m].group, out);
             }
@@ -108,7 +110,7 @@
                 self.members[m].probing = false;
                 if outcome == Outcome::Ok {
                     // No sign of health: a probe is answered beside the queue, also by a member that hangs.
-                    self.learn(m, report.position, report.primary, false);
+                    self.learn(m, report.position, report.primary, None);
                 } else if !matches!(outcome, Outcome::Full | Outcome::Moot) {
                     // Members cap the probes they answer: one turned away by a crowd is not ill.
                     self.suspect(m, 1.0, out);
@@ -245,9 +247,9 @@
         out.extend(left.map(|m| Action::Withhold { member: self.members[m].id.clone() }));
     }
 
-    /// Takes a position and a role. Positions never decrease and cannot lie beyond now; a role is dated by
-    /// the answer, or in a report by the report's position, since a report is of unknown age.
-    fn learn(&mut self, m: usize, position: Option<f64>, primary: Option<bool>, answer: bool) {
+    /// Takes a position and a role. Positions never decrease and cannot lie beyond now; a role is dated as
+    /// its answer is, or in a report by the position there, since a report is of unknown age.
+    fn learn(&mut self, m: usize, position: Option<f64>, primary: Option<bool>, answer: Option<f64>) {
         let now = self.now;
         let member = &mut self.members[m];
         let position = position.filter(|p| p.is_finite() && *p <= now + 0.001);
@@ -256,7 +258,7 @@
             member.position_at = now;
         }
         if let Some(primary) = primary {
-            let at = if answer { now } else { position.unwrap_or(f64::NEG_INFINITY) };
+            let at = answer.or(position).unwrap_or(f64::NEG_INFINITY);
             if member.role.is_none_or(|(_, known)| at >= known) {
                 member.role = Some((primary, at));
             }
@@ -443,7 +445,11 @@
             }
             _ => !bound && self.asks_for(n, false, out),
         };
+        let primary = self.groups.get(&group).and_then(|g| g.primary);
         match choice {
+            Choice::To(m) if primary == Some(m) && self.asks_whether_primary(n, m, out) => {
+                self.hold(n, group)
+            }
             Choice::To(m) => {
                 let Some(g) = self.groups.get_mut(&group) else { return };
                 let scout = bound && g.primary.is_none();
@@ -693,6 +699,7 @@
 
     fn send(&mut self, n: u64, m: usize, out: &mut Vec<Action>) {
         let now = self.now;
+        let Some(needed) = self.requests.get(&n).map(|request| self.needed(request)) else { return };
         let Some(request) = self.requests.get_mut(&n) else { return };
         let member = &mut self.members[m];
         if member.ejected {
@@ -702,7 +709,9 @@
         member.in_flight += 1;
         member.sent_at = now;
         request.held = false;
-        request.attempts.push(Attempt::new(m, now));
+        // A position never goes back: one that has been told holds for the answer, too.
+        let needed = Some(needed).filter(|needed| member.position < *needed);
+        request.attempts.push(Attempt::new(m, now, needed));
         // A repeat may not wait in a queue until after its window.
         let class = &self.settings.classes[request.class];
         let window = match request.risky {
@@ -733,6 +742,8 @@
         member.ghosts.retain(|until| *until > self.now);
         if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Miss | Outcome::Error) {
             member.heard = self.now;
+        } else if !outcome.proves_untouched() {
+            member.unanswered_at = member.unanswered_at.max(sent);
         }
         member.trial = false;
         match outcome {
@@ -808,7 +819,7 @@
             return self.conclude(n, out);
         }
         self.retries -= cost;
-        if outcome == Outcome::Miss && write {
+        if outcome == Outcome::Miss {
             let group = self.members[m].group;
             self.settle(group, out);
         }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -51,8 +51,9 @@
     pub usual_load: f64,
     /// When it was last listed as anything but left.
     pub left_at: f64,
-    /// When something was last sent.
+    /// When something was last sent, and when the last that ended without an answer was.
     pub sent_at: f64,
+    pub unanswered_at: f64,
     pub cold_since: f64,
     pub probed_at: f64,
     pub probing: bool,
@@ -79,6 +80,7 @@
             lost_at: never,
             heard: never,
             sent_at: never,
+            unanswered_at: never,
             ..Member::default()
         }
     }
@@ -99,6 +101,8 @@
 pub(crate) struct Attempt {
     pub member: usize,
     pub sent: f64,
+    /// The position that its answer must have seen, where its member was not known to have.
+    pub needed: Option<f64>,
     pub open: bool,
     pub cancelled: bool,
     /// Its member's silence has been counted.
@@ -109,8 +113,8 @@
 
 impl Attempt {
     /// An attempt just sent.
-    pub fn new(member: usize, sent: f64) -> Attempt {
-        Attempt { member, sent, open: true, cancelled: false, overdue: false, unsent: false }
+    pub fn new(member: usize, sent: f64, needed: Option<f64>) -> Attempt {
+        Attempt { member, sent, needed, open: true, cancelled: false, overdue: false, unsent: false }
     }
 }
 
