--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -19,7 +19,7 @@
 const LINGER: f64 = 1.0;
 /// ... and for one at rest, which is to see the end. Guards what was written last against the reset that a close over
 /// unread bytes would be.
-const PARTING: f64 = 0.3;
+const LINGER_IDLE: f64 = 0.3;
 /// Pause between two buffers that are thrown away on one that lingers (seconds): some 8 MiB a second.
 const DISCARD: f64 = 0.02;
 /// Connections that linger beside as many as the limit admits; each takes one of the spare descriptors.
@@ -30,8 +30,8 @@
 /// How long a connection may rest between requests while more than a quarter of the places are taken, and while
 /// more than half of them are, and how often that is looked at (seconds). Guards against clients that ask once
 /// and keep their connection for good: when all that a front may hold are kept so, it has none left to ask on.
-const RESTING: f64 = 2.0;
-const RESTING_CROWDED: f64 = 0.2;
+const IDLE_TIMEOUT: f64 = 2.0;
+const IDLE_TIMEOUT_CROWDED: f64 = 0.2;
 const SWEEP: f64 = 0.1;
 /// Most messages taken off a connection before the others have their turn. Guards against a client that sends
 /// faster than it can be told that it sends rubbish.
@@ -173,7 +173,7 @@
     }
 
     /// Whether it is between requests, with nothing on its way from here.
-    fn rests(&self) -> bool {
+    fn is_idle(&self) -> bool {
         matches!(self.stage, Stage::Startup | Stage::Idle) && self.inbox.is_empty() && self.outbox.is_empty()
     }
 
@@ -272,8 +272,8 @@
     }
 
     /// Ends a connection on which nothing is owed.
-    fn part(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
-        let within = if self.outbox.is_empty() { PARTING } else { LINGER };
+    fn linger(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), Over> {
+        let within = if self.outbox.is_empty() { LINGER_IDLE } else { LINGER };
         self.end(slot, within, context);
         self.turn(slot, serving, context)
     }
@@ -391,7 +391,7 @@
             let now = context.reactor.now();
             let lingerers = self.lingerers();
             let full = self.conns.len() >= self.limit + lingerers.min(LINGERERS);
-            let idlest = if full { self.at_rest(context) } else { None };
+            let idlest = if full { self.longest_idle(context) } else { None };
             if full && idlest.is_none() && lingerers <= LINGERERS {
                 self.full = true;
                 let clients = self.conns.len() - lingerers;
@@ -406,7 +406,7 @@
                         longest.map(|slot| self.conns.remove(slot));
                     }
                     if let Some(slot) = idlest.filter(|_| full && lingerers <= LINGERERS) {
-                        self.part(slot, context);
+                        self.linger(slot, context);
                     }
                     self.admit(stream, context);
                 }
@@ -430,12 +430,12 @@
 
     /// The connection that has been between requests for longest. What has come on it meanwhile is looked at first: a request
     /// that was about to be read is taken up.
-    fn at_rest(&mut self, context: &mut Context) -> Option<Slot> {
-        while let Some(slot) = longest(&self.conns, Conn::rests) {
+    fn longest_idle(&mut self, context: &mut Context) -> Option<Slot> {
+        while let Some(slot) = longest(&self.conns, Conn::is_idle) {
             let conn = self.conns.get_mut(slot)?;
             let active = conn.active;
             let result = conn.turn(slot, self.serving, context);
-            if result.is_ok() && conn.rests() {
+            if result.is_ok() && conn.is_idle() {
                 conn.active = active;
                 return Some(slot);
             }
@@ -445,9 +445,9 @@
     }
 
     /// Ends a connection that is between requests; it lingers.
-    fn part(&mut self, slot: Slot, context: &mut Context) {
+    fn linger(&mut self, slot: Slot, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let result = conn.part(slot, self.serving, context);
+        let result = conn.linger(slot, self.serving, context);
         self.settle(slot, result, context);
     }
 
@@ -477,8 +477,8 @@
     pub fn set_limit(&mut self, limit: usize, context: &mut Context) {
         self.limit = limit;
         while self.conns.len() > self.limit + self.lingerers() {
-            let Some(slot) = self.at_rest(context) else { break };
-            self.part(slot, context);
+            let Some(slot) = self.longest_idle(context) else { break };
+            self.linger(slot, context);
             context.counters.rested += 1;
         }
         if std::mem::replace(&mut self.full, false) {
@@ -492,17 +492,17 @@
         context.reactor.timer(now + SWEEP, Due::Rested);
         loop {
             let rest = match self.conns.len() - self.lingerers() {
-                places if places > self.limit / 2 => RESTING_CROWDED,
-                places if places > self.limit / 4 => RESTING,
+                places if places > self.limit / 2 => IDLE_TIMEOUT_CROWDED,
+                places if places > self.limit / 4 => IDLE_TIMEOUT,
                 _ => return,
             };
             // Those who have not asked yet have their own time limit.
-            let rested = |conn: &Conn| conn.asked && conn.rests() && now >= conn.active + rest;
+            let rested = |conn: &Conn| conn.asked && conn.is_idle() && now >= conn.active + rest;
             let Some(slot) = longest(&self.conns, rested) else { return };
             // A request that has come meanwhile is taken up: it is no longer at rest then.
             self.ready(slot, context);
-            if self.conns.get(slot).is_some_and(Conn::rests) {
-                self.part(slot, context);
+            if self.conns.get(slot).is_some_and(Conn::is_idle) {
+                self.linger(slot, context);
                 context.counters.rested += 1;
             }
         }
@@ -581,7 +581,8 @@
         // has begun is waited for, as long as ever: a part of it has been read here already.
         let begun = conn.stage == Stage::Idle && !conn.inbox.is_empty();
         let closing = self.listener.is_none() && !busy && !begun && conn.stage != Stage::Ending;
-        let result = if closing && result.is_ok() { conn.part(slot, self.serving, context) } else { result };
+        let result =
+            if closing && result.is_ok() { conn.linger(slot, self.serving, context) } else { result };
         if !conn.owes() {
             conn.owing = None;
         } else if conn.owing.is_none() {
@@ -668,7 +669,7 @@
             conn.fatal(slot, code::VIOLATION, "message not completed in time", context)
                 .and_then(|()| conn.turn(slot, self.serving, context))
         } else if conn.outbox.is_empty() {
-            conn.part(slot, self.serving, context)
+            conn.linger(slot, self.serving, context)
         } else {
             Err(Over)
         };
