A bounded read goes to a primary whose word is younger than its bound without asking

When it said that it is the primary it stood at the present, so that a read with a bound asks only once the word is older than that. Test: routing/tests/deposed.rs, a_bounded_read_goes_to_the_primary_while_its_word_is_younger_than_the_bound.

--- a/crates/routing/src/deposed.rs
+++ b/crates/routing/src/deposed.rs
@@ -22,7 +22,8 @@
             let limit = usual.mean + LATE * usual.deviation;
             r.attempts.iter().any(|a| a.open && a.member == m && a.sent > heard && self.now - a.sent > limit)
         };
-        read && member.position < self.needed(request)
+        // When it said so, a primary stood at the present.
+        read && member.position.max(heard) < self.needed(request)
             && (member.unanswered_at > heard || self.requests.values().any(late))
     }
 
--- a/crates/routing/tests/deposed.rs
+++ b/crates/routing/tests/deposed.rs
@@ -59,6 +59,20 @@
     assert_eq!(sent(&reports(&mut d, "r", true)), ["r"]);
 }
 
+/// What a read needs may be older than the word: the primary stood at the present then.
+#[test]
+fn a_bounded_read_goes_to_the_primary_while_its_word_is_younger_than_the_bound() {
+    let mut d = served();
+    d.ask("lost", 5);
+    d.answer("lost", "p", 0, Outcome::Cancelled);
+    d.now += 0.2;
+    assert_eq!(sent(&d.ask("bounded", 1)), ["p"]);
+    d.told("bounded", "p", 0, Outcome::Reset, None, None);
+    d.now += 0.4;
+    let waits = d.ask("later", 1);
+    assert!(!sent(&waits).contains(&"p") && asked(&waits).contains(&"p"), "{waits:?}");
+}
+
 /// Where members may not be asked there is nothing to wait for.
 #[test]
 fn where_nobody_may_be_asked_a_fresh_read_goes_on_what_is_known() {
