A write binds its session's reads from 100 ms after it was sent, and these are the primary's own work

What an answer tells counts as known 100 ms after it was written, so that nothing is known of a write sent less than that ago, and a replica that has come as far as 100 ms ago serves. A read that may have to see what only the primary has was admitted there like an overflow (0.35 of its aim); now like the primary's own work.

--- a/crates/routing/src/own_writes.rs
+++ b/crates/routing/src/own_writes.rs
@@ -10,6 +10,8 @@
 const SESSIONS: usize = 20_000;
 /// ... and so are those that wrote so long ago (seconds), far past what a replica lags by.
 const SESSION_AGE: f64 = 60.0;
+/// What an answer tells counts as known so long after it was written (seconds): a commit that is younger binds nobody yet.
+const KNOWN_AFTER: f64 = 0.1;
 
 impl Policy {
     /// The position that a session read must see now. Looked up whenever one is sent: a write of its session may have been
@@ -20,13 +22,21 @@
         }
         let known = request.session.as_ref().and_then(|session| self.sessions.get(session));
         let known = known.copied().unwrap_or(self.forgotten).max(request.token);
-        // Guards against a commit whose answer got lost on the way: until the write has ended, it may be as late as now.
-        if request.session.as_ref().is_some_and(|session| self.is_writing(session)) {
-            return known.max(self.now);
+        // Guards against a commit whose answer got lost on the way: until the write has ended, it may be as late as that.
+        if self.has_write_in_doubt(request) {
+            return known.max(self.now - KNOWN_AFTER);
         }
         known
     }
 
+    /// Whether a session read may have to see a write of its session that is out.
+    pub(crate) fn has_write_in_doubt(&self, request: &Request) -> bool {
+        let session = self.settings.classes[request.class].consistency == Consistency::Session;
+        session
+            && !self.settings.tokens_carried
+            && request.session.as_ref().is_some_and(|session| self.is_writing(session))
+    }
+
     /// What an answer comes to once it is held against what it must have seen: one of a member that says itself that it is
     /// no primary, or where it stands, and has seen less, is a miss. Guards against a primary that was deposed without this
     /// proxy having heard of it, and one that has fallen behind since its role was told.
@@ -47,11 +57,13 @@
         }
     }
 
-    /// Whether a write of the session is at a member, its answer still to come.
+    /// Whether a write of the session is at a member, its answer still to come though it might be known by now.
     fn is_writing(&self, session: &Arc<str>) -> bool {
         self.requests.values().any(|request| {
             let write = self.settings.classes[request.class].consistency == Consistency::Write;
-            write && request.session.as_ref() == Some(session) && request.attempts.iter().any(|a| a.open)
+            write
+                && request.session.as_ref() == Some(session)
+                && request.attempts.iter().any(|a| a.open && self.now - a.sent >= KNOWN_AFTER)
         })
     }
 
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -658,8 +658,10 @@
             }
         }
         if let Some(m) = primary.filter(|m| all.contains(m) && fit(m)) {
-            // The primary comes last, and takes no overflow of reads once its own work fills it.
-            verdict = self.admit(request, m, OVERFLOW_AIM);
+            // The primary comes last, and takes no overflow of reads once its own work fills it; one that
+            // may have to see what only the primary has is its own work.
+            let own = self.has_write_in_doubt(request);
+            verdict = self.admit(request, m, if own { 1.0 } else { OVERFLOW_AIM });
             if let Choice::To(_) = verdict {
                 return verdict;
             }
