What comes last after SIGTERM is answered before the platform kills

The listener is closed 0.75 s after SIGTERM (lifecycle, last_call); a request read then has its own deadline, and the platform kills no sooner than the longest deadline (3 s at the most) and 0.7 s after the signal: 0.05 s too early for one with the longest. At fault: proxy.rs, asked: left is the client's patience alone. Mend: after SIGTERM, on the platform, a request's time ends 0.15 s before the earliest kill. With an operator's file drain_for governs. Test: endings.rs, what_comes_late_after_sigterm_is_answered_before_the_platform_kills (8.5 s of patience, answered within 3.7 s). The daemon's tests are green.

--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -48,6 +48,12 @@
 /// The exit code of a successor that has failed its first seconds and handed back.
 const HANDED_BACK: u8 = 5;
 
+/// The platform counts the longest deadline as no longer than this when it kills what was asked to end, waits so much more, and
+/// an answer needs some of that (seconds).
+const LONGEST_DEADLINE: f64 = 3.0;
+const KILL_MORE: f64 = 0.7;
+const KILL_MARGIN: f64 = 0.15;
+
 /// Whom a final answer is owed to.
 #[derive(Clone, Copy, Debug)]
 enum Owed {
@@ -118,6 +124,9 @@
     path: PathBuf,
     /// The longest time that a refusal may ask a client to stay away (seconds).
     retry_after: f64,
+    /// How long after the wish to end all that comes must have been answered, and when that is (seconds).
+    kill_after: f64,
+    kill_at: f64,
     life: Life,
     /// Hand-overs to a successor, and from the daemon before this one.
     heir: Option<ToSuccessor>,
@@ -185,6 +194,7 @@
             numbers.assign(&effective, |_| false).map_err(invalid)?;
         let (connect_timeout, keepalive) = (settings.connect_timeout, effective.keepalive);
         let retry_after = advice(&settings);
+        let kill_after = kill_after(&settings);
         let policy = Policy::new(settings, config.seed).map_err(|fault| invalid(fault.to_string()))?;
         // Before anything is bound: who holds it has the rest as well.
         let daemon = &effective.document.daemon;
@@ -287,6 +297,8 @@
             probe_timeout: connect_timeout,
             path: path.to_path_buf(),
             retry_after,
+            kill_after,
+            kill_at: f64::INFINITY,
             life: fresh,
             heir,
             ancestor,
@@ -439,7 +451,7 @@
             id: id.clone(),
             class,
             group: query.group,
-            left: query.patience,
+            left: query.patience.min(self.kill_at - context.reactor.now()),
             token: query.after,
             session: query.key.filter(|_| sessions).map(Into::into),
             tenant,
@@ -1022,6 +1034,9 @@
             } else {
                 if !self.life.stage().ends() {
                     logging::info!(event = "ending", "asked to end");
+                    if self.changes.is_none() {
+                        self.kill_at = context.reactor.now() + self.kill_after;
+                    }
                     self.registry.iter_mut().for_each(|registry| registry.leave(context));
                     self.sessions.iter_mut().for_each(|sessions| sessions.end(false, context));
                 }
@@ -1106,6 +1121,13 @@
     }
 }
 
+/// How long after the wish to end, on the platform, all that comes must have been answered (seconds): it kills no sooner than
+/// the longest deadline and `KILL_MORE` after that. Guards what comes last, which would have its own time still.
+fn kill_after(settings: &interface::Settings) -> f64 {
+    let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    longest.min(LONGEST_DEADLINE) + KILL_MORE - KILL_MARGIN
+}
+
 /// Asks the daemon that runs with an operator's file for what it holds and knows.
 fn ask(operator: &Operator, now: f64) -> Result<Inherited, String> {
     let (_, document) = files::document(&operator.file)?;
--- a/crates/daemon/tests/endings.rs
+++ b/crates/daemon/tests/endings.rs
@@ -203,6 +203,25 @@
     assert!(pooler.logged(" ends: ").contains("taken=2 "));
 }
 
+/// What comes last before the listener is closed has its own time still, past the moment at which the platform kills.
+#[test]
+fn what_comes_late_after_sigterm_is_answered_before_the_platform_kills() {
+    let db = Db::listen();
+    let (mut pooler, _discovery) = with_one(&db, &[]);
+    let mut late = client(&pooler);
+    let from = Instant::now();
+    pooler.signal("TERM");
+    pooler.logged("asked to end");
+    std::thread::sleep(Duration::from_millis(300));
+    // The longest deadline is over 3 s, so that it may be killed after 3.7 s.
+    late.send(&query(&ask("1", "reports")));
+    let mut wire = db.accept();
+    asked(&mut wire);
+    assert!(late.error().0.starts_with('5'));
+    assert!(from.elapsed() < Duration::from_millis(3700), "{:?}", from.elapsed());
+    assert_eq!(pooler.ended().code(), Some(0));
+}
+
 /// The sending of a connection that lingers was ended anew at each look, which wakes the loop for it again, without end.
 #[test]
 fn a_connection_that_lingers_does_not_keep_the_loop_busy() {
