Log why requests are given up, what each call for the list came to, and pauses of the loop

Missing in the incident's evidence: nothing told why a request was refused, which attempts it had, or when the list was heard.

Added, to stay: request.given_up (id, reason, class, attempts with member, outcome and age) at info; attempt.sent and attempt.ended (received beside concluded) at debug; request.turned_away; discovery.call, discovery.answered and discovery.closed with the connection's number; list.told with entries that end; loop.held_up with the counters held_up and held_up_most_ms. The policy tells the reason as a type (Reason, Explanation). No decision changes.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -179,7 +179,7 @@
                 Action::Probe { member } => json!(["touch", number, &*member]),
                 Action::LetGo { member } => json!(["letGo", number, &*member]),
                 // What is sent there is there: nothing is left unwritten.
-                Action::Withhold { .. } => continue,
+                Action::Withhold { .. } | Action::Explain(_) => continue,
                 Action::Listen => json!(["listen", number, true]),
                 Action::Log(text) => json!(["journalLine", number, text]),
             };
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -36,6 +36,25 @@
     /// Times that the configuration was read again, and that it could not be used.
     pub reloads: u64,
     pub reloads_failed: u64,
+    /// Times that the process was held up, or one round of its loop took, for longer than [`HELD_UP`], and the longest of these
+    /// (seconds).
+    pub held_up: u64,
+    pub held_up_most: f64,
+}
+
+/// A pause of the loop that is counted and logged (seconds): well below the shortest grace of a drain.
+pub(crate) const HELD_UP: f64 = 0.1;
+
+impl Counters {
+    /// The loop did nothing for so long though it had something to do, or took so long for one round.
+    pub fn loop_took(&mut self, seconds: f64) {
+        if seconds < HELD_UP {
+            return;
+        }
+        self.held_up += 1;
+        self.held_up_most = self.held_up_most.max(seconds);
+        logging::warn!(event = "loop.held_up", seconds, "the loop was held up");
+    }
 }
 
 const OUTCOMES: [(Outcome, &str); 9] = [
@@ -73,6 +92,7 @@
         write!(f, " spoilt={} stray={} unreadable={}", self.spoilt, self.stray, self.unreadable)?;
         write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
         write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)?;
-        write!(f, " pipelined={}", self.pipelined)
+        write!(f, " pipelined={}", self.pipelined)?;
+        write!(f, " held_up={} held_up_most_ms={:.0}", self.held_up, self.held_up_most * 1000.0)
     }
 }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -15,6 +15,10 @@
 
 struct Watch {
     line: Line,
+    /// When it was called.
+    opened: f64,
+    /// Something has been heard.
+    answered: bool,
     stream: TcpStream,
     connection: Connection,
 }
@@ -106,7 +110,10 @@
                 Step::Close(line) => {
                     let slot =
                         self.watches.iter().find(|(_, watch)| watch.line == line).map(|(slot, _)| slot);
-                    slot.map(|slot| self.watches.remove(slot));
+                    if let Some(watch) = slot.and_then(|slot| self.watches.remove(slot)) {
+                        let lived_s = context.reactor.now() - watch.opened;
+                        logging::info!(event = "discovery.closed", line, lived_s, answered = watch.answered);
+                    }
                 }
                 Step::Timer(at) => context.reactor.timer(at, Due::Discovery),
                 Step::Unchanged => self.tell(ListKind::Incremental, context),
@@ -133,7 +140,9 @@
     fn open(&mut self, line: Line, index: u64, context: &mut Context) -> Result<(), Broken> {
         let stream = TcpStream::connect(self.address).map_err(|_| "no connection")?;
         let connection = Connection::new(self.address, index, &self.budget)?;
-        let slot = self.watches.insert(Watch { line, stream, connection });
+        let opened = context.reactor.now();
+        logging::info!(event = "discovery.call", line, index, address = %self.address, "calls for the list");
+        let slot = self.watches.insert(Watch { line, opened, answered: false, stream, connection });
         let Some(watch) = self.watches.get_mut(slot) else { return Ok(()) };
         let (token, both) = (Source::Discovery(slot).into(), Interest::READABLE | Interest::WRITABLE);
         context.reactor.registry.register(&mut watch.stream, token, both).map_err(|_| "no connection")
@@ -145,6 +154,10 @@
         let (line, mut pieces) = (watch.line, Vec::new());
         let mut result = watch.turn(&mut pieces);
         let begun = watch.connection.begun();
+        if !pieces.is_empty() && !std::mem::replace(&mut watch.answered, true) {
+            let after_s = context.reactor.now() - watch.opened;
+            logging::info!(event = "discovery.answered", line, after_s);
+        }
         for piece in pieces {
             if let Err(why) = self.piece(line, piece, context) {
                 result = Err(why);
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -300,10 +300,15 @@
 pub(crate) fn run(poll: &mut Poll, handler: &mut impl Handler, context: &mut Context) -> io::Result<()> {
     let mut events = Events::with_capacity(BATCH);
     while !handler.finished() {
-        match poll.poll(&mut events, context.reactor.patience()) {
+        let (patience, asked) = (context.reactor.patience(), context.reactor.now());
+        match poll.poll(&mut events, patience) {
             Err(error) if error.kind() == ErrorKind::Interrupted => continue,
             result => result?,
         }
+        let woke = context.reactor.now();
+        if let Some(patience) = patience {
+            context.counters.loop_took(woke - asked - patience.as_secs_f64());
+        }
         for event in &events {
             handler.ready(event.token().into(), event.is_read_closed(), context);
         }
@@ -311,6 +316,7 @@
         while let Some(due) = context.reactor.due(now) {
             handler.due(due, context);
         }
+        context.counters.loop_took(context.reactor.now() - woke);
     }
     Ok(())
 }
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -8,6 +8,7 @@
 mod life;
 mod sharing;
 mod sources;
+mod trace;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -395,6 +396,7 @@
                     let number = request.attempts;
                     request.attempts += 1;
                     context.counters.sent += 1;
+                    trace::sent(&id, number, &member, timeout);
                     self.sends(&id, &member, number);
                     let Some(request) = self.requests.get_mut(&id) else { continue };
                     if let (Some(Owed::Session(slot)), Some(sessions)) = (request.client, &mut self.sessions)
@@ -430,6 +432,7 @@
                 // A registry is followed by itself, whether or not it is asked for.
                 Action::Listen if self.registry.is_some() => {}
                 Action::Listen => self.discovery.listen(context),
+                Action::Explain(explanation) => self.trace_given_up(&explanation, context),
                 Action::Log(text) => logging::info!(event = "decided", "{text}"),
             }
         }
@@ -509,6 +512,7 @@
     fn turn_away_expired(&mut self, client: Slot, context: &mut Context) {
         for id in self.in_flight.expired(client, context.reactor.now()) {
             let backoff = self.life.away(self.retry_after);
+            trace::turned_away(&id, "it waited for earlier requests of its connection");
             self.answer(&id, Answer::Refused(backoff), context);
         }
     }
@@ -653,8 +657,10 @@
             count(&mut context.counters.probes, outcome);
             return self.tell(interface::Event::Probed { member, outcome, report }, context);
         };
+        let received = outcome;
         let outcome = self.policy.checked(&id, (attempt, elapsed), outcome, (position, primary));
         let outcome = self.look_at(&id, (attempt, elapsed), outcome, (position, primary));
+        trace::ended(&id, (attempt, elapsed), &member, (received, outcome), (position, primary));
         count(&mut context.counters.attempts, outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Another copy may still be out: its end is owed to the decisions, which count what each machine holds.
--- a/crates/daemon/src/net/proxy/sharing.rs
+++ b/crates/daemon/src/net/proxy/sharing.rs
@@ -188,7 +188,7 @@
 
     /// Refuses a write that has not been sent.
     fn turn_away(&mut self, id: &RequestId, context: &mut Context) {
-        logging::debug!(event = "peers.turned_away", "a write is turned away: others cannot know of it");
+        super::trace::turned_away(id, "others cannot know of the write in time");
         let backoff = self.life.away(self.retry_after);
         self.answer(id, Answer::Refused(backoff), context);
     }
--- a/crates/daemon/src/net/proxy/sources.rs
+++ b/crates/daemon/src/net/proxy/sources.rs
@@ -27,6 +27,11 @@
         context.counters.lists_failed += u64::from(!kind.is_news());
         if kind.is_news() {
             self.servers.list(kind, &listings, context.reactor.now());
+            let ending = listings.iter().filter(|listing| listing.phase != Phase::Active).count();
+            if ending > 0 || kind != ListKind::Incremental {
+                let (version, lines) = (self.discovery.index(), listings.len());
+                logging::info!(event = "list.told", kind = ?kind, version, lines, ending);
+            }
             self.sessions.iter_mut().for_each(|sessions| sessions.list(kind, &listings, context));
             self.share_list(&listings, context);
         }
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -262,6 +262,47 @@
     }
 }
 
+/// Why a request is ended without having been served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its time, or what is left of it, is over.
+    OutOfTime,
+    /// It has waited unsent for as long as it may.
+    HeldTooLong,
+    /// No member can answer it in time.
+    Overloaded,
+    /// It has had as many attempts as the settings allow.
+    AttemptsSpent,
+    /// It may have run, and its class allows no further attempt.
+    MayHaveRun,
+    /// Too much has been repeated of late.
+    RetryBudget,
+    /// The only member that takes it is full.
+    PrimaryFull,
+}
+
+/// One attempt of a request, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptSummary {
+    /// Where it went.
+    pub member: MemberId,
+    /// How long ago it was sent (seconds).
+    pub age: f64,
+    /// How it ended; none while it is out.
+    pub outcome: Option<Outcome>,
+}
+
+/// Why a request is refused or failed, and what has become of its attempts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Explanation {
+    /// The request.
+    pub id: RequestId,
+    /// Why it is given up.
+    pub reason: Reason,
+    /// Its attempts, in their order; at most as many as the settings allow.
+    pub attempts: Vec<AttemptSummary>,
+}
+
 /// A client's request.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -424,6 +465,8 @@
     },
     /// Ask for changes of the member list from now on.
     Listen,
+    /// Why the final answer that follows is none that served, for the log.
+    Explain(Box<Explanation>),
     /// A state transition for the operator's log.
     Log(String),
 }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -126,7 +126,9 @@
                 let over = self.now + 2.0 * self.settings.tick;
                 let given_up = |r: &Request| !r.done && (over >= r.deadline || r.untried());
                 if self.requests.get(&cookie).is_some_and(given_up) {
-                    self.conclude(cookie, out);
+                    let late = self.requests.get(&cookie).is_some_and(|r| over >= r.deadline);
+                    let reason = if late { Reason::OutOfTime } else { Reason::HeldTooLong };
+                    self.conclude(cookie, reason, out);
                 }
             }
         }
@@ -394,10 +396,11 @@
     }
 
     /// The final answer of a request that is given up: a refusal where another try is harmless.
-    fn conclude(&mut self, n: u64, out: &mut Vec<Action>) {
+    fn conclude(&mut self, n: u64, reason: Reason, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&n) else { return };
         let class = &self.settings.classes[request.class];
         let id = request.id.clone();
+        out.push(Action::Explain(Box::new(self.explain(request, reason))));
         if self.harmless(request) {
             let late = class.late_worth == 0.0 && self.now >= request.aim_at - self.settings.tick;
             let wait = if late { class.deadline } else { class.aim * BACKOFF_AIM };
@@ -425,8 +428,15 @@
             Effect::Keyed => self.now >= sent + class.dedup_window - request.terms.connect,
         });
         let spent = request.attempts.len() as u32 >= request.terms.attempts;
-        if closed || spent || self.now >= cutoff {
-            return self.conclude(n, out);
+        let over = self.now >= cutoff;
+        let reason = match (closed, spent, over) {
+            (true, ..) => Some(Reason::MayHaveRun),
+            (_, true, _) => Some(Reason::AttemptsSpent),
+            (.., true) => Some(Reason::OutOfTime),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            return self.conclude(n, reason, out);
         }
         let bound = matches!(consistency, Consistency::Write | Consistency::Fresh) || request.unknown();
         let waited = self.now >= request.hold_until && request.untried();
@@ -466,14 +476,14 @@
             }
             // Who might serve it is being asked: it waits for what they say, which comes at once.
             Choice::Refuse if asked && !waited => self.hold(n, group),
-            Choice::Hold if waited => self.conclude(n, out),
+            Choice::Hold if waited => self.conclude(n, Reason::HeldTooLong, out),
             Choice::Hold => self.hold(n, group),
             Choice::Refuse => {
                 if self.now >= self.refusing_until {
                     out.push(Action::Log("refusing: members cannot answer in time".into()));
                 }
                 self.refusing_until = self.now + 1.0;
-                self.conclude(n, out);
+                self.conclude(n, Reason::Overloaded, out);
             }
         }
     }
@@ -731,6 +741,7 @@
         let (class, group) = (request.class, request.group);
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
+        a.outcome = Some(outcome);
         a.unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         let (sent, cancelled, overdue) = (a.sent, a.cancelled, a.overdue);
         let write = self.settings.classes[class].consistency == Consistency::Write;
@@ -818,8 +829,11 @@
             outcome == Outcome::Full && Some(m) == self.groups.get(&group).and_then(|g| g.primary);
         // It is one of work: what failed after a tenth of the usual time has cost a tenth of an attempt.
         let cost = if outcome.proves_untouched() { 0.0 } else { (elapsed / mean).min(1.0) };
-        if primary_full || self.retries < cost {
-            return self.conclude(n, out);
+        if primary_full {
+            return self.conclude(n, Reason::PrimaryFull, out);
+        }
+        if self.retries < cost {
+            return self.conclude(n, Reason::RetryBudget, out);
         }
         self.retries -= cost;
         if outcome == Outcome::Miss {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::Calls;
 use crate::demand::{Demand, Share};
-use crate::interface::{MemberId, Phase, RequestId, Settings};
+use crate::interface::{AttemptSummary, Explanation, MemberId, Outcome, Phase, Reason, RequestId, Settings};
 use crate::latency::Latency;
 use crate::pace::Pace;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -127,12 +127,15 @@
     pub overdue: bool,
     /// It never reached its member.
     pub unsent: bool,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
 }
 
 impl Attempt {
     /// An attempt just sent.
     pub fn new(member: usize, sent: f64, needed: Option<f64>) -> Attempt {
-        Attempt { member, sent, needed, open: true, cancelled: false, overdue: false, unsent: false }
+        let (open, cancelled, overdue, unsent, outcome) = (true, false, false, false, None);
+        Attempt { member, sent, needed, open, cancelled, overdue, unsent, outcome }
     }
 }
 
@@ -286,6 +289,17 @@
         }
     }
 
+    /// Why a request is given up, and what has become of its attempts.
+    pub(crate) fn explain(&self, request: &Request, reason: Reason) -> Explanation {
+        let summary = |attempt: &Attempt| AttemptSummary {
+            member: self.members[attempt.member].id.clone(),
+            age: self.now - attempt.sent,
+            outcome: attempt.outcome,
+        };
+        let attempts = request.attempts.iter().map(summary).collect();
+        Explanation { id: request.id.clone(), reason, attempts }
+    }
+
     /// How many members are kept in mind, those that left lately included.
     pub fn members_known(&self) -> usize {
         self.members.len()
