--- /dev/null
+++ b/crates/daemon/tests/incident.rs
@@ -0,0 +1,80 @@
+//! Stories over loopback from the incident of 2026-12-02 (docs/incidents): a request that has run is not refused, and nothing
+//! goes to a machine whose drain has been told, however slow discovery is and however long the process was held up.
+
+use std::time::{Duration, Instant};
+
+use peers::*;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
+
+const VALUE: &[u8] = b"\x9f\x00\x03";
+/// The class `reports` must see every commit and may not run twice.
+const FRESH_ONCE: [(&str, &str); 2] = [
+    (
+        r#""deadline":9,"effect":"read_like","value":1},
+{"name":"order-write""#,
+        r#""deadline":9,"effect":"non_idempotent","value":1},
+{"name":"order-write""#,
+    ),
+    (r#"["bounded","session","any","write"]"#, r#"["bounded","session","fresh","write"]"#),
+];
+/// Far past the grace of a drain.
+const HELD_UP: Duration = Duration::from_millis(700);
+/// After this a change counts as told, heard or not.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+
+#[test]
+fn a_read_that_has_run_and_may_not_run_twice_is_failed_where_its_answer_is_too_old() {
+    let (db, discovery) = (Db::listen(), Discovery::listen());
+    let known = list(41, true, &[db.line("s-1", "here")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &FRESH_ONCE);
+    let mut client = client(&pooler);
+    let mut wire = primary_found(&db, &mut client, VALUE);
+    client.send(&query(&ask("1", "reports")));
+    assert!(asked(&mut wire).contains("id=1,"));
+    // It was the primary when it was asked, and says now that it is none: its answer may lack a commit.
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.error().0, "58000", "another try would run it once more");
+    let counters = pooler.counters();
+    assert!(counters.contains(" refused=0 failed=1 ") && counters.contains(" sent=2 "), "{counters}");
+}
+
+#[test]
+fn a_list_that_takes_longer_to_come_than_any_call_waited_is_heard() {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+    drop(discovery.followed());
+    // Every call is answered, and each after 3.5 s: a call that is given up before is never heard of.
+    let drained = [near.draining_line("s-1", "here"), far.line("s-2", "there")];
+    discovery.answer_in_turn(&list(42, true, &drained), Duration::from_millis(3_500));
+    let from = Instant::now();
+    while !pooler.counters().contains(" lists=3 ") {
+        assert!(from.elapsed() < TOLD_AFTER, "{}", pooler.counters());
+        std::thread::sleep(COUNTERS_PAUSE);
+    }
+    read_from(&far, &mut client(&pooler), "1");
+}
+
+#[test]
+fn what_was_told_while_the_process_was_held_up_is_taken_in_before_anything_is_sent() {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+    let mut watch = discovery.followed();
+    let mut client = client(&pooler);
+    // A connection to the machine is open: a request would be written to it at once.
+    let mut open = read_from(&near, &mut client, "1");
+    // The request is there first, so that its event is the first to be taken up.
+    pooler.signal("STOP");
+    client.send(&query(&ask("2", "reports")));
+    std::thread::sleep(HELD_UP);
+    tell(&mut watch, &(list(42, false, &[near.draining_line("s-1", "here")]) + "\n"));
+    std::thread::sleep(HELD_UP);
+    pooler.signal("CONT");
+    let mut wire = far.accept();
+    assert!(asked(&mut wire).contains("id=2,"), "it went to the machine that drains");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    open.ends();
+}
