--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::sync::Arc;
 
-use routing::interface::{Action, Arrival, Done, Entry, Event, ListKind, Outcome, Phase, Report};
+use routing::interface::{Action, Arrival, Conclusion, Done, Entry, Event, ListKind, Outcome, Phase, Report};
 use routing::Policy;
 use serde_json::{json, Value};
 
@@ -147,6 +147,7 @@
                     elapsed: fields.number_or(5, "costTime", 0.0)?,
                     attempt: fields.whole(6, "sendNo")? as usize,
                     outcome: outcome(fields.whole(7, "result")?)?,
+                    conclusion: Conclusion::AsReceived,
                     position: Some(note >> 2).filter(|ms| *ms > 0).map(|ms| base + ms as f64 / 1000.0),
                     primary: match note & 3 {
                         1 => Some(true),
@@ -179,7 +180,7 @@
                 Action::Probe { member } => json!(["touch", number, &*member]),
                 Action::LetGo { member } => json!(["letGo", number, &*member]),
                 // What is sent there is there: nothing is left unwritten.
-                Action::Withhold { .. } | Action::Explain(_) => continue,
+                Action::Withhold { .. } | Action::Explain(_) | Action::Denied { .. } => continue,
                 Action::Listen => json!(["listen", number, true]),
                 Action::Log(text) => json!(["journalLine", number, text]),
             };
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use routing::interface::Outcome;
+use routing::permission::Denial;
 
 /// What was taken in, sent and answered since the start.
 #[derive(Default)]
@@ -38,10 +39,37 @@
     pub reloads_failed: u64,
     /// Times that the process was held up, or one round of its loop took, for longer than [`HELD_UP`], and the longest of these
     /// (seconds).
+    /// Answers that were served from data older than their requests may see.
+    pub too_old: u64,
+    /// What the decisions came to and may not be done, and what could not be done any more when it was to be.
+    pub violations: Denials,
+    pub withheld: Denials,
     pub held_up: u64,
     pub held_up_most: f64,
 }
 
+/// How often each denial was met.
+#[derive(Default)]
+pub(crate) struct Denials([u64; Denial::ALL.len()]);
+
+impl Denials {
+    /// One more.
+    pub fn count(&mut self, denial: Denial) {
+        if let Some(index) = Denial::ALL.iter().position(|known| *known == denial) {
+            self.0[index] += 1;
+        }
+    }
+
+    /// Writes their number under a name, and that of each kind that was met.
+    fn write(&self, name: &str, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, " {name}={}", self.0.iter().sum::<u64>())?;
+        for (denial, count) in Denial::ALL.iter().zip(self.0).filter(|(_, count)| *count > 0) {
+            write!(f, " {name}_{}={count}", denial.name())?;
+        }
+        Ok(())
+    }
+}
+
 /// A pause of the loop that is counted and logged (seconds): well below the shortest grace of a drain.
 pub(crate) const HELD_UP: f64 = 0.1;
 
@@ -93,6 +121,9 @@
         write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
         write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)?;
         write!(f, " pipelined={}", self.pipelined)?;
+        write!(f, " too_old={}", self.too_old)?;
+        self.violations.write("violations", f)?;
+        self.withheld.write("withheld", f)?;
         write!(f, " held_up={} held_up_most_ms={:.0}", self.held_up, self.held_up_most * 1000.0)
     }
 }
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -258,6 +258,11 @@
         self.ready(slot, context);
     }
 
+    /// Whether a client has ended its connection, as far as can be seen now; one that was heard of since then is not looked at.
+    pub fn has_left(&self, slot: Slot, since: f64) -> bool {
+        self.connections.get(slot).is_none_or(|connection| connection.active < since && connection.has_left())
+    }
+
     /// The connection that has been given this key, by which its request may be cancelled.
     pub fn of_key(&self, (number, secret): (u32, u32)) -> Option<Slot> {
         let own = |(slot, connection): &(Slot, &Connection)| {
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -1,5 +1,6 @@
 //! A client's connection: reads commands off it, keeps what it owes in order, and writes the replies.
 
+use std::io::ErrorKind;
 use std::net::Shutdown;
 
 use buffer::{Budget, Fill, Overflow, Ring};
@@ -258,6 +259,14 @@
         self.asked && self.is_idle() && now >= self.active + rest
     }
 
+    /// Whether the client has ended it, though that may not have been read yet. What it sent before its end hides the end.
+    pub fn has_left(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// Whether the connection may be cancelled by this secret.
     pub fn has_secret(&self, secret: u32) -> bool {
         self.secret == secret
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -193,11 +193,16 @@
         Ok(())
     }
 
+    /// Takes in what has arrived on every connection, whether or not its event has been taken up.
+    pub fn read(&mut self, context: &mut Context) {
+        let open: Vec<Slot> = self.watches.iter().map(|(slot, _)| slot).collect();
+        open.into_iter().for_each(|slot| self.ready(slot, context));
+    }
+
     /// Looks whether discovery has been silent for too long.
     pub fn due(&mut self, context: &mut Context) {
         // What has arrived by now still counts, though its event has not been taken up yet.
-        let open: Vec<Slot> = self.watches.iter().map(|(slot, _)| slot).collect();
-        open.into_iter().for_each(|slot| self.ready(slot, context));
+        self.read(context);
         self.step(context, |follower, now, out| follower.due(now, out));
     }
 }
--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod configuration;
+mod guard;
 mod handover;
 mod in_flight;
 mod life;
@@ -24,8 +25,10 @@
 use mio::{Interest, Poll, Waker};
 use operator::Effective;
 use routing::interface::{
-    self, Action, Arrival, Consistency, Done, Effect, ListKind, Outcome, Phase, RequestId,
+    self, Action, Arrival, Conclusion, Consistency, Done, Effect, Evidence, ListKind, Outcome, Phase,
+    RequestId,
 };
+use routing::permission::History;
 use routing::Policy;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
@@ -71,6 +74,8 @@
     /// Whom its final answer is owed to; none once that is given or the client has left.
     client: Option<Owed>,
     statement: Rc<Statement>,
+    /// What was done and received for it: asked before anything more is done.
+    history: History,
     attempts: usize,
     /// The attempts that are out, each until its end is handled: its number and its connection, if it has one.
     /// More than one where the settings allow second copies; never more than `max_attempts`.
@@ -105,6 +110,8 @@
     /// Other instances, where the operator's file says how they reach this one, and the requests that wait for them.
     coordination: Option<Coordination>,
     sharing: Vec<RequestId>,
+    /// When what the list's source has sent was last looked for (seconds).
+    list_read_at: f64,
     seed: u64,
     name: String,
     signals: Signals,
@@ -285,6 +292,7 @@
             registry: None,
             coordination,
             sharing: Vec::new(),
+            list_read_at: f64::NEG_INFINITY,
             seed: config.seed,
             name: config.name.clone(),
             signals,
@@ -347,6 +355,7 @@
                 Event::Begun(id) => {
                     if let Some(request) = self.requests.get_mut(&id) {
                         request.client = None;
+                        request.history.close();
                     }
                     self.tell(interface::Event::Started { id }, context);
                 }
@@ -392,9 +401,16 @@
         for action in actions {
             match action {
                 Action::Send { id, member, timeout } => {
+                    let permitted = self.may_begin(&id, context);
                     let Some(request) = self.requests.get_mut(&id) else { continue };
                     let number = request.attempts;
                     request.attempts += 1;
+                    request.history.begin(context.reactor.now());
+                    if let Err(denial) = permitted {
+                        request.out.push((number, None));
+                        self.withhold(id, number, member, denial, context);
+                        continue;
+                    }
                     context.counters.sent += 1;
                     trace::sent(&id, number, &member, timeout);
                     self.sends(&id, &member, number);
@@ -402,11 +418,14 @@
                     if let (Some(Owed::Session(slot)), Some(sessions)) = (request.client, &mut self.sessions)
                     {
                         request.out.push((number, None));
+                        // Nothing is written for it before the session is on a connection, which ends this.
+                        request.history.end(number, Evidence::NeverRan);
                         sessions.give(slot, &id, number, &member, timeout, context);
                         continue;
                     }
                     let task = Task::Attempt(id, number, request.statement.clone());
-                    request.out.push((number, self.servers.send(task, &member, timeout, context)));
+                    let limits = (timeout, request.history.write_by());
+                    request.out.push((number, self.servers.send(task, &member, limits, context)));
                 }
                 Action::Cancel { id, attempt } => {
                     let request = self.requests.get(&id);
@@ -423,7 +442,7 @@
                 Action::Timer { at, cookie } => context.reactor.timer(at, Due::Policy(cookie)),
                 Action::Probe { member } => {
                     context.counters.probed += 1;
-                    self.servers.send(Task::Probe, &member, self.probe_timeout, context);
+                    self.servers.send(Task::Probe, &member, (self.probe_timeout, f64::INFINITY), context);
                 }
                 Action::LetGo { member } => self.servers.let_go(&member),
                 Action::Withhold { member } => self.servers.withhold(&member, context),
@@ -432,7 +451,8 @@
                 // A registry is followed by itself, whether or not it is asked for.
                 Action::Listen if self.registry.is_some() => {}
                 Action::Listen => self.discovery.listen(context),
-                Action::Explain(explanation) => self.trace_given_up(&explanation, context),
+                Action::Denied { id, denial } => guard::violation(&id, denial, context),
+                Action::Explain(explanation) => trace::given_up(&explanation, &self.numbers),
                 Action::Log(text) => logging::info!(event = "decided", "{text}"),
             }
         }
@@ -471,9 +491,11 @@
             repeat: query.repeat,
             own: None,
         };
+        let rules = self.policy.rules(class, now + arrival.left);
         let request = Request {
             client: Some(Owed::Client(client)),
             statement: Rc::new(query.statement),
+            history: History::new(rules),
             attempts: 0,
             out: Vec::new(),
             class: counted,
@@ -546,6 +568,7 @@
         let request = Request {
             client: Some(Owed::Session(slot)),
             statement: Rc::new(Statement::new("".into(), 0..0)),
+            history: History::new(self.policy.rules(number, f64::INFINITY)),
             attempts: 0,
             out: Vec::new(),
             class: counted,
@@ -568,6 +591,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         // One that was withdrawn may be told of after the next was begun.
         request.out.retain(|(number, _)| *number != attempt);
+        let conclusion = Conclusion::AsReceived;
+        request.history.end(attempt, Evidence::of(outcome, conclusion));
         let finished = request.client.is_none();
         if finished {
             if let Some(changes) = &mut self.changes {
@@ -582,6 +607,7 @@
             member,
             attempt,
             outcome,
+            conclusion,
             finished,
             elapsed,
             position: None,
@@ -599,6 +625,7 @@
             let Some(request) = self.requests.get_mut(&id) else { continue };
             context.counters.gone += 1;
             request.client = None;
+            request.history.close();
             self.tell(interface::Event::Gone { id: id.clone() }, context);
             self.give_up(&id, context);
             self.forget(&id, context.reactor.now());
@@ -607,7 +634,9 @@
 
     /// Gives a request its final answer, unless it has had one.
     fn answer(&mut self, id: &RequestId, answer: Answer, context: &mut Context) {
+        let answer = self.permitted(id, answer, context);
         let Some(request) = self.requests.get_mut(id) else { return };
+        request.history.close();
         if let Some(client) = request.client.take() {
             if let Some(changes) = &mut self.changes {
                 let bad = match answer {
@@ -657,18 +686,29 @@
             count(&mut context.counters.probes, outcome);
             return self.tell(interface::Event::Probed { member, outcome, report }, context);
         };
-        let received = outcome;
-        let outcome = self.policy.checked(&id, (attempt, elapsed), outcome, (position, primary));
-        let outcome = self.look_at(&id, (attempt, elapsed), outcome, (position, primary));
-        trace::ended(&id, (attempt, elapsed), &member, (received, outcome), (position, primary));
+        let told = (position, primary);
+        let conclusion = self.conclusion(&id, (attempt, elapsed), outcome, told);
+        trace::ended(&id, (attempt, elapsed), &member, (outcome, conclusion), told);
         count(&mut context.counters.attempts, outcome);
+        context.counters.too_old += u64::from(conclusion == Conclusion::TooOld);
         let Some(request) = self.requests.get_mut(&id) else { return };
+        request.history.end(attempt, Evidence::of(outcome, conclusion));
         // Another copy may still be out: its end is owed to the decisions, which count what each machine holds.
         request.out.retain(|(number, _)| *number != attempt);
-        let served = outcome == Outcome::Ok;
+        let served = outcome == Outcome::Ok && conclusion == Conclusion::AsReceived;
         let finished = served || request.client.is_none();
-        let done =
-            Done { id: id.clone(), member, attempt, outcome, finished, elapsed, position, primary, report };
+        let done = Done {
+            id: id.clone(),
+            member,
+            attempt,
+            outcome,
+            conclusion,
+            finished,
+            elapsed,
+            position,
+            primary,
+            report,
+        };
         // What the answer tells of the machine is taken in before the client can act on the answer.
         let actions = self.decide(interface::Event::Done(done), context);
         if !served {
@@ -734,6 +774,7 @@
 
 impl Handler for Proxy {
     fn ready(&mut self, source: Source, half_closed: bool, context: &mut Context) {
+        self.refresh_list(context);
         match source {
             Source::Client(slot) if half_closed => self.clients.half_closed(slot, context),
             Source::Listener => self.clients.accept(context),
@@ -765,6 +806,7 @@
     }
 
     fn due(&mut self, due: Due, context: &mut Context) {
+        self.refresh_list(context);
         match due {
             Due::Policy(cookie) => self.tell(interface::Event::Timer { cookie }, context),
             Due::Accept => self.clients.accept(context),
--- a/crates/daemon/src/net/proxy/sharing.rs
+++ b/crates/daemon/src/net/proxy/sharing.rs
@@ -2,7 +2,7 @@
 //! have written, and what others say of members reaches the decisions.
 
 use exchange::Answer;
-use routing::interface::{self, Arrival, Consistency, MemberId, Outcome, RequestId};
+use routing::interface::{self, Arrival, Conclusion, Consistency, MemberId, Outcome, RequestId};
 use routing::Policy;
 
 use super::Proxy;
@@ -77,25 +77,27 @@
         }
     }
 
-    /// What an attempt came to, once its answer has been looked at.
-    pub(super) fn look_at(
+    /// What is concluded from the outcome of an attempt, held against what its answer must have seen by what this instance knows,
+    /// and by what others have told.
+    pub(super) fn conclusion(
         &self,
         id: &RequestId,
         (attempt, elapsed): (usize, f64),
         outcome: Outcome,
         (position, primary): (Option<f64>, Option<bool>),
-    ) -> Outcome {
-        if self.coordination.is_none() {
-            return outcome;
+    ) -> Conclusion {
+        let own = self.policy.checked(id, (attempt, elapsed), outcome, (position, primary));
+        if self.coordination.is_none() || own == Conclusion::TooOld {
+            return own;
         }
-        let Some(shared) = self.requests.get(id).map(|request| &request.shared) else { return outcome };
-        let Some(floor) = shared.floor.filter(|_| outcome == Outcome::Ok) else { return outcome };
+        let Some(shared) = self.requests.get(id).map(|request| &request.shared) else { return own };
+        let Some(floor) = shared.floor.filter(|_| outcome == Outcome::Ok) else { return own };
         // One that says itself that it is no primary has not seen what only that one has.
         let deposed = floor == f64::INFINITY && primary == Some(false);
         if deposed || shared.unsure.contains(&attempt) {
             return Policy::looked_at(primary, position, floor, elapsed);
         }
-        outcome
+        own
     }
 
     /// A request has been served. Hands the value back where it may be answered at once.
--- a/crates/daemon/src/net/proxy/trace.rs
+++ b/crates/daemon/src/net/proxy/trace.rs
@@ -1,10 +1,9 @@
 //! What the log tells of single requests: where each attempt went, what came of it, and why a request was given up. Lines of
 //! attempts are for the level "debug"; a request that is not served is told of at "info", with its attempts.
 
-use routing::interface::{AttemptSummary, Explanation, MemberId, Outcome, RequestId};
+use routing::interface::{AttemptSummary, Conclusion, Explanation, MemberId, Outcome, RequestId};
 
-use super::Proxy;
-use crate::net::Context;
+use crate::numbers::Numbers;
 
 const MILLIS: f64 = 1000.0;
 
@@ -19,7 +18,7 @@
     id: &RequestId,
     (attempt, elapsed): (usize, f64),
     member: &MemberId,
-    (received, concluded): (Outcome, impl std::fmt::Debug),
+    (received, concluded): (Outcome, Conclusion),
     (position, primary): (Option<f64>, Option<bool>),
 ) {
     logging::debug!(
@@ -40,20 +39,20 @@
     logging::info!(event = "request.turned_away", id = &**id, reason, "nothing of it was sent");
 }
 
-impl Proxy {
-    /// A request is given up: the refusal or failure follows.
-    pub(super) fn trace_given_up(&self, explanation: &Explanation, context: &Context) {
-        let Explanation { id, reason, attempts } = explanation;
-        let Some(request) = self.requests.get(id) else { return };
-        let waited_ms = (context.reactor.now() - request.taken) * MILLIS;
-        let attempts: Vec<String> = attempts.iter().map(words).collect();
-        let (class, attempts) = (self.numbers.name(request.class), attempts.join("; "));
-        logging::info!(event = "request.given_up", id = &**id, reason = ?reason, class, waited_ms, attempts);
-    }
+/// A request has been given up: refused or failed.
+pub(super) fn given_up(explanation: &Explanation, numbers: &Numbers) {
+    let Explanation { id, class, waited, reason, attempts } = explanation;
+    let attempts: Vec<String> = attempts.iter().map(words).collect();
+    let (class, waited_ms, attempts) = (numbers.class(*class), waited * MILLIS, attempts.join("; "));
+    logging::info!(event = "request.given_up", id = &**id, reason = ?reason, class, waited_ms, attempts);
 }
 
 /// An attempt in a line of the log.
 fn words(attempt: &AttemptSummary) -> String {
-    let ended = attempt.outcome.map_or("out".into(), |outcome| format!("{outcome:?}"));
+    let ended = match attempt.ended {
+        None => "out".into(),
+        Some((outcome, Conclusion::AsReceived)) => format!("{outcome:?}"),
+        Some((outcome, Conclusion::TooOld)) => format!("{outcome:?}, too old"),
+    };
     format!("{} {ended}, sent {:.0} ms ago", attempt.member, attempt.age * MILLIS)
 }
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -364,6 +364,12 @@
         }
     }
 
+    /// Takes in what has arrived on every connection, whether or not its event has been taken up.
+    pub fn read(&mut self, context: &mut Context) {
+        let open: Vec<Slot> = self.conns.iter().map(|(slot, _)| slot).collect();
+        open.into_iter().for_each(|slot| self.ready(slot, context));
+    }
+
     /// A connection may be read from or written to.
     pub fn ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -50,6 +50,8 @@
     task: Task,
     sent: f64,
     give_up: f64,
+    /// Nothing of it is written from then on.
+    write_by: f64,
 }
 
 /// What has come back so far.
@@ -68,9 +70,16 @@
 }
 
 impl Reply {
-    /// What it amounts to; none while that is open.
+    /// Whether anything of an answer is there: the machine had the request.
+    fn begun(&self) -> bool {
+        self.described || self.code.is_some()
+    }
+
+    /// What it amounts to; none while that is open. A code that says that nothing ran proves it only where no part of a row
+    /// came with it.
     fn outcome(&self) -> Option<Outcome> {
         Some(match self.code.as_deref() {
+            Some(_) if self.described => Outcome::Error,
             Some(code::TURNED_AWAY) => Outcome::Full,
             Some(code::READ_ONLY | code::BEHIND) => Outcome::Miss,
             Some(_) => Outcome::Error,
@@ -169,23 +178,20 @@
     fn broken(&self) -> Step {
         Step::Broken(match self.stage {
             Stage::Connecting | Stage::Starting => Outcome::ConnectFailed,
-            Stage::Busy if !self.outbox.is_empty() => Outcome::ConnectFailed,
+            Stage::Busy if !self.outbox.is_empty() && !self.reply.begun() => Outcome::ConnectFailed,
             Stage::Busy | Stage::Idle => self.reply.outcome().unwrap_or(Outcome::Reset),
         })
     }
 
-    /// What it means that something came that is no part of an answer: the request may have run, and nothing
-    /// that came with it is to be relied on, unless the machine had already said that it did not.
+    /// What it means that something came that is no part of an answer: the request may have run, and nothing that came with it
+    /// is to be relied on, not even that it did not run.
     fn spoil(&mut self) -> Step {
         self.spoilt = true;
-        match (self.stage, self.reply.outcome()) {
-            (Stage::Connecting | Stage::Starting, _) => Step::Broken(Outcome::ConnectFailed),
-            (_, Some(outcome)) if outcome.proves_untouched() => Step::Broken(outcome),
-            _ => {
-                self.reply = Reply::default();
-                Step::Broken(Outcome::Error)
-            }
+        if matches!(self.stage, Stage::Connecting | Stage::Starting) {
+            return Step::Broken(Outcome::ConnectFailed);
         }
+        self.reply = Reply::default();
+        Step::Broken(Outcome::Error)
     }
 
     /// Takes message by message.
@@ -253,6 +259,8 @@
                     _ => pgwire::forward(&mut self.reply.value, &message),
                 }
             }
+            // A second error contradicts the first, or belongs to another request.
+            (Stage::Busy, b'E') if self.reply.code.is_some() => return self.spoil(),
             (Stage::Busy, b'E') => {
                 let (code, fatal) = pgwire::error_code(&message.body);
                 self.reply.code = Some(code);
@@ -267,10 +275,10 @@
         Step::Waiting
     }
 
-    /// Writes the request of the job onto a connection that is ready for one; false where memory is short, so
-    /// that nothing of it is sent.
+    /// Writes the request of the job onto a connection that is ready for one; false where memory is short or it may not be
+    /// written any more, so that nothing of it is sent.
     fn ask(&mut self, now: f64) -> bool {
-        let Some(job) = &self.job else { return false };
+        let Some(job) = self.job.as_ref().filter(|job| now < job.write_by) else { return false };
         let sql = match &job.task {
             Task::Attempt(_, _, statement) => statement.with_patience(job.give_up - now),
             Task::Probe => ASK_LOAD.to_vec(),
@@ -371,11 +379,11 @@
         &mut self,
         task: Task,
         member: &MemberId,
-        timeout: f64,
+        (timeout, write_by): (f64, f64),
         context: &mut Context,
     ) -> Option<Slot> {
         let sent = context.reactor.now();
-        let job = Job { task, sent, give_up: sent + timeout };
+        let job = Job { task, sent, give_up: sent + timeout, write_by };
         while let Some(slot) = self.machines.get_mut(member).and_then(|machine| machine.idle.pop()) {
             let Some(conn) = self.conns.get_mut(slot) else { continue };
             if !conn.alive() {
@@ -531,7 +539,9 @@
         let unmade = conn.job.as_ref().is_some_and(|job| now >= job.sent + connect_timeout);
         let step = match conn.stage {
             Stage::Connecting | Stage::Starting if unmade => Step::Broken(Outcome::ConnectFailed),
-            Stage::Busy if !conn.outbox.is_empty() => Step::Broken(Outcome::ConnectFailed),
+            Stage::Busy if !conn.outbox.is_empty() && !conn.reply.begun() => {
+                Step::Broken(Outcome::ConnectFailed)
+            }
             Stage::Busy if conn.begun => conn.spoil(),
             _ => Step::Broken(conn.reply.outcome().unwrap_or(Outcome::Timeout)),
         };
@@ -598,7 +608,7 @@
             inbox: Ring::new(&budget),
             outbox: Ring::new(&budget),
             stage: Stage::Idle,
-            job: Some(Job { task, sent: 0.0, give_up: 10.0 }),
+            job: Some(Job { task, sent: 0.0, give_up: 10.0, write_by: 10.0 }),
             reply: Reply::default(),
             held: budget.charge(),
             spoilt: false,
--- a/crates/daemon/src/numbers.rs
+++ b/crates/daemon/src/numbers.rs
@@ -39,6 +39,11 @@
 }
 
 impl Numbers {
+    /// The name of the class that has a number at the policy; empty where none has.
+    pub fn class(&self, number: usize) -> &str {
+        self.classes.get(number).map_or("", |(name, _)| name)
+    }
+
     /// Gives the classes and tenants of a configuration their numbers.
     pub fn assign(
         &mut self,
--- a/crates/daemon/tests/incident.rs
+++ b/crates/daemon/tests/incident.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use peers::*;
+use rstest::rstest;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
 
@@ -39,6 +40,32 @@
     assert!(counters.contains(" refused=0 failed=1 ") && counters.contains(" sent=2 "), "{counters}");
 }
 
+/// What a machine may say that does not prove that nothing ran, though a code in it says so.
+#[rstest]
+#[case::behind_part_of_a_row([&row(VALUE)[..27], &turned_away()].concat())]
+#[case::behind_a_whole_row([row(VALUE), turned_away()].concat())]
+#[case::behind_another_error([error("XX000"), turned_away()].concat())]
+#[case::before_noise([error("53300"), b"\x9f\x03\x00\xfe\xc1".to_vec()].concat())]
+fn a_code_that_says_that_nothing_ran_is_not_believed_where_the_answer_contradicts_it(
+    #[case] answer: Vec<u8>,
+) {
+    let (db, discovery) = (Db::listen(), Discovery::listen());
+    let known = list(41, true, &[db.line("s-1", "here")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &FRESH_ONCE);
+    let mut client = client(&pooler);
+    let mut wire = primary_found(&db, &mut client, VALUE);
+    client.send(&query(&ask("1", "reports")));
+    asked(&mut wire);
+    wire.send(&answer);
+    assert_eq!(client.error().0, "58000");
+    assert!(pooler.counters().contains(" violations=0 "));
+}
+
+/// The message of an error.
+fn error(code: &str) -> Vec<u8> {
+    frame(b'E', format!("SERROR\0VERROR\0C{code}\0M\0\0").as_bytes())
+}
+
 #[test]
 fn a_list_that_takes_longer_to_come_than_any_call_waited_is_heard() {
     let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
--- a/crates/routing/src/deposed.rs
+++ b/crates/routing/src/deposed.rs
@@ -2,7 +2,7 @@
 //! with whatever it answers; where an answer got lost on the way, that may have been in it, and what its data lacks is
 //! for no read that needs what only a primary has.
 
-use crate::interface::{Action, Consistency, Done, Outcome};
+use crate::interface::{Action, Conclusion, Consistency, Done, Outcome};
 use crate::state::{Policy, Request};
 
 /// Pause before a member is asked once more about its role, in multiples of the connect time-out: what it reports is as old.
@@ -19,7 +19,8 @@
     /// the moment in which another takes over is not told.
     pub(crate) fn note_deposed(&mut self, m: usize, done: &Done) {
         let member = &mut self.members[m];
-        let deposed = done.outcome == Outcome::Miss && done.primary == Some(false);
+        let turned_away = done.outcome == Outcome::Miss || done.conclusion == Conclusion::TooOld;
+        let deposed = turned_away && done.primary == Some(false);
         if deposed && member.role.is_some_and(|(primary, _)| primary) {
             member.handing_over_until = self.now + HANDOVER;
         }
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -3,31 +3,15 @@
 
 use std::sync::Arc;
 
+pub use crate::effect::{Dedup, Effect};
+pub use crate::outcome::{Conclusion, Evidence, Outcome};
+use crate::permission::Denial;
+
 /// Names a request; opaque to the policy.
 pub type RequestId = Arc<str>;
 /// Names a member of the fleet; opaque to the policy.
 pub type MemberId = Arc<str>;
 
-/// What repeating a request can do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// A repeat is harmless.
-    Safe,
-    /// Repeats are dropped inside a [`Dedup`] scope for a while.
-    Keyed,
-    /// A repeat may take effect twice.
-    Unsafe,
-}
-
-/// The members among which repeats of a keyed request are dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dedup {
-    /// Any member.
-    All,
-    /// Members of the request's group.
-    Cell,
-}
-
 /// How recent the data behind an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Consistency {
@@ -232,36 +216,6 @@
     pub primary: Option<bool>,
 }
 
-/// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// Served.
-    Ok,
-    /// An error; an effect is possible.
-    Error,
-    /// Turned away unexamined.
-    Full,
-    /// No answer in time; it may have run.
-    Timeout,
-    /// No connection; it never ran.
-    ConnectFailed,
-    /// The connection broke; it may have run.
-    Reset,
-    /// Withdrawn; it may have run.
-    Cancelled,
-    /// Never sent.
-    Moot,
-    /// Turned away untouched: not the primary, or too far behind.
-    Miss,
-}
-
-impl Outcome {
-    /// Whether this outcome proves that nothing ran.
-    pub fn proves_untouched(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
-    }
-}
-
 /// Why a request is ended without having been served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
@@ -279,6 +233,8 @@
     RetryBudget,
     /// The only member that takes it is full.
     PrimaryFull,
+    /// A further attempt was begun that may not be.
+    Denied,
 }
 
 /// One attempt of a request, for the log.
@@ -288,8 +244,8 @@
     pub member: MemberId,
     /// How long ago it was sent (seconds).
     pub age: f64,
-    /// How it ended; none while it is out.
-    pub outcome: Option<Outcome>,
+    /// How it ended and what was concluded from that; none while it is out.
+    pub ended: Option<(Outcome, Conclusion)>,
 }
 
 /// Why a request is refused or failed, and what has become of its attempts.
@@ -297,6 +253,10 @@
 pub struct Explanation {
     /// The request.
     pub id: RequestId,
+    /// The number of its class.
+    pub class: usize,
+    /// How long it has been there (seconds).
+    pub waited: f64,
     /// Why it is given up.
     pub reason: Reason,
     /// Its attempts, in their order; at most as many as the settings allow.
@@ -338,8 +298,10 @@
     pub member: MemberId,
     /// Number of the attempt, from 0.
     pub attempt: usize,
-    /// How it ended.
+    /// How it ended, as received.
     pub outcome: Outcome,
+    /// What is concluded from that.
+    pub conclusion: Conclusion,
     /// Whether the request is finished.
     pub finished: bool,
     /// How long ago it was sent (seconds).
@@ -352,6 +314,18 @@
     pub report: Report,
 }
 
+impl Done {
+    /// Whether it was served with an answer that may be passed on.
+    pub fn is_served(&self) -> bool {
+        self.outcome == Outcome::Ok && self.conclusion == Conclusion::AsReceived
+    }
+
+    /// What it proves.
+    pub fn evidence(&self) -> Evidence {
+        Evidence::of(self.outcome, self.conclusion)
+    }
+}
+
 /// What the proxy tells the policy.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -465,7 +439,14 @@
     },
     /// Ask for changes of the member list from now on.
     Listen,
-    /// Why the final answer that follows is none that served, for the log.
+    /// Something was about to be done that may not be: it is not done. A fault of the decisions, to be counted.
+    Denied {
+        /// The request.
+        id: RequestId,
+        /// What forbids it.
+        denial: Denial,
+    },
+    /// Why the final answer that was just given is none that served, for the log.
     Explain(Box<Explanation>),
     /// A state transition for the operator's log.
     Log(String),
--- a/crates/routing/src/own_writes.rs
+++ b/crates/routing/src/own_writes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::interface::{Consistency, Outcome, RequestId};
+use crate::interface::{Conclusion, Consistency, Evidence, Outcome, RequestId};
 use crate::state::{Policy, Request};
 
 /// Sessions whose last write is remembered; older ones are assumed to have written as late as any forgotten.
@@ -37,8 +37,8 @@
             && request.session.as_ref().is_some_and(|session| self.is_writing(session))
     }
 
-    /// What an answer comes to once it is held against what it must have seen: one of a member that says itself that it is
-    /// no primary, or where it stands, and has seen less, is a miss. Guards against a primary that was deposed without this
+    /// What is concluded from an answer once it is held against what it must have seen: one of a member that says itself that
+    /// it is no primary, or where it stands, and has seen less, is too old. It has run all the same. Guards against a primary that was deposed without this
     /// proxy having heard of it, and one that has fallen behind since its role was told.
     pub fn checked(
         &self,
@@ -46,14 +46,14 @@
         (attempt, elapsed): (usize, f64),
         outcome: Outcome,
         (position, primary): (Option<f64>, Option<bool>),
-    ) -> Outcome {
+    ) -> Conclusion {
         let request = self.numbers.get(id).and_then(|n| self.requests.get(n));
-        let Some(request) = request.filter(|_| outcome == Outcome::Ok) else { return outcome };
+        let Some(request) = request.filter(|_| outcome == Outcome::Ok) else { return Conclusion::AsReceived };
         let read = self.settings.classes[request.class].consistency != Consistency::Write;
         let told = position.is_some() || primary.is_some();
         match request.attempts.get(attempt).and_then(|attempt| attempt.needed) {
             Some(needed) if read && told => Policy::looked_at(primary, position, needed, elapsed),
-            _ => outcome,
+            _ => Conclusion::AsReceived,
         }
     }
 
@@ -68,12 +68,12 @@
     }
 
     /// An attempt of a session's write has ended: the session's reads must see it from now on if it has run, or may have.
-    pub(crate) fn wrote_once(&mut self, session: Arc<str>, outcome: Outcome, commit: Option<f64>) {
-        if outcome.proves_untouched() {
+    pub(crate) fn wrote_once(&mut self, session: Arc<str>, evidence: Evidence, commit: Option<f64>) {
+        if evidence.proves_untouched() {
             return;
         }
         // An answer that does not tell the commit, or none at all, leaves no doubt that it was before now.
-        let told = commit.filter(|commit| outcome == Outcome::Ok && *commit <= self.now);
+        let told = commit.filter(|commit| evidence == Evidence::Ran && *commit <= self.now);
         self.remember(session, told.unwrap_or(self.now));
     }
 
--- a/crates/routing/src/peer_reports.rs
+++ b/crates/routing/src/peer_reports.rs
@@ -3,7 +3,7 @@
 //! never a stale read or a write sent on their word alone.
 
 use crate::demand::faded;
-use crate::interface::{Action, MemberId, Outcome};
+use crate::interface::{Action, Conclusion, MemberId};
 use crate::learned::Learned;
 use crate::state::{Policy, ReportedState};
 use crate::thresholds::EJECT_AT;
@@ -131,14 +131,14 @@
         })
     }
 
-    /// What an answer comes to that may have seen less than `needed`: one of a replica that tells an older position, or
-    /// none, is a miss. It began `elapsed` seconds ago, when the replica's data may have been as much older.
-    pub fn looked_at(primary: Option<bool>, position: Option<f64>, needed: f64, elapsed: f64) -> Outcome {
+    /// What is concluded from an answer that may have seen less than `needed`: one of a replica that tells an older position,
+    /// or none, is too old. It began `elapsed` seconds ago, when the replica's data may have been as much older.
+    pub fn looked_at(primary: Option<bool>, position: Option<f64>, needed: f64, elapsed: f64) -> Conclusion {
         let reaches = position.is_some_and(|position| position - elapsed >= needed);
         if primary == Some(true) || reaches {
-            Outcome::Ok
+            Conclusion::AsReceived
         } else {
-            Outcome::Miss
+            Conclusion::TooOld
         }
     }
 
--- /dev/null
+++ b/crates/routing/src/permission/tests.rs
@@ -0,0 +1,95 @@
+use super::*;
+use crate::outcome::{Conclusion, Outcome};
+
+fn history(effect: Effect) -> History {
+    History::new(Rules {
+        effect,
+        window: 2.0,
+        connect: 0.25,
+        attempts: 3,
+        deadline: 10.0,
+        ..Rules::default()
+    })
+}
+
+/// Every way in which an attempt may end.
+const ENDS: [(Outcome, Conclusion, Evidence); 10] = [
+    (Outcome::Ok, Conclusion::AsReceived, Evidence::Ran),
+    (Outcome::Ok, Conclusion::TooOld, Evidence::Ran),
+    (Outcome::Error, Conclusion::AsReceived, Evidence::MayHaveRun),
+    (Outcome::Timeout, Conclusion::AsReceived, Evidence::MayHaveRun),
+    (Outcome::Reset, Conclusion::AsReceived, Evidence::MayHaveRun),
+    (Outcome::Cancelled, Conclusion::AsReceived, Evidence::MayHaveRun),
+    (Outcome::Full, Conclusion::AsReceived, Evidence::NeverRan),
+    (Outcome::Miss, Conclusion::AsReceived, Evidence::NeverRan),
+    (Outcome::ConnectFailed, Conclusion::AsReceived, Evidence::NeverRan),
+    (Outcome::Moot, Conclusion::AsReceived, Evidence::NeverRan),
+];
+
+#[test]
+fn what_may_have_run_is_neither_repeated_nor_refused_where_that_could_run_it_twice() {
+    for (outcome, conclusion, evidence) in ENDS {
+        assert_eq!(Evidence::of(outcome, conclusion), evidence);
+        let untouched = evidence == Evidence::NeverRan;
+        for effect in [Effect::Safe, Effect::Keyed, Effect::Unsafe] {
+            let mut history = history(effect);
+            history.begin(0.0);
+            history.end(0, evidence);
+            let repeats = untouched || effect != Effect::Unsafe;
+            assert_eq!(history.may_begin(1.0).is_ok(), repeats, "{effect:?} {outcome:?}");
+            assert_eq!(
+                history.may_refuse().is_ok(),
+                untouched || effect == Effect::Safe,
+                "{effect:?} {outcome:?}"
+            );
+            // Past the window nothing is dropped any more.
+            let late = untouched || effect == Effect::Safe;
+            assert_eq!(history.may_begin(1.76).is_ok(), late, "{effect:?} {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn a_refusal_of_a_keyed_request_is_true_where_every_member_drops_repeats() {
+    let rules = Rules { effect: Effect::Keyed, dedup: Dedup::All, ..Rules::default() };
+    let mut history = History::new(rules);
+    history.begin(0.0);
+    assert_eq!(history.may_refuse(), Ok(()));
+}
+
+#[test]
+fn a_repeat_is_written_before_the_window_of_the_first_that_may_have_run_ends() {
+    let mut history = history(Effect::Keyed);
+    history.begin(0.0);
+    history.end(0, Evidence::NeverRan);
+    history.begin(1.0);
+    assert_eq!(history.write_by(), 10.0, "the first that may run");
+    history.end(1, Evidence::MayHaveRun);
+    history.begin(2.0);
+    assert_eq!(history.write_by(), 3.0 - HELD_UP);
+}
+
+#[test]
+fn an_attempt_is_denied_behind_another_past_the_last_after_the_deadline_and_after_the_answer() {
+    let mut history = history(Effect::Safe);
+    assert_eq!(history.may_begin(10.0), Err(Denial::OutOfTime));
+    for attempt in 0..3 {
+        assert_eq!(history.may_begin(1.0), Ok(()));
+        history.begin(1.0);
+        assert_eq!(history.may_begin(1.0), Err(Denial::SecondCopy));
+        history.end(attempt, Evidence::MayHaveRun);
+    }
+    assert_eq!(history.may_begin(1.0), Err(Denial::AttemptsSpent));
+    history.close();
+    assert_eq!(history.may_begin(1.0), Err(Denial::Answered));
+}
+
+#[test]
+fn two_copies_at_most_are_out_where_copies_are_allowed() {
+    let mut history =
+        History::new(Rules { effect: Effect::Safe, copies: true, attempts: 6, ..Rules::default() });
+    history.begin(0.0);
+    assert_eq!(history.may_begin(0.1), Ok(()));
+    history.begin(0.1);
+    assert_eq!(history.may_begin(0.2), Err(Denial::SecondCopy));
+}
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::interface::*;
 use crate::latency::{Latency, SAMPLE};
 use crate::pace::Pace;
+use crate::permission::{Denial, History};
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, Terms};
 use crate::thresholds::{EJECT_AT, EJECT_MOST, FLEET_MIN_IN_FLIGHT, PROBE_MOST, SEEK_EVERY};
@@ -231,16 +232,6 @@
         });
     }
 
-    /// Whether anything new may go to a member at all (drains are kept from the moment they are told).
-    pub(crate) fn usable(&self, m: usize) -> bool {
-        let member = &self.members[m];
-        match member.phase {
-            Phase::Active => !member.reported.drained,
-            Phase::Leaving => false,
-            Phase::Left => self.settings.gone_is_advice && !member.bound_gone,
-        }
-    }
-
     /// What was chosen for a member before its drain was told may wait for a connection still.
     pub(crate) fn withhold(&self, out: &mut Vec<Action>) {
         let left = (0..self.members.len()).filter(|&m| self.members[m].in_flight > 0 && !self.usable(m));
@@ -357,11 +348,12 @@
         let n = self.next;
         self.next += 1;
         self.numbers.insert(id.clone(), n);
-        let times = (now + aim, now + left);
+        let times = (now, now + aim, now + left);
         let terms = Terms::of(&self.settings);
         // A client's repeat has had its lot: many refusals would add up to all there is. It draws among more.
         let lot = self.rng.f64() * if repeat { REPEAT_LOTS } else { 1.0 };
-        let request = Request { lot, session, terms, ..Request::new(id, (class, group), times) };
+        let history = History::new(self.rules(class, now + left));
+        let request = Request { lot, session, terms, history, ..Request::new(id, (class, group), times) };
         let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
         self.requests.insert(n, Request { token, over_share, hold_until, ..request });
         out.push(Action::Timer { at: hold_until, cookie: n });
@@ -387,21 +379,13 @@
         }
     }
 
-    /// Whether another try of a request by its client could do no harm.
-    pub(crate) fn harmless(&self, request: &Request) -> bool {
-        let class = &self.settings.classes[request.class];
-        let untouched = request.risky.is_none() && request.attempts.iter().all(|a| !a.open);
-        let dropped = class.effect == Effect::Keyed && class.dedup == Dedup::All;
-        class.effect == Effect::Safe || untouched || dropped
-    }
-
     /// The final answer of a request that is given up: a refusal where another try is harmless.
-    fn conclude(&mut self, n: u64, reason: Reason, out: &mut Vec<Action>) {
+    pub(crate) fn conclude(&mut self, n: u64, reason: Reason, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&n) else { return };
         let class = &self.settings.classes[request.class];
         let id = request.id.clone();
-        out.push(Action::Explain(Box::new(self.explain(request, reason))));
-        if self.harmless(request) {
+        let explanation = self.explain(request, reason);
+        if request.history.may_refuse().is_ok() {
             let late = class.late_worth == 0.0 && self.now >= request.aim_at - self.settings.tick;
             let wait = if late { class.deadline } else { class.aim * BACKOFF_AIM };
             let backoff = (wait * (0.5 + self.rng.f64())).min(request.terms.backoff);
@@ -409,6 +393,7 @@
         } else {
             out.push(Action::Fail { id });
         }
+        out.push(Action::Explain(Box::new(explanation)));
         self.finish(n, out);
     }
 
@@ -422,18 +407,12 @@
         let (group, consistency) = (request.group, class.consistency);
         let cutoff = if class.late_worth > 0.0 { request.deadline } else { request.aim_at };
         // A request that may have run goes on only as its class allows.
-        let closed = request.risky.is_some_and(|(sent, _)| match class.effect {
-            Effect::Safe => false,
-            Effect::Unsafe => true,
-            Effect::Keyed => self.now >= sent + class.dedup_window - request.terms.connect,
-        });
-        let spent = request.attempts.len() as u32 >= request.terms.attempts;
-        let over = self.now >= cutoff;
-        let reason = match (closed, spent, over) {
-            (true, ..) => Some(Reason::MayHaveRun),
-            (_, true, _) => Some(Reason::AttemptsSpent),
-            (.., true) => Some(Reason::OutOfTime),
-            _ => None,
+        let reason = match request.history.may_begin(self.now) {
+            Err(Denial::NeverRepeat | Denial::WindowOver) => Some(Reason::MayHaveRun),
+            Err(Denial::AttemptsSpent) => Some(Reason::AttemptsSpent),
+            Err(_) => Some(Reason::OutOfTime),
+            Ok(()) if self.now >= cutoff => Some(Reason::OutOfTime),
+            Ok(()) => None,
         };
         if let Some(reason) = reason {
             return self.conclude(n, reason, out);
@@ -524,7 +503,7 @@
         let state = self.groups.get(&request.group)?;
         let out_now = |n: &u64| self.requests.get(n).is_some_and(|r| r.attempts.iter().any(|a| a.open));
         let write = self.settings.classes[request.class].consistency == Consistency::Write;
-        if !write || request.risky.is_some() || state.trial_write.as_ref().is_some_and(out_now) {
+        if !write || request.history.may_have_run() || state.trial_write.as_ref().is_some_and(out_now) {
             return None;
         }
         // A cold one has hardly taken over; a trial weighs on it like any work.
@@ -712,6 +691,9 @@
     fn send(&mut self, n: u64, m: usize, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(needed) = self.requests.get(&n).map(|request| self.needed(request)) else { return };
+        if let Err(denial) = self.may_send(n, m) {
+            return self.deny(n, denial, out);
+        }
         let Some(request) = self.requests.get_mut(&n) else { return };
         let member = &mut self.members[m];
         if member.ejected {
@@ -725,29 +707,26 @@
         let needed = Some(needed).filter(|needed| member.position < *needed);
         request.attempts.push(Attempt::new(m, now, needed));
         // A repeat may not wait in a queue until after its window.
-        let class = &self.settings.classes[request.class];
-        let window = match request.risky {
-            Some((first, _)) if class.effect == Effect::Keyed => first + class.dedup_window,
-            _ => f64::INFINITY,
-        };
+        let keyed = self.settings.classes[request.class].effect == Effect::Keyed;
+        let window = if keyed { request.history.window_end() } else { f64::INFINITY };
+        request.history.begin(now);
         let timeout = (request.deadline.min(window) - now).max(self.settings.tick);
         out.push(Action::Send { id: request.id.clone(), member: member.id.clone(), timeout });
     }
 
     fn done(&mut self, m: usize, done: &Done, out: &mut Vec<Action>) {
-        let Done { ref id, attempt, outcome, finished, elapsed, position, .. } = *done;
+        let Done { ref id, attempt, outcome, conclusion, finished, elapsed, position, .. } = *done;
+        let (evidence, served) = (done.evidence(), done.is_served());
         let Some(&n) = self.numbers.get(id) else { return };
         let Some(request) = self.requests.get_mut(&n) else { return };
         let (class, group) = (request.class, request.group);
         let Some(a) = request.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         a.open = false;
-        a.outcome = Some(outcome);
+        a.ended = Some((outcome, conclusion));
         a.unsent = matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         let (sent, cancelled, overdue) = (a.sent, a.cancelled, a.overdue);
         let write = self.settings.classes[class].consistency == Consistency::Write;
-        if !outcome.proves_untouched() && outcome != Outcome::Ok && request.risky.is_none() {
-            request.risky = Some((sent, m));
-        }
+        request.history.end(attempt, evidence);
         let session = request.session.clone().filter(|_| write);
         let Latency { mean, deviation, .. } = self.latency[class];
         let member = &mut self.members[m];
@@ -755,19 +734,19 @@
         member.ghosts.retain(|until| *until > self.now);
         if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Miss | Outcome::Error) {
             member.heard = self.now;
-        } else if !outcome.proves_untouched() {
+        } else if !evidence.proves_untouched() {
             member.unanswered_at = member.unanswered_at.max(sent);
         }
         member.trial = false;
         match outcome {
-            Outcome::Ok => {
+            Outcome::Ok if served => {
                 self.record_latency(m, class, elapsed, true);
                 self.latency[class].take(elapsed);
                 self.absolve(m, out);
             }
-            // Turned away untouched by a live member: no fault of its health.
-            // A read missed shows it behind: it is left to catch up for as long as that takes at the least.
-            Outcome::Miss => {
+            // Turned away by a live member, or answered from what is too old: no fault of its health.
+            // It shows it behind: it is left to catch up for as long as that takes at the least.
+            Outcome::Ok | Outcome::Miss => {
                 let lag = (self.now - member.position).clamp(0.0, self.settings.warm_up);
                 member.shy_until = self.now + lag.max(self.settings.connect_timeout);
             }
@@ -814,7 +793,7 @@
             out.push(Action::LetGo { member: self.members[m].id.clone() });
         }
         if let Some(session) = session {
-            self.wrote_once(session, outcome, position);
+            self.wrote_once(session, evidence, position);
         }
         if finished || self.requests.get(&n).is_none_or(|r| r.done) {
             return self.finish(n, out);
@@ -828,7 +807,9 @@
         let primary_full =
             outcome == Outcome::Full && Some(m) == self.groups.get(&group).and_then(|g| g.primary);
         // It is one of work: what failed after a tenth of the usual time has cost a tenth of an attempt.
-        let cost = if outcome.proves_untouched() { 0.0 } else { (elapsed / mean).min(1.0) };
+        // What was answered too old costs the budget as little as what was turned away.
+        let free = evidence.proves_untouched() || conclusion == Conclusion::TooOld;
+        let cost = if free { 0.0 } else { (elapsed / mean).min(1.0) };
         if primary_full {
             return self.conclude(n, Reason::PrimaryFull, out);
         }
@@ -836,7 +817,7 @@
             return self.conclude(n, Reason::RetryBudget, out);
         }
         self.retries -= cost;
-        if outcome == Outcome::Miss {
+        if outcome == Outcome::Miss || conclusion == Conclusion::TooOld {
             let group = self.members[m].group;
             self.settle(group, out);
         }
--- a/crates/routing/src/reconfigure.rs
+++ b/crates/routing/src/reconfigure.rs
@@ -1,7 +1,7 @@
 //! New settings for a policy that is at work: the one way in, and what a change must leave alone.
 
 use crate::check::{check, SettingsError};
-use crate::interface::{MemberId, Phase, RequestId, Settings};
+use crate::interface::{MemberId, Phase, Settings};
 use crate::Policy;
 
 impl Policy {
@@ -35,13 +35,6 @@
         Ok(())
     }
 
-    /// Whether a request may be refused by whoever ends it: where it may have run, only if its class allows a
-    /// repeat. One that is not known has reached no member.
-    pub fn may_refuse(&self, id: &RequestId) -> bool {
-        let request = self.numbers.get(id).and_then(|n| self.requests.get(n));
-        request.is_none_or(|request| self.harmless(request))
-    }
-
     /// Whether any request of a class is not done with.
     pub fn class_in_hand(&self, class: usize) -> bool {
         self.requests.values().any(|request| request.class == class)
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -2,9 +2,12 @@
 
 use crate::calls::Calls;
 use crate::demand::{Demand, Share};
-use crate::interface::{AttemptSummary, Explanation, MemberId, Outcome, Phase, Reason, RequestId, Settings};
+use crate::interface::{
+    AttemptSummary, Conclusion, Explanation, MemberId, Outcome, Phase, Reason, RequestId, Settings,
+};
 use crate::latency::Latency;
 use crate::pace::Pace;
+use crate::permission::{History, Rules};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -127,15 +130,15 @@
     pub overdue: bool,
     /// It never reached its member.
     pub unsent: bool,
-    /// How it ended.
-    pub outcome: Option<Outcome>,
+    /// How it ended, and what was concluded from that.
+    pub ended: Option<(Outcome, Conclusion)>,
 }
 
 impl Attempt {
     /// An attempt just sent.
     pub fn new(member: usize, sent: f64, needed: Option<f64>) -> Attempt {
-        let (open, cancelled, overdue, unsent, outcome) = (true, false, false, false, None);
-        Attempt { member, sent, needed, open, cancelled, overdue, unsent, outcome }
+        let (open, cancelled, overdue, unsent, ended) = (true, false, false, false, None);
+        Attempt { member, sent, needed, open, cancelled, overdue, unsent, ended }
     }
 }
 
@@ -145,15 +148,13 @@
     pub attempts: u32,
     /// Longest back-off that a refusal may tell (seconds).
     pub backoff: f64,
-    /// A connection not made within this fails (seconds).
-    pub connect: f64,
 }
 
 impl Terms {
     /// The limits of these settings.
     pub fn of(settings: &Settings) -> Terms {
         let backoff = if settings.retry_after { settings.max_retry_after } else { 0.0 };
-        Terms { attempts: settings.max_attempts, backoff, connect: settings.connect_timeout }
+        Terms { attempts: settings.max_attempts, backoff }
     }
 }
 
@@ -162,6 +163,7 @@
     pub id: RequestId,
     pub class: usize,
     pub group: u32,
+    pub arrived: f64,
     pub aim_at: f64,
     pub deadline: f64,
     /// Until then it may wait without having reached any member.
@@ -173,8 +175,8 @@
     /// Drawn once from 0 to 1: decides where only a share of all requests may go.
     pub lot: f64,
     pub attempts: Vec<Attempt>,
-    /// First attempt that may have run: when and where.
-    pub risky: Option<(f64, usize)>,
+    /// What is certain of its attempts, and what may still be done about it.
+    pub history: History,
     pub held: bool,
     pub done: bool,
     pub terms: Terms,
@@ -182,11 +184,16 @@
 
 impl Request {
     /// A request that nothing has been done for yet.
-    pub fn new(id: RequestId, (class, group): (usize, u32), (aim_at, deadline): (f64, f64)) -> Request {
+    pub fn new(
+        id: RequestId,
+        (class, group): (usize, u32),
+        (arrived, aim_at, deadline): (f64, f64, f64),
+    ) -> Request {
         Request {
             id,
             class,
             group,
+            arrived,
             aim_at,
             deadline,
             hold_until: deadline,
@@ -195,7 +202,7 @@
             session: None,
             lot: 0.0,
             attempts: Vec::new(),
-            risky: None,
+            history: History::new(Rules::default()),
             held: false,
             done: false,
             terms: Terms::default(),
@@ -294,10 +301,11 @@
         let summary = |attempt: &Attempt| AttemptSummary {
             member: self.members[attempt.member].id.clone(),
             age: self.now - attempt.sent,
-            outcome: attempt.outcome,
+            ended: attempt.ended,
         };
         let attempts = request.attempts.iter().map(summary).collect();
-        Explanation { id: request.id.clone(), reason, attempts }
+        let (id, class, waited) = (request.id.clone(), request.class, self.now - request.arrived);
+        Explanation { id, class, waited, reason, attempts }
     }
 
     /// How many members are kept in mind, those that left lately included.
--- a/crates/routing/tests/deposed.rs
+++ b/crates/routing/tests/deposed.rs
@@ -98,6 +98,7 @@
         member: "p".into(),
         attempt: 0,
         outcome: Outcome::Ok,
+        conclusion: Conclusion::AsReceived,
         finished: true,
         elapsed: 0.35,
         position: Some(d.now),
@@ -163,21 +164,25 @@
 
 /// An answer is held against what it must have seen where its member was not known to have.
 #[test]
-fn an_answer_of_one_that_is_no_primary_any_more_is_a_miss_for_what_it_has_not_seen() {
+fn an_answer_of_one_that_is_no_primary_any_more_is_too_old_for_what_it_has_not_seen() {
     let mut d = served();
     d.ask("fresh", 4);
     let at = |position, primary| (Some(position), Some(primary));
     let now = d.now;
     let checked = |d: &Drive, told| d.policy.checked(&"fresh".into(), (0, 0.05), Outcome::Ok, told);
-    assert_eq!(checked(&d, at(now, true)), Outcome::Ok);
-    assert_eq!(checked(&d, at(now, false)), Outcome::Miss);
-    assert_eq!(checked(&d, (None, None)), Outcome::Ok, "one that tells nothing says nothing against itself");
-    // The next try goes elsewhere.
+    assert_eq!(checked(&d, at(now, true)), Conclusion::AsReceived);
+    assert_eq!(checked(&d, at(now, false)), Conclusion::TooOld);
+    assert_eq!(
+        checked(&d, (None, None)),
+        Conclusion::AsReceived,
+        "one that tells nothing says nothing against itself"
+    );
+    // It has run, which does a read no harm: the next try goes elsewhere.
     d.now += 0.05;
     assert!(!sent(&d.told("fresh", "p", 0, Outcome::Miss, Some(false), Some(now))).contains(&"p"));
     // A replica known to have come so far answers for that, however long it takes.
     d.freshen("r");
     assert_eq!(sent(&d.ask("bounded", 1)), ["r"]);
     let told = at(d.now - 0.4, false);
-    assert_eq!(d.policy.checked(&"bounded".into(), (0, 0.3), Outcome::Ok, told), Outcome::Ok);
+    assert_eq!(d.policy.checked(&"bounded".into(), (0, 0.3), Outcome::Ok, told), Conclusion::AsReceived);
 }
--- a/crates/routing/tests/peer_reports.rs
+++ b/crates/routing/tests/peer_reports.rs
@@ -37,6 +37,7 @@
         member: member.into(),
         attempt: 0,
         outcome,
+        conclusion: Conclusion::AsReceived,
         finished: outcome == Outcome::Ok,
         elapsed: 0.01,
         position,
@@ -67,12 +68,12 @@
 }
 
 #[test]
-fn an_answer_that_may_have_seen_less_is_a_miss() {
+fn an_answer_that_may_have_seen_less_is_too_old() {
     let at = |primary, position| Policy::looked_at(primary, position, 50.0, 0.2);
-    assert_eq!(at(Some(false), Some(50.1)), Outcome::Miss);
-    assert_eq!(at(Some(false), Some(50.3)), Outcome::Ok);
-    assert_eq!(at(None, None), Outcome::Miss);
-    assert_eq!(at(Some(true), None), Outcome::Ok);
+    assert_eq!(at(Some(false), Some(50.1)), Conclusion::TooOld);
+    assert_eq!(at(Some(false), Some(50.3)), Conclusion::AsReceived);
+    assert_eq!(at(None, None), Conclusion::TooOld);
+    assert_eq!(at(Some(true), None), Conclusion::AsReceived);
 }
 
 #[test]
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -442,6 +442,7 @@
             member: goal.as_str().into(),
             attempt: 0,
             outcome: Outcome::Ok,
+            conclusion: Conclusion::AsReceived,
             finished: true,
             elapsed: 3.0,
             position: None,
@@ -521,6 +522,7 @@
             member: "p".into(),
             attempt,
             outcome: Outcome::ConnectFailed,
+            conclusion: Conclusion::AsReceived,
             finished: false,
             elapsed: 0.25,
             position: None,
@@ -820,7 +822,18 @@
         let (outcome, report) = (Outcome::Full, Report::default());
         let (finished, elapsed, position, primary) = (false, 0.001, None, None);
         let id = id.into();
-        let done = Done { id, member, attempt, outcome, finished, elapsed, position, primary, report };
+        let done = Done {
+            id,
+            member,
+            attempt,
+            outcome,
+            conclusion: Conclusion::AsReceived,
+            finished,
+            elapsed,
+            position,
+            primary,
+            report,
+        };
         policy.handle(0.11, Event::Done(done), &mut actions);
         attempt += 1;
     }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -534,6 +534,7 @@
             member: machine.name.clone(),
             attempt,
             outcome,
+            conclusion: Conclusion::AsReceived,
             finished,
             elapsed: self.now - out.sent,
             position: heard.as_ref().and_then(|r| r.position),
--- a/crates/simulation/tests/mass.rs
+++ b/crates/simulation/tests/mass.rs
@@ -177,6 +177,7 @@
                             member,
                             attempt: 0,
                             outcome: Outcome::Ok,
+                            conclusion: Conclusion::AsReceived,
                             finished: true,
                             elapsed: 0.01,
                             position: Some(now),
