A call for the list that takes long is kept beside later ones; the first answer counts

Cause: listing/src/follow.rs dropped a call after 3 s (CALL, due: 'a call without an answer') and made it anew, so that a discovery that takes 3.5 s to begin each answer was never heard, and each caller went to the end of the line. routing/src/calls.rs left 4 to 5 s between calls that fail, whatever an answer takes: with answers of 1 s and more a change was heard over 6 s after discovery was back. Change: Follower keeps a watch and up to 3 calls without an answer (agents: 2 connections in all, as before); the first that answers takes the place of all. A call over 3 s is told once as silent; the oldest keeps its place in the line until it has hung for 30 s. Calls come closer together where answers were slow (period and draw and answer within 5.7 s), not after one that stood in a line.

--- a/crates/listing/src/follow.rs
+++ b/crates/listing/src/follow.rs
@@ -1,11 +1,18 @@
-//! Following the list at discovery, without I/O: what a watch or a call that says nothing means, and which of two
-//! connections counts while one takes the place of the other.
+//! Following the list at discovery, without I/O: what a watch or a call that says nothing means, and which of several
+//! connections counts. A call that takes long is not given up: a service that is slow looks like one that hangs, and who calls
+//! anew stands at the end of its line. It is kept beside the calls that are made after it, within a bound.
 
 /// An empty line is due on a watch every 2 s. One that is later than this (seconds) has fallen silent: what it misses
 /// counts as told 6 s after that began, heard or not, and calls of a whole fleet take discovery some seconds.
 const QUIET: f64 = 2.3;
-/// A call without any answer for so long (seconds) hangs. One that waits in line is answered or turned down before.
+/// A call without any answer for so long (seconds) is overdue: another is made beside it.
 const CALL: f64 = 3.0;
+/// A call without any answer for so long (seconds) hangs, and makes room for others.
+const HUNG: f64 = 30.0;
+/// Most connections at a time, the watch included: to a service that is asked, ...
+const MOST: usize = 4;
+/// ... and to an agent, which is called often and answers at once.
+const MOST_AT_AGENT: usize = 2;
 /// An agent answers at once, at no cost, and is silent while discovery is down; what it gets at the return counts at
 /// once. It is called again after so long without an answer (seconds), below any grace ...
 const CALL_AT_AGENT: f64 = 0.2;
@@ -35,13 +42,11 @@
     Silent(&'static str),
 }
 
-/// A connection to discovery.
+/// A connection that has answered, and goes on telling of changes.
 #[derive(Clone, Copy, Debug)]
 struct Watch {
     line: Line,
-    /// It has answered the call.
-    told: bool,
-    /// When the last whole document or empty line came, or a document began; at first, when the call was made.
+    /// When the last whole document or empty line came, or a document began.
     heard: f64,
     /// A document has begun and not ended.
     begun: bool,
@@ -51,17 +56,28 @@
     left: bool,
 }
 
-/// Which connections to discovery there are: at most one that is listened to and one that is to take its place.
+/// A connection on which a call has been made and nothing whole has come yet.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    line: Line,
+    made: f64,
+    /// When it was made, or a document began.
+    heard: f64,
+    begun: bool,
+    /// That it takes too long has been told.
+    overdue: bool,
+}
+
+/// The connections to discovery: the one that is listened to, and calls that have had no answer.
 #[derive(Debug)]
 pub struct Follower {
     /// The list is pushed to an agent: nobody else says when to call.
     pushed: bool,
     index: u64,
     lines: Line,
-    /// The newest connection.
-    current: Option<Watch>,
-    /// The one before it, until the newest has answered: what comes over it still counts.
-    before: Option<Watch>,
+    watch: Option<Watch>,
+    /// Calls without an answer, the oldest first; at most [`MOST`].
+    calls: Vec<Call>,
     /// An agent that says nothing is called again and again: that the list is lost is told once.
     lost: bool,
     /// When an agent is to be asked again.
@@ -73,8 +89,8 @@
 impl Follower {
     /// Holds the list of that version and has no connection yet.
     pub fn new(pushed: bool, index: u64) -> Follower {
-        let (lines, current, before, lost, again, armed) = (0, None, None, false, None, None);
-        Follower { pushed, index, lines, current, before, lost, again, armed }
+        let (lines, watch, calls, lost, again, armed) = (0, None, Vec::new(), false, None, None);
+        Follower { pushed, index, lines, watch, calls, lost, again, armed }
     }
 
     /// The version of the list that is held.
@@ -84,42 +100,66 @@
 
     /// Where the list is pushed, sees to it that there is a call or a watch.
     pub fn follow(&mut self, now: f64, out: &mut Vec<Step>) {
-        if self.pushed && self.current.is_none() {
+        if self.pushed && self.watch.is_none() && self.calls.is_empty() {
             self.listen(now, out);
         }
     }
 
-    /// Calls from the list held. A watch that has answered is kept until the new call is answered.
+    /// Calls from the list held. The watch and earlier calls are kept until one of the calls is answered.
     pub fn listen(&mut self, now: f64, out: &mut Vec<Step>) {
         self.again = None;
-        if let Some(old) = self.current.take() {
-            if old.told {
-                self.before.replace(old).into_iter().for_each(|older| out.push(Step::Close(older.line)));
-            } else {
-                out.push(Step::Close(old.line));
-            }
-        }
+        self.make_room(now, out);
         self.lines += 1;
-        let line = self.lines;
-        let (told, begun, silent, left) = (false, false, false, false);
-        self.current = Some(Watch { line, told, heard: now, begun, silent, left });
+        let (line, made, heard) = (self.lines, now, now);
+        self.calls.push(Call { line, made, heard, begun: false, overdue: false });
         out.push(Step::Open(line, self.index));
-        self.arm(now + self.patience(false), out);
+        self.arm(now + self.patience(), out);
     }
 
-    /// Calls for the whole list. What comes over a connection that is open still counts until the call is answered.
+    /// Closes a call where there are as many connections as there may be. The oldest has the best place in a line, and is
+    /// closed only once it hangs; of the others the one that was made first goes.
+    fn make_room(&mut self, now: f64, out: &mut Vec<Step>) {
+        let most = if self.pushed { MOST_AT_AGENT } else { MOST } - usize::from(self.watch.is_some());
+        while self.calls.len() >= most {
+            let hangs = now >= self.calls[0].made + HUNG;
+            let next = if hangs || self.calls.len() == 1 { 0 } else { 1 };
+            out.push(Step::Close(self.calls.remove(next).line));
+        }
+    }
+
+    /// Calls for the whole list at another service. What comes over a watch that is open still counts until the call is
+    /// answered.
     pub fn listen_afresh(&mut self, now: f64, out: &mut Vec<Step>) {
         // The versions of one service mean nothing to another.
         self.index = 0;
-        self.current.iter_mut().chain(&mut self.before).for_each(|watch| watch.left = true);
+        self.watch.iter_mut().for_each(|watch| watch.left = true);
+        self.close_calls(out);
         self.listen(now, out);
     }
 
     /// Follows the list no more.
     pub fn stop(&mut self, out: &mut Vec<Step>) {
         self.again = None;
-        let open = self.current.take().into_iter().chain(self.before.take());
-        out.extend(open.map(|watch| Step::Close(watch.line)));
+        self.close_watch(out);
+        self.close_calls(out);
+    }
+
+    fn close_watch(&mut self, out: &mut Vec<Step>) {
+        self.watch.take().into_iter().for_each(|watch| out.push(Step::Close(watch.line)));
+    }
+
+    fn close_calls(&mut self, out: &mut Vec<Step>) {
+        self.calls.drain(..).for_each(|call| out.push(Step::Close(call.line)));
+    }
+
+    /// Calls that take too long are not needed once the watch has spoken again.
+    fn close_overdue(&mut self, out: &mut Vec<Step>) {
+        self.calls.retain(|call| {
+            if call.overdue {
+                out.push(Step::Close(call.line));
+            }
+            !call.overdue
+        });
     }
 
     /// Asks for a look at that time, unless there is one before it.
@@ -130,22 +170,24 @@
         }
     }
 
-    /// How long a connection may say nothing.
-    fn patience(&self, told: bool) -> f64 {
-        match (told, self.pushed) {
-            (true, _) => QUIET,
-            (false, true) => CALL_AT_AGENT,
-            (false, false) => CALL,
+    /// How long a call may take.
+    fn patience(&self) -> f64 {
+        if self.pushed {
+            CALL_AT_AGENT
+        } else {
+            CALL
         }
     }
 
     /// Something came over a connection, after which a document has begun there and not ended, or not. What comes
     /// of a document gives it as long again for the rest, once.
     pub fn bytes(&mut self, line: Line, now: f64, begun: bool) {
-        let watch = self.current.iter_mut().chain(&mut self.before).find(|watch| watch.line == line);
-        if let Some(watch) = watch {
-            if begun && !std::mem::replace(&mut watch.begun, begun) {
-                watch.heard = now;
+        let watch = self.watch.iter_mut().filter(|watch| watch.line == line);
+        let calls = self.calls.iter_mut().filter(|call| call.line == line);
+        let watch = watch.map(|watch| (&mut watch.begun, &mut watch.heard));
+        for (known, heard) in watch.chain(calls.map(|call| (&mut call.begun, &mut call.heard))) {
+            if begun && !std::mem::replace(known, true) {
+                *heard = now;
             }
         }
     }
@@ -160,8 +202,7 @@
     /// News of that version came. Whether they count.
     pub fn news(&mut self, line: Line, now: f64, index: u64, out: &mut Vec<Step>) -> bool {
         let counts = self.heard(line, now, out).is_some();
-        let known = self.current.iter().chain(&self.before).find(|watch| watch.line == line);
-        if known.is_some_and(|watch| !watch.left) {
+        if self.watch.is_some_and(|watch| watch.line == line && !watch.left) {
             self.index = index;
         }
         counts
@@ -170,42 +211,61 @@
     /// Notes a whole document or empty line. Whether the list was not known to be followed before; none for a
     /// connection that does not count.
     fn heard(&mut self, line: Line, now: f64, out: &mut Vec<Step>) -> Option<bool> {
-        let newest = self.current.is_some_and(|watch| watch.line == line);
-        let watch = if newest { self.current.as_mut() } else { self.before.as_mut() };
-        let watch = watch.filter(|watch| watch.line == line)?;
-        let was =
-            std::mem::replace(watch, Watch { told: true, heard: now, begun: false, silent: false, ..*watch });
+        let fresh = Watch { line, heard: now, begun: false, silent: false, left: false };
+        let was_lost = match self.watch {
+            Some(watch) if watch.line == line => {
+                self.watch = Some(Watch { left: watch.left, ..fresh });
+                if !watch.left {
+                    self.close_overdue(out);
+                }
+                watch.silent
+            }
+            _ => {
+                // Whichever call is answered first takes the place of all other connections.
+                let place = self.calls.iter().position(|call| call.line == line)?;
+                self.calls.remove(place);
+                self.close_calls(out);
+                self.close_watch(out);
+                self.watch = Some(fresh);
+                true
+            }
+        };
         self.lost = false;
-        if newest && !was.told {
-            self.before.take().into_iter().for_each(|old| out.push(Step::Close(old.line)));
-        } else if self.current.is_none() {
-            self.current = self.before.take();
-        }
         self.arm(now + QUIET, out);
-        Some(!was.told || was.silent)
+        Some(was_lost)
     }
 
     /// A connection has broken, or what came over it is of no use.
     pub fn broke(&mut self, line: Line, now: f64, why: &'static str, out: &mut Vec<Step>) {
         out.push(Step::Close(line));
-        if self.before.is_some_and(|watch| watch.line == line) {
-            self.before = None;
-        } else if self.current.is_some_and(|watch| watch.line == line) {
-            self.current = None;
+        if self.watch.take_if(|watch| watch.line == line).is_some() {
+            if self.calls.is_empty() {
+                self.lost(now, Step::Failed(why), out);
+            }
+            return;
+        }
+        let Some(place) = self.calls.iter().position(|call| call.line == line) else { return };
+        let newest = place + 1 == self.calls.len();
+        // Of one that is overdue it has been told that it may be lost, and of an older one that another was made.
+        if newest && !self.calls.remove(place).overdue {
             self.lost(now, Step::Failed(why), out);
+        } else if !newest {
+            self.calls.remove(place);
         }
     }
 
-    /// The newest connection is gone: the one before it counts again, if it is not silent itself.
+    /// The newest call has come to nothing so far: a watch counts again, if it is not silent itself.
     fn lost(&mut self, now: f64, how: Step, out: &mut Vec<Step>) {
+        let failed = matches!(how, Step::Failed(_));
         // One at a service that was left would count as a watch for as long as it speaks.
-        self.before.take_if(|watch| watch.left).into_iter().for_each(|old| out.push(Step::Close(old.line)));
-        if let Some(watch) = self.before.take_if(|watch| !watch.silent) {
-            self.current = Some(watch);
+        if failed && self.watch.is_some_and(|watch| watch.left) {
+            self.close_watch(out);
+        }
+        if let Some(watch) = self.watch.filter(|watch| !watch.silent && !watch.left) {
             return self.arm(watch.heard + QUIET, out);
         }
         let known = std::mem::replace(&mut self.lost, true);
-        if self.pushed && matches!(how, Step::Silent(_)) {
+        if self.pushed && !failed {
             self.listen(now, out);
         } else if self.pushed {
             self.again = Some(now + PAUSE_AT_AGENT);
@@ -227,31 +287,50 @@
             Some(at) => self.arm(at, out),
             None => {}
         }
-        if let Some(watch) = &mut self.before {
-            watch.silent |= now >= watch.heard + QUIET;
-        }
-        let Some(watch) = self.current.filter(|watch| !watch.silent) else { return };
-        let until = watch.heard + self.patience(watch.told);
+        self.look_at_watch(now, out);
+        self.look_at_calls(now, out);
+    }
+
+    /// A watch that has been silent for too long is kept: should it only be late, what it says next counts.
+    fn look_at_watch(&mut self, now: f64, out: &mut Vec<Step>) {
+        let Some(watch) = self.watch.as_mut().filter(|watch| !watch.silent) else { return };
+        let until = watch.heard + QUIET;
         if now < until {
             return self.arm(until, out);
         }
-        if watch.told {
-            // It is kept: should it only be late, what it says next counts.
-            self.current = Some(Watch { silent: true, ..watch });
+        watch.silent = true;
+        // Where a call is out, its end decides.
+        if self.calls.is_empty() {
             self.lost = true;
             out.push(Step::Silent("silent"));
             if self.pushed {
                 self.listen(now, out);
             }
-        } else {
-            self.current = None;
-            if self.pushed && self.before.is_none() {
-                // The first that hangs is kept: an agent that is only slow answers it.
-                self.before = Some(Watch { silent: true, ..watch });
-            } else {
-                out.push(Step::Close(watch.line));
+        }
+    }
+
+    /// A call that takes too long is kept, and another is asked for; where the watch has spoken again it is not needed.
+    fn look_at_calls(&mut self, now: f64, out: &mut Vec<Step>) {
+        let patience = self.patience();
+        let speaks = self.watch.is_some_and(|watch| !watch.silent && !watch.left);
+        let mut place = 0;
+        while place < self.calls.len() {
+            let (call, newest) = (self.calls[place], place + 1 == self.calls.len());
+            let until = call.heard + patience;
+            if now >= until && speaks {
+                out.push(Step::Close(call.line));
+                self.calls.remove(place);
+                continue;
+            }
+            if now < until {
+                self.arm(until, out);
+            } else if !call.overdue {
+                self.calls[place].overdue = true;
+                if newest {
+                    return self.lost(now, Step::Silent("a call without an answer"), out);
+                }
             }
-            self.lost(now, Step::Silent("a call without an answer"), out);
+            place += 1;
         }
     }
 }
--- a/crates/routing/src/calls.rs
+++ b/crates/routing/src/calls.rs
@@ -10,6 +10,13 @@
 /// that at the latest, and one second is left for a line. Proxies that all call once in this time come evenly spread over
 /// it, which is what a service that has just come back can take in, and nothing shorter would be.
 const PERIOD: f64 = 4.0;
+/// Calls come closer together where answers were slow: what lies between two of them, the draw and the answer together stay
+/// within this (seconds), well inside the 6 s after which a change counts as told ...
+const HEARD_WITHIN: f64 = 5.7;
+/// ... but no closer than this (seconds), and not where answers take too long for that anyway ...
+const PERIOD_LEAST: f64 = 1.0;
+/// ... nor after a call that was turned down only after so long (seconds): it stood in a line, which more calls would lengthen.
+const STOOD_IN_LINE: f64 = 0.5;
 /// A call that waited in vain stood in a line that long: the next one comes so many times as long after.
 const LINE: f64 = 2.0;
 /// Time that the service is taken to need for a call (seconds): what proxies that start together leave each other ...
@@ -36,6 +43,10 @@
     called: Option<f64>,
     again: f64,
     failures: u32,
+    /// Since when an answer has been waited for, over calls that were made one beside another.
+    asked: Option<f64>,
+    /// How long the last answer took (seconds).
+    slow: f64,
     /// Until then the list that is held may be behind what counts as told unless it is heard.
     hurry: f64,
 }
@@ -51,7 +62,8 @@
     pub fn due(&mut self, now: f64) -> bool {
         let due = !self.following && now >= self.again;
         if due {
-            (self.called, self.again) = (Some(now), now + PERIOD);
+            (self.called, self.again) = (Some(now), now + self.period());
+            self.asked = self.asked.or(Some(now));
         }
         due
     }
@@ -61,9 +73,13 @@
         let called = self.called.take();
         let hurried = now < self.hurry;
         let doubled = f64::from(1u32 << if hurried { 0 } else { self.failures.min(4) });
+        // Turned down: the next answer is waited for from the next call on.
+        self.asked = None;
         let line = called.filter(|_| !hurried).map_or(0.0, |called| (now - called) * LINE);
         let wait = (within * FIRST).max(line) * doubled * (0.5 + draw);
-        self.again = (now + wait).min(called.unwrap_or(now) + PERIOD + draw).max(now);
+        let stood = called.is_some_and(|called| now - called >= STOOD_IN_LINE);
+        let period = if stood { PERIOD } else { self.period() };
+        self.again = (now + wait).min(called.unwrap_or(now) + period + draw).max(now);
         (self.following, self.failures) = (false, self.failures + 1);
         self.failures == 1
     }
@@ -73,7 +89,7 @@
         let hung = self.called.take();
         match hung.filter(|_| self.failures > 0 && now >= self.hurry) {
             // One call after another hangs: a service that comes back announces nothing.
-            Some(called) => self.again = (called + PERIOD + draw).max(now),
+            Some(called) => self.again = (called + self.period() + draw).max(now),
             None => {
                 if hung.is_none() || self.failures == 0 {
                     self.hurry = now + HURRY;
@@ -86,8 +102,21 @@
         self.failures == 1
     }
 
+    /// The longest time between two calls, but for the draw (seconds): less where answers were slow.
+    fn period(&self) -> f64 {
+        let left = HEARD_WITHIN - 1.0 - self.slow;
+        if left < PERIOD_LEAST {
+            PERIOD
+        } else {
+            left.min(PERIOD)
+        }
+    }
+
     /// News has come: the list is followed. Whether it was lost before.
-    pub fn told(&mut self) -> bool {
+    pub fn told(&mut self, now: f64) -> bool {
+        if let Some(asked) = self.asked.take() {
+            self.slow = now - asked;
+        }
         (self.following, self.called, self.hurry) = (true, None, 0.0);
         std::mem::take(&mut self.failures) > 0
     }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -156,7 +156,7 @@
         if kind == ListKind::Saved {
             let draw = self.rng.f64();
             self.calls.started(self.now, self.settings.fleet_size, draw);
-        } else if self.calls.told() {
+        } else if self.calls.told(self.now) {
             out.push(Action::Log("member list is back".into()));
         }
         let full = kind != ListKind::Incremental;
