--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -891,7 +891,8 @@
             let class = &self.settings.classes[request.class];
             let time = request.aim_at - self.now > self.latency[request.class].mean;
             let safe = class.effect == Effect::Safe && request.attempts.len() == index + 1;
-            if !safe || !time || self.retries < 1.0 || index > 2 {
+            let permitted = !self.settings.may_duplicate || request.history.may_begin(self.now).is_ok();
+            if !safe || !time || !permitted || self.retries < 1.0 || index > 2 {
                 continue;
             }
             let unheard = self.members[m].heard < request.attempts[index].sent;
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -82,3 +82,28 @@
     d.answer("short", "r", 0, Outcome::Ok);
     assert_eq!(sent(&d.pass(0.2)), [] as [&str; 0]);
 }
+
+/// Two at a time is all that is allowed: while both are late, a third went out.
+#[test]
+fn a_third_copy_is_not_begun_while_two_are_out() {
+    for seed in 0..20 {
+        let mut settings = copies();
+        settings.classes[3] = Class { aim: 1.5, deadline: 4.0, ..settings.classes[3].clone() };
+        let mut d = Drive::seeded(settings, seed);
+        d.list(ListKind::Incremental, vec![entry("far-2", 1, false), entry("far-3", 1, false)]);
+        // Answers usually come at once, so that copies are begun early in the time that there is.
+        for n in 0..40 {
+            let id = format!("quick-{n}");
+            let member = sent(&d.feed(Event::arrival(&id, 3, 0, 3.8)))[0].to_string();
+            d.now += 0.02;
+            d.ended_after(&id, &member, 0, Outcome::Ok, 0.02);
+        }
+        d.acts.clear();
+        d.feed(Event::arrival("x", 3, 0, 3.8));
+        d.pass(3.0);
+        let began = d.acts.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+        assert_eq!(began, 2, "seed {seed}");
+        let denied = d.acts.iter().filter(|a| matches!(a, Action::Denied { .. })).count();
+        assert_eq!(denied, 0, "seed {seed}: it was not even tried");
+    }
+}
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -1,13 +1,14 @@
 //! Clients: each holds a connection to one pooler and asks on it, one request after another, for as long as it stays open.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use fastrand::Rng;
 
+use crate::place::{self, Kind};
 use crate::plan::{Consistency, Effect, Plan};
 use crate::record::{Answer, Event, Id, Record, Value};
 use crate::wire;
@@ -28,7 +29,7 @@
 
 /// Where a pooler listens.
 pub fn address(pooler: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 82, pooler as u8, 1), PORT))
+    place::address(Kind::Poolers, pooler as u8, 1, PORT)
 }
 
 /// What clients of all poolers share.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -1,12 +1,13 @@
 //! Discovery: one list, one line of callers, and two addresses for each pooler, so that it is known who was told what.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use crate::fleet::{Fleet, Phase};
+use crate::place::{self, Kind};
 use crate::record::{Event, Record};
 
 /// Port of all addresses.
@@ -15,6 +16,8 @@
 const EMPTY_LINE: f64 = 2.0;
 /// A call that has waited so long (seconds) is turned down.
 const LONGEST_WAIT: f64 = 8.0;
+/// What was written last is left to be read for so long before a reset (milliseconds): what never arrived was not told.
+const READ_BEFORE_RESET_MS: u64 = 60;
 /// How often a watch looks at what is wrong (milliseconds).
 const LOOK_MS: u64 = 20;
 const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -22,7 +25,7 @@
 
 /// Where a pooler finds discovery; the second address is that of another configuration.
 pub fn address(pooler: usize, second: bool) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 81, pooler as u8, 1 + u8::from(second)), PORT))
+    place::address(Kind::Discovery, pooler as u8, 1 + u8::from(second), PORT)
 }
 
 /// The list and what is wrong with discovery.
@@ -60,9 +63,10 @@
         listed: usize,
     ) -> Arc<Discovery> {
         let padding = |n: usize| {
-            let (a, b, group) = (n / 250, n % 250 + 1, 1_000 + n / 4);
+            let (high, low, group) = ((n / 250) as u8, (n % 250 + 1) as u8, 1_000 + n / 4);
+            let address = place::address(Kind::Listed, high, low, PORT);
             format!(
-                r#"{{"name":"p-{n}","address":"127.90.{a}.{b}:5432","zone":"a","type":"m2","group":{group},"status":"SERVING","weight":1.0,"since_ms":0}}"#
+                r#"{{"name":"p-{n}","address":"{address}","zone":"a","type":"m2","group":{group},"status":"SERVING","weight":1.0,"since_ms":0}}"#
             )
         };
         let (down, slow, reset_before, silent_until) = (false, 0.0, 0.0, 0.0);
@@ -193,15 +197,16 @@
             let _ = stream.write_all(TURNED_DOWN.as_bytes());
             return;
         }
-        let _ = self.watch(pooler, &mut stream, (since, came));
+        let _ = self.watch(pooler, &mut stream, since);
     }
 
     /// Tells a caller what has changed, and goes on telling.
-    fn watch(&self, pooler: usize, stream: &mut TcpStream, (since, came): (u64, f64)) -> std::io::Result<()> {
+    fn watch(&self, pooler: usize, stream: &mut TcpStream, since: u64) -> std::io::Result<()> {
         stream.write_all(HEAD.as_bytes())?;
         let known = self.state().version;
         let (mut version, mut text) = if since == 0 { self.whole() } else { self.changes(since.min(known)) };
-        let (mut told, mut silent) = (self.record.now(), false);
+        let opened = self.record.now();
+        let (mut told, mut silent) = (opened, false);
         while !self.ends.load(Ordering::Relaxed) {
             if !text.is_empty() && !silent {
                 self.write(pooler, stream, version, &text)?;
@@ -213,8 +218,10 @@
             let now = self.record.now();
             // Those that were opened before it fell silent stay so for good.
             silent |= now < state.silent_until;
-            if state.down || state.reset_before > came {
+            if state.down || state.reset_before > opened {
                 drop(state);
+                // What was written is there to be read: a reset would take it away again.
+                std::thread::sleep(Duration::from_millis(READ_BEFORE_RESET_MS));
                 reset(stream);
                 return Ok(());
             }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -26,7 +26,9 @@
     /// Does what a fault says, and undoes it.
     pub fn carry_out(&self, fault: &Fault) {
         match *fault {
-            Fault::Drain { machine, gone_after, back_after } => self.drain(machine, gone_after, back_after),
+            Fault::Drain { machine, gone_after, back_after, stays_up } => {
+                self.drain(machine, (gone_after, back_after), stays_up);
+            }
             Fault::Crash { machine, lasts } => self.crash(machine, lasts),
             Fault::Trouble { machine, trouble, lasts } => {
                 self.with(|fleet, _| fleet.machines[machine].trouble = trouble);
@@ -58,6 +60,11 @@
                     pause(between);
                 }
             }
+            Fault::StallAll { lasts } => std::thread::scope(|scope| {
+                for pooler in 0..self.poolers.count() {
+                    scope.spawn(move || self.poolers.stall(pooler, lasts));
+                }
+            }),
             Fault::Restart { pooler } => self.poolers.restart(pooler),
             Fault::Kill { pooler } => self.poolers.kill(pooler),
         }
@@ -72,7 +79,7 @@
         self.with(|fleet, _| fleet.machines[machine].up && fleet.machines[machine].phase == Phase::Serving)
     }
 
-    fn drain(&self, machine: usize, gone_after: f64, back_after: f64) {
+    fn drain(&self, machine: usize, (gone_after, back_after): (f64, f64), stays_up: bool) {
         if !self.serves(machine) {
             return;
         }
@@ -82,7 +89,7 @@
         let group = self.with(|fleet, now| {
             let machine = &mut fleet.machines[machine];
             let (primary, group) = (machine.primary, machine.group);
-            machine.up = false;
+            machine.up = stays_up;
             primary.then(|| fleet.depose(group, now)).map(|_| group)
         });
         pause(back_after / 2.0);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,9 +1,10 @@
 //! The db machines as they truly are: who is up, who is the primary, how far each has applied the log.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use crate::place::{self, Kind};
 use crate::plan::{Consistency, Plan, Trouble, COLD_FROM, TIP_MULTIPLE, WARM_UP};
 
 /// How far a replica is behind when all is well (seconds).
@@ -174,5 +175,5 @@
 
 /// Where a machine listens.
 pub fn address(n: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, 80, (n / 250) as u8, (n % 250 + 1) as u8), PORT))
+    place::address(Kind::Databases, (n / 250) as u8, (n % 250 + 1) as u8, PORT)
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod fleet;
 mod oracle;
+mod place;
 mod plan;
 mod poolers;
 mod record;
@@ -53,6 +54,9 @@
     /// at most so many processes of the program (default 24)
     #[argh(option, default = "24")]
     poolers: usize,
+    /// which loopback addresses are used: runs side by side need places of their own (0 to 39, default 0)
+    #[argh(option, default = "0")]
+    place: u8,
     /// prints the plan of each run as well
     #[argh(switch)]
     plan: bool,
@@ -60,6 +64,7 @@
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
+    place::take(options.place);
     let mut broken = 0;
     for seed in options.seed..options.seed + options.runs {
         let mut plan = Plan::of(seed, options.seconds.clamp(8.0, 600.0));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -57,6 +57,7 @@
         machine: usize,
         gone_after: f64,
         back_after: f64,
+        stays_up: bool,
     },
     /// A machine dies at once and comes back cold and behind.
     Crash {
@@ -101,6 +102,10 @@
         lasts: f64,
         between: f64,
     },
+    /// All processes are held up together, as on cores that others have.
+    StallAll {
+        lasts: f64,
+    },
     /// A planned restart: SIGTERM, SIGKILL as early as it may come, a new process.
     Restart {
         pooler: usize,
@@ -217,6 +222,10 @@
             let fault = self.draw_fault(rng);
             self.faults.push((at, fault));
         }
+        for _ in 0..rng.usize(1..=3) {
+            let at = between(rng, QUIET_START, end);
+            self.draw_wave(at, rng);
+        }
         let restarts = rng.usize(1..=self.poolers / 3);
         for _ in 0..restarts {
             let pooler = rng.usize(..self.poolers);
@@ -225,15 +234,39 @@
         self.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
     }
 
+    /// Several machines drain together, while whoever should hear of it is held up, or hears slowly, or has to call anew.
+    fn draw_wave(&mut self, at: f64, rng: &mut Rng) {
+        if rng.bool() {
+            let (by, lasts) = (between(rng, 1.0, 3.9), between(rng, 8.0, 14.0));
+            self.faults.push((at - 1.0, Fault::DiscoverySlow { by, lasts }));
+        }
+        if rng.bool() {
+            self.faults.push((at - between(rng, 0.0, 0.5), Fault::WatchesReset));
+        }
+        if rng.usize(..3) == 0 {
+            self.faults.push((at - 0.5, Fault::DiscoveryDown { lasts: between(rng, 0.3, 3.0) }));
+        }
+        if rng.bool() {
+            self.faults.push((at - 0.03, Fault::StallAll { lasts: between(rng, STALL, LONG_STALL) }));
+        }
+        for group in 0..self.groups {
+            let machine = group * self.members + rng.usize(..self.members);
+            let (gone_after, back_after) = (between(rng, 3.0, 12.0), between(rng, 0.5, 2.0));
+            let drain = Fault::Drain { machine, gone_after, back_after, stays_up: true };
+            self.faults.push((at + 0.2 * rng.f64(), drain));
+        }
+    }
+
     fn draw_fault(&self, rng: &mut Rng) -> Fault {
         let machine = rng.usize(..self.groups * self.members);
         let pooler = rng.usize(..self.poolers);
         let lasts = between(rng, 0.5, 4.0);
-        match rng.usize(..22) {
+        match rng.usize(..23) {
             0..=4 => Fault::Drain {
                 machine,
-                gone_after: between(rng, 0.5, 3.0),
+                gone_after: between(rng, 0.5, 9.0),
                 back_after: between(rng, 0.5, 3.0),
+                stays_up: rng.bool(),
             },
             5 | 6 => Fault::Crash { machine, lasts },
             7..=9 => {
@@ -262,6 +295,7 @@
                 between: between(rng, 0.05, 0.4),
             },
             20 => Fault::Stalls { pooler, times: 1, lasts: between(rng, STALL, LONG_STALL), between: 0.0 },
+            21 => Fault::StallAll { lasts: between(rng, 0.05, STALL) },
             _ => Fault::Kill { pooler },
         }
     }
--- a/crates/soak/src/poolers.rs
+++ b/crates/soak/src/poolers.rs
@@ -46,7 +46,8 @@
     shim: Option<PathBuf>,
     plan: Plan,
     seats: Vec<Mutex<Seat>>,
-    /// Held by whoever restarts a process.
+    /// Held by whoever holds a process up, and by whoever restarts it.
+    stalling: Vec<Mutex<()>>,
     restarting: Vec<Mutex<()>>,
     record: Arc<Record>,
     discovery: Arc<Discovery>,
@@ -63,9 +64,26 @@
         (record, discovery, clients): (Arc<Record>, Arc<Discovery>, Arc<Clients>),
     ) -> Arc<Poolers> {
         let seats = (0..plan.poolers).map(|_| Mutex::default()).collect();
+        let stalling = (0..plan.poolers).map(|_| Mutex::default()).collect();
         let restarting = (0..plan.poolers).map(|_| Mutex::default()).collect();
         let (program, folder) = (program.to_path_buf(), folder.to_path_buf());
-        Arc::new(Poolers { program, folder, shim, plan, seats, restarting, record, discovery, clients })
+        Arc::new(Poolers {
+            program,
+            folder,
+            shim,
+            plan,
+            seats,
+            stalling,
+            restarting,
+            record,
+            discovery,
+            clients,
+        })
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.seats.len()
     }
 
     fn seat(&self, n: usize) -> MutexGuard<'_, Seat> {
@@ -168,6 +186,7 @@
 
     /// Holds one up for so long.
     pub fn stall(&self, n: usize, seconds: f64) {
+        let Ok(_stalling) = self.stalling[n].try_lock() else { return };
         // One that is being restarted is held up only for as long as the terms have it.
         let held = self.restarting[n].try_lock();
         if held.is_err() && seconds > 0.15 {
