--- a/crates/listing/src/follow.rs
+++ b/crates/listing/src/follow.rs
@@ -9,8 +9,8 @@
 const CALL: f64 = 3.0;
 /// A call without any answer for so long (seconds) hangs, and makes room for others.
 const HUNG: f64 = 30.0;
-/// Most connections at a time, the watch included: to a service that is asked, ...
-pub const MOST: usize = 4;
+/// Most connections at a time, the watch included: to a service that is asked, within the spare descriptors, ...
+pub const MOST: usize = 3;
 /// ... and to an agent, which is called often and answers at once.
 const MOST_AT_AGENT: usize = 2;
 /// An agent answers at once, at no cost, and is silent while discovery is down; what it gets at the return counts at
