--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -22,6 +22,11 @@
 /// One request in so many is not waited for to its end, and one client in so many connections sends half a message.
 const LEAVES_ONE_IN: u32 = 25;
 const BAD_ONE_IN: u32 = 12;
+/// One time in so many a client sends several requests at once, and one in so many in two pieces with a pause of so long between
+/// them at the most (seconds).
+const AHEAD_ONE_IN: u32 = 10;
+const SLOW_ONE_IN: u32 = 15;
+const SLOW: f64 = 0.4;
 /// How long a bad client waits to be told or closed (seconds).
 const BAD_WAITS: u64 = 8;
 /// Pause after a connection could not be made (milliseconds).
@@ -123,38 +128,75 @@
         let (mut buffer, mut welcomed) = (Vec::new(), false);
         while !self.over() {
             std::thread::sleep(Duration::from_secs_f64(PAUSE * rng.f64()));
-            let class = rng.usize(..self.plan.classes.len());
-            let group = rng.usize(..self.plan.groups);
-            let id = self.next.fetch_add(1, Ordering::Relaxed);
-            let deadline = self.plan.classes[class].deadline;
-            let patience = deadline * (0.4 + 0.6 * rng.f64());
-            let sql = self.statement(id, (class, group, client), patience, session);
+            let asked = match self.ask((pooler, client), &mut stream, session, rng) {
+                Some(asked) => asked,
+                None => return,
+            };
             // One that leaves does so somewhere in its time.
-            let leaves = (rng.u32(..LEAVES_ONE_IN) == 0).then(|| patience * rng.f64() * 0.5);
-            if stream.write_all(&wire::query(&sql)).is_err() {
-                return;
-            }
-            self.record.note(Event::Sent { id, pooler, class, client, patience });
-            if let Some(after) = leaves {
+            if rng.u32(..LEAVES_ONE_IN) == 0 {
+                let after = asked[0].patience * rng.f64() * 0.5;
                 std::thread::sleep(Duration::from_secs_f64(after));
                 let _ = stream.shutdown(Shutdown::Both);
-                self.record.note(Event::Left { id });
+                asked.iter().for_each(|asked| self.record.note(Event::Left { id: asked.id }));
                 return;
             }
-            match self.wait(&mut stream, &mut buffer, &mut welcomed, patience + WAITS_MORE) {
-                Came::Answer(answer) => {
-                    self.record.note(Event::Answered { id, answer });
-                    let write = self.plan.classes[class].consistency == Consistency::Write;
-                    if let (Answer::Served(value), true) = (answer, write) {
-                        session.commit = Some(value.position);
+            for (n, one) in asked.iter().enumerate() {
+                match self.wait(&mut stream, &mut buffer, &mut welcomed, one.patience + WAITS_MORE) {
+                    Came::Answer(answer) => {
+                        self.record.note(Event::Answered { id: one.id, answer });
+                        if let (Answer::Served(value), true) = (answer, one.write) {
+                            session.commit = Some(value.position);
+                        }
+                    }
+                    Came::Closed => {
+                        return asked[n..].iter().for_each(|asked| {
+                            self.record.note(Event::Closed { id: asked.id });
+                        })
+                    }
+                    Came::Silent => {
+                        return asked[n..].iter().for_each(|asked| {
+                            self.record.note(Event::Silent { id: asked.id });
+                        })
                     }
                 }
-                Came::Closed => return self.record.note(Event::Closed { id }),
-                Came::Silent => return self.record.note(Event::Silent { id }),
             }
         }
     }
 
+    /// Sends one request, or several at once, in one piece or in two; none where the connection has ended.
+    fn ask(
+        &self,
+        (pooler, client): (usize, usize),
+        stream: &mut TcpStream,
+        session: &Session,
+        rng: &mut Rng,
+    ) -> Option<Vec<Asked>> {
+        let count = if rng.u32(..AHEAD_ONE_IN) == 0 { rng.usize(2..=4) } else { 1 };
+        let (mut asked, mut bytes) = (Vec::new(), Vec::new());
+        for _ in 0..count {
+            let class = rng.usize(..self.plan.classes.len());
+            let group = rng.usize(..self.plan.groups);
+            let id = self.next.fetch_add(1, Ordering::Relaxed);
+            let patience = self.plan.classes[class].deadline * (0.4 + 0.6 * rng.f64());
+            let sql = self.statement(id, (class, group, client), patience, session);
+            bytes.extend(wire::query(&sql));
+            let write = self.plan.classes[class].consistency == Consistency::Write;
+            asked.push(Asked { id, class, patience, write });
+        }
+        // One in pieces is sent with its last byte; nothing of those before it is held back.
+        if count == 1 && rng.u32(..SLOW_ONE_IN) == 0 {
+            stream.write_all(&bytes[..20]).ok()?;
+            std::thread::sleep(Duration::from_secs_f64(SLOW * rng.f64()));
+            bytes.drain(..20);
+        }
+        stream.write_all(&bytes).ok()?;
+        for (n, Asked { id, class, patience, .. }) in asked.iter().enumerate() {
+            let (id, class, patience, behind) = (*id, *class, *patience, n > 0);
+            self.record.note(Event::Sent { id, pooler, class, client, patience, behind });
+        }
+        Some(asked)
+    }
+
     fn statement(
         &self,
         id: Id,
@@ -212,6 +254,14 @@
     }
 }
 
+/// A request that was sent.
+struct Asked {
+    id: Id,
+    class: usize,
+    patience: f64,
+    write: bool,
+}
+
 /// What a client knows of its own writes.
 struct Session {
     commit: Option<f64>,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -51,8 +51,8 @@
     /// how long each run lasts (seconds, 8 to 600; default 20)
     #[argh(option, default = "20.0")]
     seconds: f64,
-    /// at most so many processes of the program (default 24)
-    #[argh(option, default = "24")]
+    /// at most so many processes of the program (default 40)
+    #[argh(option, default = "40")]
     poolers: usize,
     /// which loopback addresses are used: runs side by side need places of their own (0 to 39, default 0)
     #[argh(option, default = "0")]
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -55,6 +55,8 @@
     client: usize,
     sent: f64,
     patience: f64,
+    /// Its answer waits for those of others.
+    behind: bool,
     answer: Option<(f64, Answer)>,
     closed: Option<f64>,
     silent: bool,
@@ -154,11 +156,11 @@
         let mut down_since = None;
         for (at, event) in events {
             match event {
-                Event::Sent { id, pooler, class, client, patience } => {
+                Event::Sent { id, pooler, class, client, patience, behind } => {
                     // An attempt may be noted before the client has noted that it sent.
                     let request = self.request(id);
                     (request.pooler, request.class, request.client) = (pooler, class, client);
-                    (request.sent, request.patience) = (at, patience);
+                    (request.sent, request.patience, request.behind) = (at, patience, behind);
                 }
                 Event::Answered { id, answer } => self.request(id).answer = Some((at, answer)),
                 Event::Closed { id } => self.request(id).closed = Some(at),
@@ -219,6 +221,7 @@
             client: 0,
             sent: f64::INFINITY,
             patience: 0.0,
+            behind: false,
             answer: None,
             closed: None,
             silent: false,
@@ -264,6 +267,8 @@
         let by = sent + patience + LATE + SLACK;
         let slack = |oracle: &Self, to| oracle.stopped.within(pooler, sent, to) + oracle.tolerance(sent, to);
         match (request.answer, request.closed) {
+            // The time spent waiting for the answers before it does not count.
+            (Some(_), _) if request.behind => {}
             (Some((at, _)), _) => {
                 let allowed = by + slack(self, at);
                 if at > allowed {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -181,7 +181,7 @@
     /// The run of a seed.
     pub fn of(seed: u64, seconds: f64) -> Plan {
         let mut rng = Rng::with_seed(seed);
-        let poolers = rng.usize(10..=24);
+        let poolers = rng.usize(10..=40);
         let long_list = rng.usize(..3) == 0;
         let mut plan = Plan {
             seed,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -41,13 +41,15 @@
 /// What was seen.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A client's last byte was written; it waits for so long (seconds).
+    /// A client's last byte was written; it waits for so long (seconds), and for the answers to what it sent before on the same
+    /// connection where there are any.
     Sent {
         id: Id,
         pooler: usize,
         class: usize,
         client: usize,
         patience: f64,
+        behind: bool,
     },
     Answered {
         id: Id,
