--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -75,7 +75,10 @@
 
     /// Watches the list at another address from now on; the watch that is open is kept until that has answered.
     pub fn move_to(&mut self, address: SocketAddr, context: &mut Context) {
-        if std::mem::replace(&mut self.address, address) != address {
+        if self.address != address {
+            // Calls at the address before are given up: what has been written to them counts.
+            self.read(context);
+            self.address = address;
             self.listen_afresh(context);
         }
     }
--- a/crates/routing/src/calls.rs
+++ b/crates/routing/src/calls.rs
@@ -19,6 +19,9 @@
 const STOOD_IN_LINE: f64 = 0.5;
 /// A call that waited in vain stood in a line that long: the next one comes so many times as long after.
 const LINE: f64 = 2.0;
+/// Fewer proxies need not be spread so far: their calls come as close as the service can take them in, but no closer than this
+/// (seconds) ...
+const PERIOD_OF_FEW: f64 = 1.2;
 /// Time that the service is taken to need for a call (seconds): what proxies that start together leave each other ...
 const CALL: f64 = 0.04;
 /// ... up to this (seconds).
@@ -43,6 +46,8 @@
     called: Option<f64>,
     again: f64,
     failures: u32,
+    /// How many proxies call; 0 where that is not known.
+    fleet: u32,
     /// Since when an answer has been waited for, over calls that were made one beside another.
     asked: Option<f64>,
     /// How long the last answer took (seconds).
@@ -55,6 +60,7 @@
     /// One of so many proxies has started with a list at hand, `draw` (0 to 1) its own: where all start together, they call one
     /// after another.
     pub fn started(&mut self, now: f64, fleet: u32, draw: f64) {
+        self.fleet = fleet;
         self.again = now + draw * (f64::from(fleet) * CALL).min(START_MOST);
     }
 
@@ -78,7 +84,7 @@
         let line = called.filter(|_| !hurried).map_or(0.0, |called| (now - called) * LINE);
         let wait = (within * FIRST).max(line) * doubled * (0.5 + draw);
         let stood = called.is_some_and(|called| now - called >= STOOD_IN_LINE);
-        let period = if stood { PERIOD } else { self.period() };
+        let period = if stood { self.period_of_fleet() } else { self.period() };
         self.again = (now + wait).min(called.unwrap_or(now) + period + draw).max(now);
         (self.following, self.failures) = (false, self.failures + 1);
         self.failures == 1
@@ -104,11 +110,19 @@
 
     /// The longest time between two calls, but for the draw (seconds): less where answers were slow.
     fn period(&self) -> f64 {
-        let left = HEARD_WITHIN - 1.0 - self.slow;
+        let (left, period) = (HEARD_WITHIN - 1.0 - self.slow, self.period_of_fleet());
         if left < PERIOD_LEAST {
-            PERIOD
+            period
         } else {
-            left.min(PERIOD)
+            left.min(period)
+        }
+    }
+
+    /// The same where answers are quick: all proxies call once in this time.
+    fn period_of_fleet(&self) -> f64 {
+        match self.fleet {
+            0 => PERIOD,
+            fleet => (f64::from(fleet) * CALL).clamp(PERIOD_OF_FEW, PERIOD),
         }
     }
 
--- a/crates/routing/src/calls/tests.rs
+++ b/crates/routing/src/calls/tests.rs
@@ -219,3 +219,44 @@
         assert!(calls.again - now >= 1.0, "{slow}: not all the time");
     }
 }
+
+/// Discovery was back and took 3.3 s for an answer, which nobody could know: one of 24 that had just been turned down called 3.8 s later.
+#[test]
+fn few_call_often_enough_to_be_heard_by_a_service_that_is_back_and_slow() {
+    for fleet in [1, 24, 30] {
+        let mut calls = Calls::default();
+        calls.started(0.0, fleet, 0.0);
+        let mut now = 100.0;
+        for _ in 0..10 {
+            calls.due(now);
+            calls.failed(now, 10.0, 1.0);
+            assert!(calls.again - now <= 2.201, "{fleet}: {calls:?}");
+            now = calls.again;
+        }
+        assert!(calls.again - 100.0 > 10.0, "{fleet}: not all the time");
+    }
+    // Those of many stay spread over what the service needs for all of them.
+    let mut calls = Calls::default();
+    calls.started(0.0, 300, 0.0);
+    (0..6).for_each(|n| {
+        calls.due(100.0 + 5.0 * f64::from(n));
+        calls.failed(100.0 + 5.0 * f64::from(n), 10.0, 1.0);
+    });
+    assert!(calls.again - 125.0 > 4.0, "{calls:?}");
+}
+
+/// A fleet that few calls are spread for is taken in by a service as fast as it is taken to be.
+#[test]
+fn a_small_fleet_is_heard_after_an_outage_by_a_service_that_takes_its_time() {
+    for seed in 0..10 {
+        for fleet in [5, 24, 40] {
+            let service = Service { down_until: 160.0, ..at_once(25.0) };
+            let begin = |c: &mut Calls, draw: f64| {
+                c.started(100.0, fleet, draw);
+                assert!(c.failed(100.0, 10.0, draw));
+            };
+            let seen = together(fleet, service, begin, seed);
+            assert!(seen.last < 66.0, "{} s for {fleet}, seed {seed}", seen.last);
+        }
+    }
+}
