--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -37,13 +37,13 @@
     /// Times that the configuration was read again, and that it could not be used.
     pub reloads: u64,
     pub reloads_failed: u64,
-    /// Times that the process was held up, or one round of its loop took, for longer than [`HELD_UP`], and the longest of these
-    /// (seconds).
     /// Answers that were served from data older than their requests may see.
     pub too_old: u64,
     /// What the decisions came to and may not be done, and what could not be done any more when it was to be.
     pub violations: Denials,
     pub withheld: Denials,
+    /// Times that the process was held up, or one round of its loop took, for longer than [`HELD_UP`], and the longest of these
+    /// (seconds).
     pub held_up: u64,
     pub held_up_most: f64,
 }
