--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -21,6 +21,8 @@
     line: Line,
     /// When it was called.
     opened: f64,
+    /// It has come up.
+    connected: bool,
     /// Something has been heard.
     answered: bool,
     stream: TcpStream,
@@ -30,7 +32,9 @@
 impl Watch {
     /// Reads and writes as far as it goes; what is whole of the answer.
     fn turn(&mut self, pieces: &mut Vec<json::Piece>) -> Result<(), Broken> {
-        if self.stream.peer_addr().is_err() {
+        // One that was reset has no peer any more, though what came before is there to be read.
+        self.connected |= self.stream.peer_addr().is_ok();
+        if !self.connected {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
                 _ => Err("no connection"),
@@ -150,7 +154,8 @@
         let connection = Connection::new(self.address, index, &self.budget)?;
         let opened = context.reactor.now();
         logging::info!(event = "discovery.call", line, index, address = %self.address, "calls for the list");
-        let slot = self.watches.insert(Watch { line, opened, answered: false, stream, connection });
+        let (connected, answered) = (false, false);
+        let slot = self.watches.insert(Watch { line, opened, connected, answered, stream, connection });
         let Some(watch) = self.watches.get_mut(slot) else { return Ok(()) };
         let (token, both) = (Source::Discovery(slot).into(), Interest::READABLE | Interest::WRITABLE);
         context.reactor.registry.register(&mut watch.stream, token, both).map_err(|_| "no connection")
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -491,7 +491,8 @@
 impl Conn {
     /// Reads and writes as far as it goes; what the sync machine is to be told.
     fn turn(&mut self, heard: &mut Vec<Heard>) -> Result<(), String> {
-        if self.stream.peer_addr().is_err() {
+        // One that was reset has no peer any more, though what came before is there to be read.
+        if !self.reached && self.stream.peer_addr().is_err() {
             return match self.stream.take_error() {
                 Ok(None) => Ok(()),
                 _ => Err("not reached".into()),
@@ -499,13 +500,13 @@
         }
         self.reached = true;
         loop {
-            let fill = self.link.turn(&mut self.stream).map_err(|fault| fault.to_string())?;
+            let turned = self.link.turn(&mut self.stream).map_err(|fault| fault.to_string());
             let before = self.link.inbox.len();
             self.heard |= before > 0;
             if self.take(heard)? {
                 return Ok(());
             }
-            match fill {
+            match turned? {
                 Fill::Ended => return Err("ended".into()),
                 Fill::Drained => return Ok(()),
                 Fill::Full if self.link.inbox.len() == before => return Err("no memory left".into()),
--- a/crates/daemon/tests/incident.rs
+++ b/crates/daemon/tests/incident.rs
@@ -136,3 +136,28 @@
     assert!(["T", "E"].contains(&&*char::from(asking.answer()[0].0).to_string()), "some answer is given");
     assert!(pooler.counters().contains(" violations=0 "));
 }
+
+/// What was written to a watch was told, also where a reset comes right behind it.
+#[test]
+fn what_came_before_a_reset_of_the_watch_is_taken_in() {
+    let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
+    let known = list(41, true, &[near.line("s-1", "here"), far.line("s-2", "there")]);
+    let pooler = Pooler::start(PROGRAM, &known, &discovery, &[]);
+    let mut watch = discovery.followed();
+    let mut client = client(&pooler);
+    let mut open = read_from(&near, &mut client, "1");
+    // Both have arrived before either is looked at, as far as a stopped program can tell.
+    pooler.signal("STOP");
+    tell(&mut watch, &(list(42, false, &[near.draining_line("s-1", "here")]) + "\n"));
+    socket2::SockRef::from(&watch).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(watch);
+    client.send(&query(&ask("2", "reports")));
+    pooler.signal("CONT");
+    let mut wire = far.accept();
+    assert!(asked(&mut wire).contains("id=2,"), "it went to the machine that drains");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    open.ends();
+    // The version that came last is the one that is gone on from.
+    assert!(discovery.call().1.contains("since=42 "));
+}
--- a/crates/listing/src/connection.rs
+++ b/crates/listing/src/connection.rs
@@ -69,10 +69,10 @@
             let held = self.inbox.len();
             let fill = self.inbox.fill(stream);
             self.passed.received += self.inbox.len() - held;
-            let fill = fill.map_err(|_| "the connection broke")?;
             let before = self.inbox.len();
+            // What came before a reset counts: it has been told.
             self.understand(pieces)?;
-            match fill {
+            match fill.map_err(|_| "the connection broke")? {
                 Fill::Ended => return Err("the watch ended"),
                 Fill::Drained => return Ok(()),
                 Fill::Full if self.inbox.len() == before => return Err("an answer too long"),
