--- a/crates/soak/src/poolers.rs
+++ b/crates/soak/src/poolers.rs
@@ -116,6 +116,8 @@
     /// Starts one and waits until it can serve.
     pub fn start(&self, n: usize) {
         let second = self.seat(n).second;
+        // What is listed from now on may not be in its configuration.
+        let configured = self.record.now();
         self.configure(n, second);
         let log = File::options().create(true).append(true).open(self.log(n)).expect("a log is opened");
         let mut command = Command::new(&self.program);
@@ -133,7 +135,7 @@
             seat.child = Some(child);
             seat.starts += 1;
         }
-        self.record.note(Event::Started { pooler: n });
+        self.record.note_at(configured, Event::Started { pooler: n });
         let begun = self.record.now();
         while self.record.now() - begun < READY_WITHIN && self.runs(n) {
             if answers(n) {
