--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -145,7 +145,9 @@
                     Came::Answer(answer) => {
                         self.record.note(Event::Answered { id: one.id, answer });
                         if let (Answer::Served(value), true) = (answer, one.write) {
-                            session.commit = Some(value.position);
+                            // Writes that were sent at once may be answered in another order than they ran.
+                            let commit = session.commit.unwrap_or(f64::NEG_INFINITY);
+                            session.commit = Some(commit.max(value.position));
                         }
                     }
                     Came::Closed => {
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -197,11 +197,16 @@
             let _ = stream.write_all(TURNED_DOWN.as_bytes());
             return;
         }
-        let _ = self.watch(pooler, &mut stream, since);
+        let _ = self.watch((pooler, came), &mut stream, since);
     }
 
     /// Tells a caller what has changed, and goes on telling.
-    fn watch(&self, pooler: usize, stream: &mut TcpStream, since: u64) -> std::io::Result<()> {
+    fn watch(
+        &self,
+        (pooler, called): (usize, f64),
+        stream: &mut TcpStream,
+        since: u64,
+    ) -> std::io::Result<()> {
         stream.write_all(HEAD.as_bytes())?;
         let known = self.state().version;
         let (mut version, mut text) = if since == 0 { self.whole() } else { self.changes(since.min(known)) };
@@ -209,7 +214,7 @@
         let (mut told, mut silent) = (opened, false);
         while !self.ends.load(Ordering::Relaxed) {
             if !text.is_empty() && !silent {
-                self.write(pooler, stream, version, &text)?;
+                self.write((pooler, called), stream, version, &text)?;
                 told = self.record.now();
             }
             let state = self.state();
@@ -240,10 +245,16 @@
         Ok(())
     }
 
-    fn write(&self, pooler: usize, stream: &mut TcpStream, version: u64, text: &str) -> std::io::Result<()> {
+    fn write(
+        &self,
+        (pooler, opened): (usize, f64),
+        stream: &mut TcpStream,
+        version: u64,
+        text: &str,
+    ) -> std::io::Result<()> {
         let bytes = [format!("{:x}\r\n", text.len()).as_bytes(), text.as_bytes(), b"\r\n"].concat();
         stream.write_all(&bytes)?;
-        self.record.note(Event::Told { pooler, version });
+        self.record.note(Event::Told { pooler, version, opened });
         Ok(())
     }
 }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -109,8 +109,8 @@
     lags: Vec<(f64, f64)>,
     /// Changes of machines: when, which, whether usable, version.
     listed: Vec<(f64, usize, bool, u64)>,
-    /// Versions told to poolers, and starts of poolers.
-    told: HashMap<usize, Vec<(f64, u64)>>,
+    /// Versions told to poolers, each on a connection opened then, and starts of poolers.
+    told: HashMap<usize, Vec<(f64, u64, f64)>>,
     starts: HashMap<usize, Vec<f64>>,
     ready: HashMap<usize, Vec<f64>>,
     /// Spans in which discovery could not be reached.
@@ -186,7 +186,9 @@
                 Event::Listed { machine, usable, version } => {
                     self.listed.push((at, machine, usable, version))
                 }
-                Event::Told { pooler, version } => self.told.entry(pooler).or_default().push((at, version)),
+                Event::Told { pooler, version, opened } => {
+                    self.told.entry(pooler).or_default().push((at, version, opened));
+                }
                 Event::Reachable(false) => down_since = down_since.or(Some(at)),
                 Event::Reachable(true) => self.down.extend(down_since.take().map(|from| (from, at))),
                 Event::Started { pooler } => self.starts.entry(pooler).or_default().push(at),
@@ -348,8 +350,11 @@
             let start = self.starts.get(&pooler).into_iter().flatten().copied().filter(|start| *start <= at);
             let start = start.fold(f64::NEG_INFINITY, f64::max);
             let heard = self.told.get(&pooler).into_iter().flatten();
-            let heard = heard.filter(|(when, up_to)| *when >= changed.max(start) && *up_to >= version);
-            let heard = heard.map(|(when, _)| *when).fold(f64::INFINITY, f64::min);
+            let heard = heard.filter(|(when, up_to, opened)| {
+                // What was written to a process that is no more was told to nobody.
+                *when >= changed && *opened >= start && *up_to >= version
+            });
+            let heard = heard.map(|(when, ..)| *when).fold(f64::INFINITY, f64::min);
             let counts = if start >= changed { start } else { heard.min(self.reachable_after(changed)) };
             if usable {
                 // Whoever has not heard that it is back need not use it, and may.
@@ -478,7 +483,7 @@
         let Some(&(changed, _, _, version)) = listed else { return false };
         let began = self.starts.get(&pooler).is_some_and(|all| all.iter().any(|s| (changed..at).contains(s)));
         let heard = self.told.get(&pooler).is_some_and(|all| {
-            all.iter().any(|(when, up_to)| (changed..at).contains(when) && *up_to >= version)
+            all.iter().any(|(when, up_to, _)| (changed..at).contains(when) && *up_to >= version)
         });
         began || heard || self.reachable_after(changed) <= at
     }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -94,10 +94,11 @@
         usable: bool,
         version: u64,
     },
-    /// A pooler has been written everything up to this version.
+    /// A pooler has been written everything up to this version, on a connection that it opened then.
     Told {
         pooler: usize,
         version: u64,
+        opened: f64,
     },
     /// Whether discovery can be reached.
     Reachable(bool),
