Only calls that were turned down come closer together where few call

A call without an answer keeps its place, so nothing is won by another so soon: due and silent go by the 4 s of before. routing, simulation and listing pass.

--- a/crates/routing/src/calls.rs
+++ b/crates/routing/src/calls.rs
@@ -68,7 +68,7 @@
     pub fn due(&mut self, now: f64) -> bool {
         let due = !self.following && now >= self.again;
         if due {
-            (self.called, self.again) = (Some(now), now + self.period());
+            (self.called, self.again) = (Some(now), now + self.period(PERIOD));
             self.asked = self.asked.or(Some(now));
         }
         due
@@ -84,7 +84,8 @@
         let line = called.filter(|_| !hurried).map_or(0.0, |called| (now - called) * LINE);
         let wait = (within * FIRST).max(line) * doubled * (0.5 + draw);
         let stood = called.is_some_and(|called| now - called >= STOOD_IN_LINE);
-        let period = if stood { self.period_of_fleet() } else { self.period() };
+        let of_fleet = self.period_of_fleet();
+        let period = if stood { of_fleet } else { self.period(of_fleet) };
         self.again = (now + wait).min(called.unwrap_or(now) + period + draw).max(now);
         (self.following, self.failures) = (false, self.failures + 1);
         self.failures == 1
@@ -95,7 +96,7 @@
         let hung = self.called.take();
         match hung.filter(|_| self.failures > 0 && now >= self.hurry) {
             // One call after another hangs: a service that comes back announces nothing.
-            Some(called) => self.again = (called + self.period() + draw).max(now),
+            Some(called) => self.again = (called + self.period(PERIOD) + draw).max(now),
             None => {
                 if hung.is_none() || self.failures == 0 {
                     self.hurry = now + HURRY;
@@ -109,16 +110,17 @@
     }
 
     /// The longest time between two calls, but for the draw (seconds): less where answers were slow.
-    fn period(&self) -> f64 {
-        let (left, period) = (HEARD_WITHIN - 1.0 - self.slow, self.period_of_fleet());
+    fn period(&self, longest: f64) -> f64 {
+        let left = HEARD_WITHIN - 1.0 - self.slow;
         if left < PERIOD_LEAST {
-            period
+            longest
         } else {
-            left.min(period)
+            left.min(longest)
         }
     }
 
-    /// The same where answers are quick: all proxies call once in this time.
+    /// The same after a call that was turned down, where answers are quick: all proxies call once in this time. One that has no answer
+    /// yet keeps its place, and needs no other beside it so soon.
     fn period_of_fleet(&self) -> f64 {
         match self.fleet {
             0 => PERIOD,
