--- a/crates/daemon/src/net/proxy.rs
+++ b/crates/daemon/src/net/proxy.rs
@@ -76,7 +76,6 @@
     statement: Rc<Statement>,
     /// What was done and received for it: asked before anything more is done.
     history: History,
-    attempts: usize,
     /// The attempts that are out, each until its end is handled: its number and its connection, if it has one.
     /// More than one where the settings allow second copies; never more than `max_attempts`.
     out: Vec<(usize, Option<Slot>)>,
@@ -403,9 +402,7 @@
                 Action::Send { id, member, timeout } => {
                     let permitted = self.may_begin(&id, context);
                     let Some(request) = self.requests.get_mut(&id) else { continue };
-                    let number = request.attempts;
-                    request.attempts += 1;
-                    request.history.begin(context.reactor.now());
+                    let number = request.history.begin(context.reactor.now());
                     if let Err(denial) = permitted {
                         request.out.push((number, None));
                         self.withhold(id, number, member, denial, context);
@@ -496,7 +493,6 @@
             client: Some(Owed::Client(client)),
             statement: Rc::new(query.statement),
             history: History::new(rules),
-            attempts: 0,
             out: Vec::new(),
             class: counted,
             group: query.group,
@@ -569,7 +565,6 @@
             client: Some(Owed::Session(slot)),
             statement: Rc::new(Statement::new("".into(), 0..0)),
             history: History::new(self.policy.rules(number, f64::INFINITY)),
-            attempts: 0,
             out: Vec::new(),
             class: counted,
             group,
--- a/crates/daemon/tests/incident.rs
+++ b/crates/daemon/tests/incident.rs
@@ -83,6 +83,15 @@
     read_from(&far, &mut client(&pooler), "1");
 }
 
+/// The client's request 2 is answered by `far`; the connection to the machine that drains ends without having got it.
+fn goes_elsewhere(far: &Db, client: &mut Wire, drained: &mut Wire) {
+    let mut wire = far.accept();
+    assert!(asked(&mut wire).contains("id=2,"), "it went to the machine that drains");
+    wire.send(&served(VALUE, "reader"));
+    assert_eq!(client.answer()[0].0, b'T');
+    drained.ends();
+}
+
 #[test]
 fn what_was_told_while_the_process_was_held_up_is_taken_in_before_anything_is_sent() {
     let (near, far, discovery) = (Db::listen(), Db::listen(), Discovery::listen());
@@ -99,11 +108,7 @@
     tell(&mut watch, &(list(42, false, &[near.draining_line("s-1", "here")]) + "\n"));
     std::thread::sleep(HELD_UP);
     pooler.signal("CONT");
-    let mut wire = far.accept();
-    assert!(asked(&mut wire).contains("id=2,"), "it went to the machine that drains");
-    wire.send(&served(VALUE, "reader"));
-    assert_eq!(client.answer()[0].0, b'T');
-    open.ends();
+    goes_elsewhere(&far, &mut client, &mut open);
 }
 
 #[test]
@@ -153,11 +158,7 @@
     drop(watch);
     client.send(&query(&ask("2", "reports")));
     pooler.signal("CONT");
-    let mut wire = far.accept();
-    assert!(asked(&mut wire).contains("id=2,"), "it went to the machine that drains");
-    wire.send(&served(VALUE, "reader"));
-    assert_eq!(client.answer()[0].0, b'T');
-    open.ends();
+    goes_elsewhere(&far, &mut client, &mut open);
     // The version that came last is the one that is gone on from.
     assert!(discovery.call().1.contains("since=42 "));
 }
--- a/crates/listing/src/follow.rs
+++ b/crates/listing/src/follow.rs
@@ -246,11 +246,10 @@
         }
         let Some(place) = self.calls.iter().position(|call| call.line == line) else { return };
         let newest = place + 1 == self.calls.len();
+        let call = self.calls.remove(place);
         // Of one that is overdue it has been told that it may be lost, and of an older one that another was made.
-        if newest && !self.calls.remove(place).overdue {
+        if newest && !call.overdue {
             self.lost(now, Step::Failed(why), out);
-        } else if !newest {
-            self.calls.remove(place);
         }
     }
 
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -1,7 +1,7 @@
 //! The decisions ask for permission before each action: what is denied is not done, and told, since the decisions should not have
 //! come to it.
 
-use crate::interface::{Action, MemberId, Phase, Reason, RequestId};
+use crate::interface::{Action, Phase, Reason, RequestId};
 use crate::permission::{Denial, Rules};
 use crate::state::Policy;
 
@@ -30,11 +30,6 @@
         }
     }
 
-    /// The same by name; one that is not known takes nothing.
-    pub fn may_use(&self, member: &MemberId) -> bool {
-        self.by_id.get(member).is_some_and(|&m| self.usable(m))
-    }
-
     /// Whether an attempt of a request may be begun at a member now.
     pub(crate) fn may_send(&self, n: u64, m: usize) -> Result<(), Denial> {
         let request = self.requests.get(&n).filter(|request| !request.done).ok_or(Denial::Answered)?;
--- a/crates/routing/src/permission.rs
+++ b/crates/routing/src/permission.rs
@@ -145,9 +145,10 @@
         Ok(())
     }
 
-    /// An attempt is begun.
-    pub fn begin(&mut self, now: f64) {
+    /// An attempt is begun; its number, from 0.
+    pub fn begin(&mut self, now: f64) -> usize {
         self.attempts.push((now, Evidence::Out));
+        self.attempts.len() - 1
     }
 
     /// Until when the attempt begun last may be written (seconds). A repeat that waits for its connection may not be written after
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::pace::Pace;
 use crate::permission::{Denial, History};
 pub use crate::state::Policy;
-use crate::state::{Attempt, Choice, Member, Request, Terms};
+use crate::state::{Attempt, Choice, Member, Request};
 use crate::thresholds::{EJECT_AT, EJECT_MOST, FLEET_MIN_IN_FLIGHT, PROBE_MOST, SEEK_EVERY};
 use std::collections::VecDeque;
 
@@ -349,11 +349,11 @@
         self.next += 1;
         self.numbers.insert(id.clone(), n);
         let times = (now, now + aim, now + left);
-        let terms = Terms::of(&self.settings);
+        let backoff = if self.settings.retry_after { self.settings.max_retry_after } else { 0.0 };
         // A client's repeat has had its lot: many refusals would add up to all there is. It draws among more.
         let lot = self.rng.f64() * if repeat { REPEAT_LOTS } else { 1.0 };
         let history = History::new(self.rules(class, now + left));
-        let request = Request { lot, session, terms, history, ..Request::new(id, (class, group), times) };
+        let request = Request { lot, session, backoff, history, ..Request::new(id, (class, group), times) };
         let hold_until = now + (left * HOLD_SHARE - self.settings.tick).max(0.0);
         self.requests.insert(n, Request { token, over_share, hold_until, ..request });
         out.push(Action::Timer { at: hold_until, cookie: n });
@@ -388,7 +388,7 @@
         if request.history.may_refuse().is_ok() {
             let late = class.late_worth == 0.0 && self.now >= request.aim_at - self.settings.tick;
             let wait = if late { class.deadline } else { class.aim * BACKOFF_AIM };
-            let backoff = (wait * (0.5 + self.rng.f64())).min(request.terms.backoff);
+            let backoff = (wait * (0.5 + self.rng.f64())).min(request.backoff);
             out.push(Action::Refuse { id, backoff });
         } else {
             out.push(Action::Fail { id });
@@ -928,8 +928,7 @@
         state.seek_at = self.now + every * (0.5 + self.rng.f64());
         let fits = |n: &u64| {
             let Some(r) = self.requests.get(n) else { return false };
-            let spent = r.attempts.len() as u32 >= r.terms.attempts || self.now >= r.deadline;
-            !spent && !r.done
+            !r.done && r.history.may_begin(self.now).is_ok()
         };
         let held: Vec<u64> = state.held.iter().copied().filter(fits).collect();
         match held.into_iter().find_map(|n| self.pick_trial_member(n, true).map(|m| (n, m))) {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -142,22 +142,6 @@
     }
 }
 
-/// Limits that a request was taken in under, and ends under whatever the settings become meanwhile.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Terms {
-    pub attempts: u32,
-    /// Longest back-off that a refusal may tell (seconds).
-    pub backoff: f64,
-}
-
-impl Terms {
-    /// The limits of these settings.
-    pub fn of(settings: &Settings) -> Terms {
-        let backoff = if settings.retry_after { settings.max_retry_after } else { 0.0 };
-        Terms { attempts: settings.max_attempts, backoff }
-    }
-}
-
 /// A request that is not finished, or still has attempts out.
 pub(crate) struct Request {
     pub id: RequestId,
@@ -179,7 +163,8 @@
     pub history: History,
     pub held: bool,
     pub done: bool,
-    pub terms: Terms,
+    /// The longest back-off that its refusal may tell (seconds), whatever the settings become meanwhile.
+    pub backoff: f64,
 }
 
 impl Request {
@@ -205,7 +190,7 @@
             history: History::new(Rules::default()),
             held: false,
             done: false,
-            terms: Terms::default(),
+            backoff: 0.0,
         }
     }
 
