--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,12 +1,13 @@
 //! The stand-ins of the review and what is played with them: `standins CASE ROOT RECORD`. Exits with 1 if the
 //! rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 //!
-//! `row`, `foreign` and `lag` are the cases 1, 2 and 3. `late`, `upgrade`, `undone` and `settings` are further
+//! `row`, `foreign` and `lag` are the cases 1, 2 and 3. `late`, `upgrade`, `undone`, `settings` and `abort` are further
 //! faults, which the report names.
 
 mod pg;
 mod world;
 
+mod abort;
 mod foreign;
 mod lag;
 mod late;
@@ -43,6 +44,7 @@
         "late" => late::run(root, &record, trouble),
         "foreign" => foreign::run(root, &record, trouble),
         "lag" => lag::run(root, &record, trouble),
+        "abort" => abort::run(root, &record, trouble),
         "row" => row::run(root, &record, trouble),
         "undone" => undone::run(root, &record, trouble),
         "upgrade" => upgrade::run(root, &record, trouble),
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -699,6 +699,10 @@
         Ok(Pooler { child, log, listen: None, pool: None })
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for a log line with this text.
     pub fn wait_for(&mut self, text: &str, patience: Duration) -> io::Result<String> {
         let until = Instant::now() + patience;
