pooling: close the client's connection when its server is lost within a row

Cause: rows are passed on in parts, and nobody noted whether the client was within a message when the session or the daemon wrote an error of its own.

Change: a part says whether it is the last; the session knows from it whether its client is within a message, and then ends the connection without an error of its own. So do a client's malformed message and the pooler's end. A row of up to 8 KiB is passed on whole, so that sessions outlive the loss within one. Log event pool.message_cut. Why it works: the client's stream gets nothing but the server's bytes until the message is complete.

--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -27,6 +27,7 @@
 use super::event_loop::{Slot, Slots, Source, TimerKind};
 use super::Context;
 use crate::files;
+use assignment::log_cut_message;
 use client::ClientConnection;
 use limits::SWEEP_INTERVAL;
 use members::Member;
@@ -206,9 +207,16 @@
             .collect();
         for slot in idle {
             let Some(conn) = self.clients.get_mut(slot) else { continue };
-            let text = "the pooler ends";
-            let _ =
-                conn.transport.outbox.push(&error_response("FATAL", sqlstate::ADMIN_SHUTDOWN, text, None));
+            if conn.session.as_ref().is_some_and(|session| session.is_within_message()) {
+                // The client would take an error for the rest of the message.
+                conn.assignment
+                    .iter()
+                    .for_each(|assignment| log_cut_message(&assignment.member, "pooler_ends"));
+            } else {
+                let text = "the pooler ends";
+                let error = error_response("FATAL", sqlstate::ADMIN_SHUTDOWN, text, None);
+                let _ = conn.transport.outbox.push(&error);
+            }
             let _ = conn.transport.process_io(&mut conn.stream);
             self.remove_client(slot, context);
         }
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -252,6 +252,9 @@
         let Some(conn) = self.clients.get_mut(slot) else { return };
         let mut actions = Vec::new();
         if let Some(session) = &mut conn.session {
+            if let Some(assignment) = conn.assignment.as_ref().filter(|_| session.is_within_message()) {
+                log_cut_message(&assignment.member, reason.log_name());
+            }
             session.server_detached(reason, &mut actions);
         }
         self.release(slot, Disposition::Close, outcome, context);
@@ -307,3 +310,13 @@
         self.detach(slot, Outcome::Cancelled, None, context);
     }
 }
+
+/// Logs that a client has received only a part of a server's message, and that its connection is closed.
+pub(super) fn log_cut_message(member: &MemberId, reason: &str) {
+    logging::warn!(
+        event = "pool.message_cut",
+        member = &**member,
+        reason,
+        "a message of the server ended early: the client's connection is closed"
+    );
+}
--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -6,8 +6,8 @@
 
 use buffer::Fill;
 use mio::net::TcpStream;
-use pgwire::session::{self as wire, Piece};
-use pgwire::{error_response, sqlstate};
+use pgwire::session as wire;
+use pgwire::sqlstate;
 use pooling::{Action, DetachReason, Session as Pooled};
 use routing::interface::Outcome;
 use tls::Transport;
@@ -146,13 +146,7 @@
                     }
                     Err(_) => {
                         let text = "malformed message, or one that is too long";
-                        actions.push(Action::SendToClient(error_response(
-                            "FATAL",
-                            sqlstate::PROGRAM_LIMIT_EXCEEDED,
-                            text,
-                            None,
-                        )));
-                        actions.push(Action::CloseClient);
+                        session.end_with_error(sqlstate::PROGRAM_LIMIT_EXCEEDED, text, &mut actions);
                         progressed = true;
                     }
                 }
@@ -202,10 +196,7 @@
             match server.reader.next(&mut server.transport.inbox) {
                 Ok(None) => break,
                 Ok(Some(piece)) => {
-                    bytes += match &piece {
-                        Piece::Message(message) => message.body.len() + 5,
-                        Piece::Part(part) => part.len(),
-                    };
+                    bytes += piece.wire_length();
                     session.handle_server_piece(piece, &mut actions);
                 }
                 Err(_) => {
--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -75,7 +75,7 @@
         loop {
             match reader.next(&mut ring) {
                 Ok(None) => break,
-                Ok(Some(Piece::Part(part))) => output.extend(part),
+                Ok(Some(Piece::Part { bytes, .. })) => output.extend(bytes),
                 Ok(Some(Piece::Message(message))) => {
                     output.extend(message_of_strings(message.kind, &[], &message.body))
                 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,7 +12,7 @@
     wait_for_counter,
 };
 pub use postgres::Postgres;
-pub use registry::{Faults, Registry};
+pub use registry::{Faults, ReadWrite, Registry};
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/peers/src/postgres.rs
+++ b/crates/peers/src/postgres.rs
@@ -310,6 +310,14 @@
         }
     }
 
+    /// Sends a message without its last `missing` bytes, then waits for the end of the connection.
+    fn send_incomplete(&mut self, message: &[u8], missing: usize) -> Option<Result<(), SqlError>> {
+        self.output.extend(&message[..message.len() - missing]);
+        self.flush()?;
+        while self.message().is_some() {}
+        None
+    }
+
     fn send_error(&mut self, (code, message): SqlError) {
         if self.status == b'T' {
             self.status = b'E';
@@ -521,6 +529,15 @@
                 self.output.extend(data_row("slept"));
                 "SELECT 1".into()
             }
+            ["select", "cut", size, missing] => {
+                let row = data_row(&"x".repeat(size.parse().ok()?));
+                return self.send_incomplete(&row, missing.parse().ok()?);
+            }
+            ["copy", "cut", size, missing, "to", "stdout"] => {
+                self.output.extend(frame(b'H', b"\0\0\x01\0\0"));
+                let data = frame(b'd', "x".repeat(size.parse().ok()?).as_bytes());
+                return self.send_incomplete(&data, missing.parse().ok()?);
+            }
             ["select", "big", count] => {
                 let value = "x".repeat(1_000);
                 for _ in 0..count.parse::<usize>().ok()? {
--- a/crates/peers/src/registry.rs
+++ b/crates/peers/src/registry.rs
@@ -103,7 +103,7 @@
     shared: Arc<Shared>,
 }
 
-pub(crate) trait ReadWrite: Read + Write + Send {}
+pub trait ReadWrite: Read + Write + Send {}
 impl ReadWrite for TcpStream {}
 impl ReadWrite for SslStream<TcpStream> {}
 
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -11,10 +11,13 @@
 /// Maximum length of a server's message that is buffered completely (bytes); rows and copied data are
 /// forwarded in parts.
 const MAX_MESSAGE_BYTES: usize = 128 * 1024;
-/// Maximum number of bytes of a message that are forwarded in one part.
+/// Maximum number of bytes of a message that are forwarded in one part. A message within this size is
+/// forwarded as a whole.
 const MAX_PART_BYTES: usize = 8 * 1024;
 /// Maximum length of a message that is forwarded in parts (bytes): the protocol's own limit for a row.
 const MAX_FORWARDED_MESSAGE_BYTES: usize = 1 << 30;
+/// Length of a message's type and length fields (bytes).
+const HEADER_BYTES: usize = 5;
 /// Maximum number of options in a startup message.
 const MAX_OPTIONS: usize = 64;
 
@@ -69,7 +72,22 @@
     Message(Message),
     /// Bytes of a row or of copied data, including the message header at the beginning, to be forwarded
     /// unchanged.
-    Part(Vec<u8>),
+    Part {
+        /// The bytes.
+        bytes: Vec<u8>,
+        /// Whether the message is complete with them.
+        is_last: bool,
+    },
+}
+
+impl Piece {
+    /// Returns the number of bytes that the piece takes on the wire.
+    pub fn wire_length(&self) -> usize {
+        match self {
+            Piece::Message(message) => message.body.len() + HEADER_BYTES,
+            Piece::Part { bytes, .. } => bytes.len(),
+        }
+    }
 }
 
 /// Splits a server's data into messages.
@@ -86,7 +104,10 @@
             let Some((kind, body)) = peek_header(ring)? else { return Ok(None) };
             match kind {
                 b'D' | b'd' if body > MAX_FORWARDED_MESSAGE_BYTES => return Err(FrameError::TooLong),
-                b'D' | b'd' => self.remaining = body + 5,
+                b'D' | b'd' if body + HEADER_BYTES <= MAX_PART_BYTES && ring.len() < body + HEADER_BYTES => {
+                    return Ok(None);
+                }
+                b'D' | b'd' => self.remaining = body + HEADER_BYTES,
                 b'R' | b'S' | b'K' | b'Z' | b'1' | b'2' | b'3' | b'C' | b'E' | b'N' | b'A' | b'G' | b'H'
                 | b'W' | b'I' | b'n' | b's' | b't' | b'T' | b'V' | b'c' | b'v' => {
                     if body > MAX_MESSAGE_BYTES {
@@ -99,12 +120,7 @@
         }
         let bytes = ring.take(self.remaining.min(MAX_PART_BYTES));
         self.remaining -= bytes.len();
-        Ok((!bytes.is_empty()).then_some(Piece::Part(bytes)))
-    }
-
-    /// Returns true if a message has been forwarded in part.
-    pub fn is_mid_message(&self) -> bool {
-        self.remaining > 0
+        Ok((!bytes.is_empty()).then_some(Piece::Part { bytes, is_last: self.remaining == 0 }))
     }
 }
 
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -83,6 +83,16 @@
 }
 
 impl DetachReason {
+    /// Returns the reason's name in the log.
+    pub fn log_name(self) -> &'static str {
+        match self {
+            DetachReason::Lost => "server_lost",
+            DetachReason::Drained => "server_drained",
+            DetachReason::IdleInTransaction => "idle_in_transaction",
+            DetachReason::StatementTimeout => "statement_timeout",
+        }
+    }
+
     /// Returns the SQLSTATE and the message for the client.
     fn sqlstate_and_message(self) -> (&'static str, &'static str) {
         match self {
@@ -179,6 +189,9 @@
     /// Whether the server is receiving COPY data in a batch, during which it ignores Sync and all other
     /// messages.
     copying: bool,
+    /// Whether the client has received only a part of a server's message. Anything but the rest of that
+    /// message would be taken for it.
+    within_message: bool,
 }
 
 impl Session {
@@ -206,6 +219,7 @@
             reported,
             write_denied: false,
             copying: false,
+            within_message: false,
         }
     }
 
@@ -229,6 +243,12 @@
         !self.expected.is_empty()
     }
 
+    /// Returns true if the client has received only a part of a server's message: it can be sent nothing but
+    /// the rest of that message, or the end of its connection.
+    pub fn is_within_message(&self) -> bool {
+        self.within_message
+    }
+
     /// Returns the reasons that bind the session to its server connection.
     pub fn pins(&self) -> impl Iterator<Item = Pin> + '_ {
         self.pins.iter().copied()
@@ -255,6 +275,10 @@
         if message.kind == b'X' {
             return out.push(Action::CloseClient);
         }
+        if self.within_message && self.stage != Stage::Attached {
+            // The rest of the server's message is lost, and the client's connection is being closed.
+            return;
+        }
         match self.stage {
             Stage::Idle => self.handle_idle(message, out),
             Stage::Waiting => self.queued.push(message),
@@ -328,12 +352,14 @@
     }
 
     fn protocol_violation(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::SendToClient(error_response(
-            "FATAL",
-            sqlstate::PROTOCOL_VIOLATION,
-            "malformed message",
-            None,
-        )));
+        self.end_with_error(sqlstate::PROTOCOL_VIOLATION, "malformed message", out);
+    }
+
+    /// Ends the client's connection, with an error unless the client is within a message of the server.
+    pub fn end_with_error(&mut self, code: &str, text: &str, out: &mut Vec<Action>) {
+        if !self.within_message {
+            out.push(Action::SendToClient(error_response("FATAL", code, text, None)));
+        }
         out.push(Action::CloseClient);
     }
 
@@ -662,7 +688,10 @@
     /// Handles a message, or a part of one, from the server.
     pub fn handle_server_piece(&mut self, piece: Piece, out: &mut Vec<Action>) {
         let message = match piece {
-            Piece::Part(bytes) => return out.push(Action::SendToClient(bytes)),
+            Piece::Part { bytes, is_last } => {
+                self.within_message = !is_last;
+                return out.push(Action::SendToClient(bytes));
+            }
             Piece::Message(message) => message,
         };
         let setup = matches!(self.expected.front(), Some(ExpectedReply::Setup));
@@ -679,15 +708,10 @@
             b'Z' => self.handle_ready(message.body.first().copied().unwrap_or(b'I'), out),
             b'E' if setup => {
                 // The server rejects a setting of the session.
-                out.push(Action::SendToClient(error_response(
-                    "FATAL",
-                    sqlstate::INVALID_PARAMETER_VALUE,
-                    &wire::read_error_text(&message.body),
-                    None,
-                )));
                 out.push(Action::ReleaseServer(Disposition::Close));
                 self.detach();
-                out.push(Action::CloseClient);
+                let text = wire::read_error_text(&message.body);
+                self.end_with_error(sqlstate::INVALID_PARAMETER_VALUE, &text, out);
             }
             b'E' => self.handle_error(&message, out),
             _ if setup => {}
@@ -834,13 +858,15 @@
         if self.stage != Stage::Attached {
             return None;
         }
-        let clean = self.status == b'I' && self.expected.is_empty() && !self.in_batch && self.pins.is_empty();
+        let answered = self.expected.is_empty() && !self.within_message;
+        let clean = answered && self.status == b'I' && !self.in_batch && self.pins.is_empty();
         self.detach();
         Some(if clean { Disposition::Reuse } else { Disposition::Close })
     }
 
     /// Handles that the server connection is lost or taken away. The client's errors distinguish requests
-    /// that were certainly rolled back from those that may have been committed.
+    /// that were certainly rolled back from those that may have been committed. A client that has received a
+    /// part of a message gets no error, which it would take for the rest: its connection is closed.
     pub fn server_detached(&mut self, reason: DetachReason, out: &mut Vec<Action>) {
         if self.stage != Stage::Attached {
             return;
@@ -871,10 +897,10 @@
         let pinned = !self.pins.is_empty();
         let aborted = in_transaction && !unknown;
         self.detach();
-        if pinned {
-            // The state that bound the session to its connection is lost with it.
-            out.push(Action::SendToClient(error_response("FATAL", code, text, None)));
-            return out.push(Action::CloseClient);
+        if pinned || self.within_message {
+            // Without the rest of its message the client's stream cannot go on; and the state that bound the
+            // session to its connection is lost with that.
+            return self.end_with_error(code, text, out);
         }
         if aborted {
             (self.stage, self.status, self.ending_aborted) = (Stage::Aborted, b'E', false);
--- a/crates/pooling/tests/machine.rs
+++ b/crates/pooling/tests/machine.rs
@@ -240,6 +240,53 @@
     }
 }
 
+/// Returns a session in a transaction whose client has received a part of a row.
+fn session_within_a_row() -> Session {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![text(b'Q', "BEGIN")]);
+    attach(&mut session);
+    from_server(&mut session, vec![text(b'C', "BEGIN"), ready(b'T')]);
+    from_client(&mut session, vec![text(b'Q', "SELECT 1")]);
+    let mut out = Vec::new();
+    session
+        .handle_server_piece(Piece::Part { bytes: b"D\0\0\x40\0\0\x01".to_vec(), is_last: false }, &mut out);
+    assert_eq!(out.len(), 1);
+    session
+}
+
+/// Guards against an error of the session's own that the client takes for the rest of a row.
+#[rstest]
+fn within_a_row_the_client_is_sent_nothing_but_the_end_of_its_connection(
+    #[values(
+        DetachReason::Lost,
+        DetachReason::Drained,
+        DetachReason::IdleInTransaction,
+        DetachReason::StatementTimeout
+    )]
+    reason: DetachReason,
+) {
+    let (mut session, mut out) = (session_within_a_row(), Vec::new());
+    session.server_detached(reason, &mut out);
+    assert_eq!(out, [Action::CloseClient]);
+    assert_eq!(from_client(&mut session, vec![sync(), text(b'Q', "SELECT 1")]), []);
+}
+
+#[rstest]
+#[case::query_without_terminator(message(b'Q', b"SELECT 1"))]
+#[case::unknown_kind(message(b'!', b""))]
+fn a_malformed_message_within_a_row_closes_the_client_without_an_error(#[case] malformed: Message) {
+    assert_eq!(from_client(&mut session_within_a_row(), vec![malformed]), [Action::CloseClient]);
+}
+
+#[test]
+fn after_the_last_part_of_a_row_the_client_is_told_of_the_loss() {
+    let (mut session, mut out) = (session_within_a_row(), Vec::new());
+    session.handle_server_piece(Piece::Part { bytes: b"rest".to_vec(), is_last: true }, &mut out);
+    out.clear();
+    session.server_detached(DetachReason::Lost, &mut out);
+    assert_eq!(sqlstates(&out), ["08006"]);
+}
+
 #[test]
 fn an_unexpected_reply_closes_the_server_connection() {
     let mut session = session(Mode::Transaction);
