sessions: notice a server that is lost within a message over TLS

Cause: the transport answers Full when its stream has ended without close_notify and bytes are left, so that they are read first. The forwarding of sessions takes Full for a lack of room and waits; the message is never completed, and the stream isn't read again. Ruled out: an error of the session that isn't sent; the same test without TLS passes, and only the transport differs.

Change: the transport says that its stream was truncated, and the forwarding, and the client's side, take that for the end once the complete messages have been passed on. The registry's client was read: it ends such a connection at once.

Test before the fix: a_session_survives_the_loss_of_its_server_within_a_short_row:: case_2_over_tls failed after 15 s ("Resource temporarily unavailable": no answer came), case_1_plain passed.

--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -155,7 +155,7 @@
         if progressed {
             return self.carry_out(slot, actions, context);
         }
-        if fill == Fill::Ended {
+        if fill == Fill::Ended || conn.transport.is_truncated() {
             return Step::Closed;
         }
         match self.forward_from_server(slot, context) {
@@ -208,7 +208,8 @@
         if bytes > 0 {
             return self.carry_out(slot, actions, context);
         }
-        if malformed || !matches!(fill, Ok(Fill::Drained | Fill::Full)) {
+        let ended = server.transport.is_truncated() || !matches!(fill, Ok(Fill::Drained | Fill::Full));
+        if malformed || ended {
             self.revoke_connection(slot, DetachReason::Lost, Outcome::Reset, context);
             return Step::Progress;
         }
--- a/crates/daemon/tests/interrupted_messages.rs
+++ b/crates/daemon/tests/interrupted_messages.rs
@@ -157,9 +157,10 @@
 }
 
 /// Guards against a session that is closed although the client has received nothing of the message that was
-/// cut: it is told of the loss and goes on.
+/// cut: it is told of the loss and goes on. Over TLS, guards against a loss that is never noticed.
 #[rstest]
 #[case::plain(false)]
+#[case::over_tls(true)]
 fn a_session_survives_the_loss_of_its_server_within_a_short_row(#[case] secured: bool) {
     let name = format!("cut-short-{secured}");
     let (fixture, _certificates) = start(&name, secured, "");
--- a/crates/tls/src/transport.rs
+++ b/crates/tls/src/transport.rs
@@ -15,13 +15,20 @@
     pub outbox: Ring,
     /// The TLS session, with the received TLS records and those to send.
     tls: Option<(Session, Ring, Ring)>,
+    /// Whether the stream has ended without a close_notify alert.
+    truncated: bool,
 }
 
 impl Transport {
     /// Creates a transport, with TLS if a session is given.
     pub fn new(session: Option<Session>, budget: &Budget) -> Transport {
         let ring = || Ring::new(budget);
-        Transport { inbox: ring(), outbox: ring(), tls: session.map(|session| (session, ring(), ring())) }
+        Transport {
+            inbox: ring(),
+            outbox: ring(),
+            tls: session.map(|session| (session, ring(), ring())),
+            truncated: false,
+        }
     }
 
     /// Writes pending bytes and reads available ones until the stream would block. Returns `Drained` if
@@ -46,9 +53,14 @@
                 (Fill::Ended | Fill::Full, _) => return Ok(opened),
                 // Bytes received before the end are delivered first: they may be a complete answer by its own
                 // length.
-                (Fill::Drained, Fill::Ended) if !self.inbox.is_empty() => return Ok(Fill::Full),
                 // The stream ended without a close_notify alert, so anybody may have truncated it.
-                (Fill::Drained, Fill::Ended) => return Err(TlsError::Io(ErrorKind::UnexpectedEof)),
+                (Fill::Drained, Fill::Ended) => {
+                    self.truncated = true;
+                    if self.inbox.is_empty() {
+                        return Err(TlsError::Io(ErrorKind::UnexpectedEof));
+                    }
+                    return Ok(Fill::Full);
+                }
                 (Fill::Drained, Fill::Full) if had_bytes && received.is_empty() => {}
                 (Fill::Drained, _) if written && session.is_established() && !self.outbox.is_empty() => {}
                 (Fill::Drained, _) => return Ok(Fill::Drained),
@@ -61,6 +73,12 @@
         self.tls = Some((session, Ring::new(budget), Ring::new(budget)));
     }
 
+    /// Returns true if the stream has ended without a close_notify alert: nothing will follow the bytes in the
+    /// inbox.
+    pub fn is_truncated(&self) -> bool {
+        self.truncated
+    }
+
     /// Returns true if no bytes are waiting to be sent.
     pub fn is_flushed(&self) -> bool {
         self.outbox.is_empty() && self.tls.as_ref().is_none_or(|(_, _, to_send)| to_send.is_empty())
--- a/crates/tls/tests/session.rs
+++ b/crates/tls/tests/session.rs
@@ -242,7 +242,9 @@
     assert_eq!(echo(&mut transport, client_end.clone(), &mut stream, b"x").unwrap(), b"x");
     stream.ssl_write(b"the answer").unwrap();
     let mut ending = EndingStream(client_end);
+    assert!(!transport.is_truncated());
     assert_eq!(transport.process_io(&mut ending), Ok(Fill::Full));
+    assert!(transport.is_truncated(), "nothing tells a user of the bytes that no more will come");
     assert_eq!(transport.inbox.take(100), b"the answer");
     assert_eq!(transport.process_io(&mut ending), Err(TlsError::Io(ErrorKind::UnexpectedEof)));
 }
