pooling: bind sessions by state that is not understood, and reset it at their end

Cause: for what the scanner does not understand (Kind::Unknown) the session recorded neither an effect nor a pin, and all ways back to the pool go by pins.

Change: escaped and dollar-quoted constants are carried over as written. Values and statements that are not understood, DO, FunctionCall and calls of functions that are neither known nor named in the new setting pool.stateless_functions bind the session. A pin belongs to its statement until the reply ends, so that the answer to an earlier DISCARD ALL no longer clears it; a syntax error leaves none.

Weighed: a reset after each transaction with an unknown function loses the session's own setting, and costs a round trip and the prepared statements each time.

mixed.rs: its failing statement was the word FAIL with 22012, which no server answers to a text that it cannot parse, and which now binds the session (8 sessions waited for 3 connections). It is SELECT fail with the same code; what is checked is the same.

--- a/crates/daemon/src/cli/route.rs
+++ b/crates/daemon/src/cli/route.rs
@@ -107,10 +107,12 @@
             Kind::Session(change) => format!("session state ({change:?})"),
             Kind::Unknown(why) => format!("unknown ({why}), treated as a write"),
         };
-        let pins: Vec<&str> = statement.pins.iter().map(|pin| pin.describe()).collect();
-        match pins.as_slice() {
+        let pins = statement.pins.iter().map(|pin| pin.describe().to_string());
+        let call = |name: &String| format!("{name}(), unless pool.stateless_functions names it");
+        let reasons: Vec<String> = pins.chain(statement.unknown_functions.iter().map(call)).collect();
+        match reasons.as_slice() {
             [] => kind,
-            pins => format!("{kind}; binds the session to its connection: {}", pins.join(", ")),
+            reasons => format!("{kind}; binds the session to its connection: {}", reasons.join(", ")),
         }
     };
     scan.statements.iter().map(describe).collect()
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -9,17 +9,19 @@
 mod login;
 mod members;
 mod report;
+mod reset;
 mod server;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
+use std::rc::Rc;
 
 use buffer::Budget;
 use mio::net::TcpListener;
 use mio::Interest;
 use operator::Pool;
 use pgwire::{error_response, sqlstate};
-use pooling::{PoolLimits, Pools};
+use pooling::{PoolLimits, Pools, StatelessFunctions};
 use route::Table;
 use routing::interface::{MemberId, Outcome, RequestId};
 use scram::{FailedLogins, Users};
@@ -71,6 +73,8 @@
     members: HashMap<MemberId, Member>,
     /// No server is probed for its role before then.
     next_primary_probe: f64,
+    /// Functions that leave nothing in a session, for new sessions.
+    stateless_functions: Rc<StatelessFunctions>,
     /// The last settings reported by a server; they are sent to new clients.
     server_settings: BTreeMap<String, String>,
     /// The users that may connect; `None` if there is no list of users and anybody may.
@@ -132,6 +136,7 @@
             table,
             members: HashMap::new(),
             next_primary_probe: 0.0,
+            stateless_functions: stateless_functions(pool),
             server_settings: default_settings
                 .map(|(name, value)| (name.to_string(), value.to_string()))
                 .collect(),
@@ -152,10 +157,11 @@
         })
     }
 
-    /// Changes the routing table and the users. If the file of users cannot be read, the previous users stay
+    /// Changes the routing table, the users and the functions that leave nothing in a new session. If the file of users cannot be read, the previous users stay
     /// in use.
     pub fn reconfigure(&mut self, pool: &Pool, table: Table, now: f64) {
         self.table = table;
+        self.stateless_functions = stateless_functions(pool);
         self.pool.users.clone_from(&pool.users);
         self.reload_users();
         let tls = |pool: &Pool| (pool.tls_cert.clone(), pool.tls_key.clone(), pool.tls_client_ca.clone());
@@ -222,3 +228,8 @@
         }
     }
 }
+
+/// Returns the functions that leave nothing in a session, by the operator's settings.
+fn stateless_functions(pool: &Pool) -> Rc<StatelessFunctions> {
+    Rc::new(StatelessFunctions::parse(pool.stateless_functions.as_deref().unwrap_or_default()))
+}
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -216,6 +216,7 @@
         }
         match disposition {
             Disposition::Reuse => self.return_connection(server_slot, context),
+            Disposition::Reset => self.reset_connection(server_slot, context),
             Disposition::Close => {
                 self.close_connection(server_slot);
                 self.serve_waiting_sessions(context);
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -218,7 +218,9 @@
             PoolMode::Transaction => Mode::Transaction,
             PoolMode::Session => Mode::Session,
         };
-        conn.session = Some(Box::new(Pooled::new(mode, start, self.server_settings.clone())));
+        let session = Pooled::new(mode, start, self.server_settings.clone());
+        let session = session.with_stateless_functions(self.stateless_functions.clone());
+        conn.session = Some(Box::new(session));
         let mut bytes = wire::message_of_strings(b'R', &[], &[0; 4]);
         for (name, value) in &self.server_settings {
             bytes.extend(wire::message_of_strings(b'S', &[name, value], &[]));
--- a/crates/daemon/src/net/sessions/server.rs
+++ b/crates/daemon/src/net/sessions/server.rs
@@ -27,6 +27,8 @@
     Starting,
     Idle,
     InUse,
+    /// The state of a session that has ended is being discarded.
+    Resetting,
     /// The connection only carries a cancel request.
     Cancelling,
 }
@@ -141,6 +143,7 @@
                     self.serve_waiting_sessions(context);
                 }
             }
+            ServerState::Resetting => self.advance_reset(server_slot, context),
             ServerState::Cancelling => {
                 let connected = server.stream.peer_addr().is_ok();
                 if connected && !matches!(server.transport.process_io(&mut server.stream), Ok(Fill::Drained))
--- a/crates/daemon/tests/interrupted_messages.rs
+++ b/crates/daemon/tests/interrupted_messages.rs
@@ -54,7 +54,7 @@
         return (Fixture::new(name, settings), None);
     }
     let authority = CertificateAuthority::default();
-    let folder = OperatorFolder::new(&format!("pool-{name}-files"), "");
+    let folder = OperatorFolder::new(&unique_name("files"), "");
     let (cert, key) = authority.issue("127.0.0.1", 2040);
     let ca = write_private_file(&folder.0, "ca.pem", &authority.pem);
     let (cert, key) =
@@ -130,8 +130,7 @@
     #[values("SELECT cut 49152 60", "SELECT cut 49152 24000", "COPY cut 49152 60 TO STDOUT")] sql: &str,
     #[values(false, true)] secured: bool,
 ) {
-    let name = format!("cut-{cause:?}-{}-{secured}", sql.len());
-    let (fixture, _certificates) = start(&name, secured, cause.settings());
+    let (fixture, _certificates) = start("cut", secured, cause.settings());
     wait_for_known_primary(&fixture, secured);
     let mut client = connect(&fixture, secured);
     client.write_all(&query(sql)).unwrap();
@@ -162,8 +161,7 @@
 #[case::plain(false)]
 #[case::over_tls(true)]
 fn a_session_survives_the_loss_of_its_server_within_a_short_row(#[case] secured: bool) {
-    let name = format!("cut-short-{secured}");
-    let (fixture, _certificates) = start(&name, secured, "");
+    let (fixture, _certificates) = start("cut-short", secured, "");
     wait_for_known_primary(&fixture, secured);
     let mut client = connect(&fixture, secured);
     client.write_all(&query("SELECT cut 200 60")).unwrap();
--- a/crates/daemon/tests/pool_fixture/mod.rs
+++ b/crates/daemon/tests/pool_fixture/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -11,6 +12,12 @@
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
 
+/// Returns a name for a folder that no other test of the process has.
+pub fn unique_name(name: &str) -> String {
+    static NAMES: AtomicUsize = AtomicUsize::new(0);
+    format!("pool-{name}-{}", NAMES.fetch_add(1, Ordering::SeqCst))
+}
+
 /// A primary and a replica behind a pooler.
 pub struct Fixture {
     pub primary: Postgres,
@@ -31,7 +38,7 @@
         let settings = format!(
             "[pool]\nlisten = \"127.0.0.1:0\"\nwrite_class = \"order-write\"\nread_class = \"reports\"\ngroup = 2\n{more}"
         );
-        let operator = OperatorFolder::new(&format!("pool-{name}"), &settings);
+        let operator = OperatorFolder::new(&unique_name(name), &settings);
         let entries = [&primary, &replica].map(|server| server.list_entry("SERVING"));
         let pooler = Pooler::start_with_operator(PROGRAM, &list(41, true, &entries), &discovery, &operator);
         let line = pooler.wait_for_log("ordinary clients connect to ");
--- a/crates/operator/src/document.rs
+++ b/crates/operator/src/document.rs
@@ -334,6 +334,8 @@
     pub drain_s: f64,
     pub statements: u32,
     #[serde(skip_serializing_if = "Option::is_none")]
+    pub stateless_functions: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub users: Option<PathBuf>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub tls_cert: Option<PathBuf>,
@@ -377,6 +379,7 @@
             statement_s: 300.0,
             drain_s: 5.0,
             statements: 200,
+            stateless_functions: None,
             users: None,
             tls_cert: None,
             tls_key: None,
--- a/crates/operator/src/schema.rs
+++ b/crates/operator/src/schema.rs
@@ -675,6 +675,14 @@
         Restart,
         "maximum number of prepared statements of a server connection; the least recently used one is closed",
     ),
+    setting(
+        "pool.stateless_functions",
+        Text(4_000),
+        "",
+        Described("a call of any function that is not known binds its session", "\"take_order, price_of\""),
+        Live,
+        "functions, without schemas, that leave nothing in the session, or \"*\" for all; for new sessions",
+    ),
     setting(
         "pool.users",
         Path,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -11,7 +11,7 @@
     client_with_cancel_key, counter_value, establish_primary, send_cancel_request, start_with_one_member,
     wait_for_counter,
 };
-pub use postgres::Postgres;
+pub use postgres::{Discard, Postgres};
 pub use registry::{Faults, ReadWrite, Registry};
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
--- a/crates/peers/src/postgres.rs
+++ b/crates/peers/src/postgres.rs
@@ -15,6 +15,16 @@
 use crate::registry::ReadWrite;
 use crate::{frame, list_entry, Message};
 
+/// How a server answers DISCARD ALL.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Discard {
+    #[default]
+    Accept,
+    Reject,
+    /// It never answers.
+    Hang,
+}
+
 #[derive(Default)]
 struct Shared {
     /// Open connections by number, each with the flag that cancels its statement.
@@ -26,6 +36,7 @@
     replica: AtomicBool,
     /// Whether a connection is closed when it receives a commit.
     fail_on_commit: AtomicBool,
+    discard: Mutex<Discard>,
     /// If set, only TLS connections are accepted.
     acceptor: Option<SslAcceptor>,
     /// The verifier of the required password, and the mechanisms of the logins so far.
@@ -138,6 +149,11 @@
         self.shared.fail_on_commit.store(fail_on_commit, Ordering::SeqCst);
     }
 
+    /// Sets how DISCARD ALL is answered.
+    pub fn set_discard(&self, discard: Discard) {
+        *self.shared.discard.lock().unwrap() = discard;
+    }
+
     fn serve(&self, socket: TcpStream) -> Option<()> {
         socket.set_nodelay(true).ok()?;
         let mut stream: Box<dyn ReadWrite> = Box::new(socket.try_clone().ok()?);
@@ -246,6 +262,14 @@
     frame(b'C', format!("{tag}\0").as_bytes())
 }
 
+/// Returns the value of a constant; an E'' constant may have escaped quotes and backslashes.
+fn constant_value(text: &str) -> String {
+    match text.strip_prefix("E'").and_then(|rest| rest.strip_suffix('\'')) {
+        Some(escaped) => escaped.replace("\\'", "'").replace("\\\\", "\\"),
+        None => text.trim_start_matches("$$").trim_end_matches("$$").trim_matches('\'').to_string(),
+    }
+}
+
 /// Returns true if a statement returns rows.
 fn returns_rows(sql: &str) -> bool {
     ["select", "show", "values"].iter().any(|word| sql.to_lowercase().starts_with(word))
@@ -456,7 +480,7 @@
             ["release", ..] => "RELEASE".into(),
             ["set", "local", ..] => "SET".into(),
             ["set", name, "to" | "=", ..] => {
-                let value = sql.splitn(4, ' ').nth(3).unwrap_or_default().trim_matches('\'').to_string();
+                let value = constant_value(sql.splitn(4, ' ').nth(3).unwrap_or_default());
                 if value == "impossible" {
                     return Some(Err(("22023", format!("invalid value for {name}"))));
                 }
@@ -473,6 +497,12 @@
                 "RESET".into()
             }
             ["discard", "all"] => {
+                let discard = *self.server.shared.discard.lock().unwrap();
+                match discard {
+                    Discard::Accept => {}
+                    Discard::Reject => return Some(Err(("0A000", "DISCARD is not supported".into()))),
+                    Discard::Hang => while self.message().is_some() {},
+                }
                 self.current.settings.clear();
                 self.statements.clear();
                 self.temporary = false;
@@ -490,7 +520,7 @@
                 self.current.inserted_rows += 1;
                 "INSERT 0 1".into()
             }
-            ["create", "temp", ..] => {
+            ["create", "temp", ..] | ["create", "table", "pg_temp.x", ..] => {
                 self.temporary = true;
                 "CREATE TABLE".into()
             }
@@ -515,6 +545,22 @@
                 self.output.extend(frame(b'c', b""));
                 "COPY 3".into()
             }
+            // Functions of an application, whose effects on the session no text of a client tells.
+            ["select", call] if call.starts_with("login(") || call.starts_with("\"login\"(") => {
+                let tenant = sql.split('\'').nth(1).unwrap_or_default().to_string();
+                self.current.settings.insert("app.tenant".into(), tenant.clone());
+                self.output.extend(data_row(&tenant));
+                "SELECT 1".into()
+            }
+            ["select", "make_temporary()"] => {
+                self.temporary = true;
+                self.output.extend(data_row(""));
+                "SELECT 1".into()
+            }
+            ["do", ..] => {
+                self.current.settings.insert("app.tenant".into(), "done".into());
+                "DO".into()
+            }
             ["select", "fail"] => return Some(Err(("22012", "division by zero".into()))),
             ["select", "stale"] => {
                 return Some(Err(("0A000", "cached plan must not change result type".into())));
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -173,6 +173,11 @@
     field.map(|field| String::from_utf8_lossy(&field[1..]).into_owned()).unwrap_or_default()
 }
 
+/// Returns true if an ErrorResponse tells in which context, such as a function, the error occurred.
+pub fn has_error_context(body: &[u8]) -> bool {
+    body.split(|byte| *byte == 0).any(|field| field.first() == Some(&b'W'))
+}
+
 fn build_message(kind: u8, body: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
     let mut out = Vec::new();
     crate::frame(&mut out, kind, body);
--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -12,8 +12,10 @@
 mod server_state;
 mod session;
 mod settings;
+mod stateless;
 
 pub use pool::{Acquisition, Key, PoolLimits, Pools};
 pub use server_state::{PreparedStatement, ServerSessionState, StatementDigest};
 pub use session::{can_run_on_replica, Action, DetachReason, Disposition, Mode, ServerRequest, Session};
 pub use settings::{Effect, SettingsTracker};
+pub use stateless::StatelessFunctions;
--- a/crates/pooling/src/server_state.rs
+++ b/crates/pooling/src/server_state.rs
@@ -119,6 +119,12 @@
         self.unnamed = None;
     }
 
+    /// Records that the server has discarded all state of its session.
+    pub fn reset(&mut self) {
+        self.settings.clear();
+        self.clear_statements();
+    }
+
     /// Returns a hash of the connection's settings.
     pub fn settings_hash(&self) -> u64 {
         settings_hash(&self.settings)
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -9,6 +9,7 @@
 
 use crate::server_state::{self, PreparedStatement, ServerSessionState, StatementDigest};
 use crate::settings::{Effect, Settings, SettingsTracker};
+use crate::stateless::StatelessFunctions;
 
 /// Maximum number of statements that a session keeps prepared; also the maximum number of its portals.
 const MAX_STATEMENTS: usize = 1_000;
@@ -50,6 +51,8 @@
 pub enum Disposition {
     /// Another session may use it.
     Reuse,
+    /// Another session may use it once the server has discarded this session's state (`DISCARD ALL`).
+    Reset,
     /// It holds state of this session and must be closed.
     Close,
 }
@@ -114,6 +117,14 @@
     }
 }
 
+/// A statement whose reply is pending.
+#[derive(Debug, Default)]
+struct PendingStatement {
+    effect: Effect,
+    /// The state that it leaves in the server's session if it runs.
+    pins: Vec<Pin>,
+}
+
 /// A pending reply of the server, or an entry that keeps replies of the session itself in order.
 #[derive(Debug)]
 enum ExpectedReply {
@@ -131,11 +142,11 @@
     },
     Bind,
     Describe,
-    Execute(Effect),
+    Execute(PendingStatement),
     /// ReadyForQuery at the end of a batch.
     Sync,
-    /// All replies to a simple query, with the effects of its statements.
-    Query(VecDeque<Effect>),
+    /// All replies to a simple query, with its statements.
+    Query(VecDeque<PendingStatement>),
     /// No reply: marks where the client ended its COPY data.
     DataEnd,
     /// No reply: these bytes are sent to the client in turn, followed by ReadyForQuery if the flag is set.
@@ -180,7 +191,9 @@
     ending_aborted: bool,
     /// Why the transaction was lost, until the client has received the error.
     detach_reason: Option<DetachReason>,
-    /// State that binds the session to its server connection.
+    /// Functions that leave nothing in the session, by the operator's word.
+    stateless_functions: Rc<StatelessFunctions>,
+    /// State that binds the session to its server connection, left by statements whose replies have ended.
     pins: BTreeSet<Pin>,
     /// Server settings last reported to the client.
     reported: BTreeMap<String, String>,
@@ -215,6 +228,7 @@
             skipping: false,
             ending_aborted: false,
             detach_reason: None,
+            stateless_functions: Rc::default(),
             pins: BTreeSet::new(),
             reported,
             write_denied: false,
@@ -223,6 +237,11 @@
         }
     }
 
+    /// Sets the functions whose calls do not bind the session to its server connection.
+    pub fn with_stateless_functions(self, stateless_functions: Rc<StatelessFunctions>) -> Session {
+        Session { stateless_functions, ..self }
+    }
+
     /// Returns true if the client's next message may be passed in.
     pub fn accepts_message(&self) -> bool {
         self.stage != Stage::Waiting
@@ -249,9 +268,20 @@
         self.within_message
     }
 
-    /// Returns the reasons that bind the session to its server connection.
-    pub fn pins(&self) -> impl Iterator<Item = Pin> + '_ {
-        self.pins.iter().copied()
+    /// Returns the reasons that bind the session to its server connection, including those of statements whose
+    /// replies are pending.
+    pub fn pins(&self) -> BTreeSet<Pin> {
+        let mut pins = self.pins.clone();
+        for reply in &self.expected {
+            match reply {
+                ExpectedReply::Execute(statement) => pins.extend(&statement.pins),
+                ExpectedReply::Query(statements) => {
+                    pins.extend(statements.iter().flat_map(|statement| &statement.pins))
+                }
+                _ => {}
+            }
+        }
+        pins
     }
 
     /// Returns true if the server has rejected a write since the last call, and so is not the primary.
@@ -502,15 +532,17 @@
                     self.expected.push_back(ExpectedReply::Local(answer, true));
                     return self.send_local_replies(out);
                 }
-                self.pins.extend(scan.statements.iter().flat_map(|statement| statement.pins.iter().copied()));
-                let effects = scan.statements.iter().map(|statement| Effect::of(&statement.kind)).collect();
+                let statements = scan.statements.iter().map(|statement| self.pending_statement(statement));
+                let statements = statements.collect();
                 self.server_state.unnamed = None;
                 self.in_batch = false;
-                self.expected.push_back(ExpectedReply::Query(effects));
+                self.expected.push_back(ExpectedReply::Query(statements));
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
             b'F' => {
-                self.expected.push_back(ExpectedReply::Query(VecDeque::new()));
+                // The function is given by a number, which tells nothing of it.
+                let call = PendingStatement { effect: Effect::None, pins: vec![Pin::Unknown] };
+                self.expected.push_back(ExpectedReply::Query(VecDeque::from([call])));
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
             b'H' => out.push(Action::SendToServer(wire::empty_message(b'H'))),
@@ -561,10 +593,10 @@
             b'E' => match wire::read_execute(body) {
                 Some(portal) => {
                     self.in_batch = true;
-                    let scan = self.portals.get(portal).map(|prepared| &prepared.scan);
-                    let statement = scan.and_then(|scan| scan.statements.first());
-                    let effect = statement.map_or(Effect::None, |statement| Effect::of(&statement.kind));
-                    self.expected.push_back(ExpectedReply::Execute(effect));
+                    let prepared = self.portals.get(portal).cloned();
+                    let statement = prepared.as_ref().and_then(|prepared| prepared.scan.statements.first());
+                    let pending = statement.map(|statement| self.pending_statement(statement));
+                    self.expected.push_back(ExpectedReply::Execute(pending.unwrap_or_default()));
                     out.push(Action::SendToServer(wire::copy_message(&message)));
                 }
                 None => self.protocol_violation(out),
@@ -573,6 +605,15 @@
         }
     }
 
+    /// Returns a statement that is being sent, with what it will leave in the server's session.
+    fn pending_statement(&self, statement: &sql::Statement) -> PendingStatement {
+        let mut pins = statement.pins.clone();
+        if !self.stateless_functions.contain_all(&statement.unknown_functions) {
+            pins.push(Pin::Unknown);
+        }
+        PendingStatement { effect: Effect::of(&statement.kind), pins }
+    }
+
     fn parse(&mut self, name: &str, text: &str, types: &[u8], out: &mut Vec<Action>) {
         self.in_batch = true;
         if !name.is_empty() && self.statements.contains_key(name) {
@@ -664,8 +705,6 @@
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
         self.in_batch = true;
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
-        self.pins
-            .extend(prepared.scan.statements.iter().flat_map(|statement| statement.pins.iter().copied()));
         if self.portals.len() >= MAX_STATEMENTS && !self.portals.contains_key(portal) {
             return self.reply_error(
                 sqlstate::CONFIGURATION_LIMIT_EXCEEDED,
@@ -741,7 +780,9 @@
                     _ => false,
                 };
                 if finished {
-                    self.expected.pop_front();
+                    if let Some(ExpectedReply::Execute(statement)) = self.expected.pop_front() {
+                        self.pins.extend(statement.pins);
+                    }
                 }
                 out.push(Action::SendToClient(wire::copy_message(&message)));
             }
@@ -769,14 +810,15 @@
 
     /// Applies the effect of a completed statement.
     fn statement_completed(&mut self, tag: &str) {
-        let effect = match self.expected.front_mut() {
+        let PendingStatement { effect, pins } = match self.expected.front_mut() {
             Some(ExpectedReply::Execute(_)) => match self.expected.pop_front() {
-                Some(ExpectedReply::Execute(effect)) => effect,
+                Some(ExpectedReply::Execute(statement)) => statement,
                 _ => return,
             },
-            Some(ExpectedReply::Query(effects)) => effects.pop_front().unwrap_or(Effect::None),
+            Some(ExpectedReply::Query(statements)) => statements.pop_front().unwrap_or_default(),
             _ => return,
         };
+        self.pins.extend(pins);
         if matches!(effect, Effect::DiscardAll | Effect::DeallocateAll) {
             self.statements.clear();
             self.statement_bytes = 0;
@@ -800,8 +842,17 @@
             self.server_state.mark_stale();
         }
         out.push(Action::SendToClient(wire::copy_message(message)));
-        if matches!(self.expected.front(), None | Some(ExpectedReply::Query(_))) {
-            return;
+        // An error within a function has a context.
+        let ran = code != sqlstate::SYNTAX_ERROR || wire::has_error_context(&message.body);
+        match self.expected.front_mut() {
+            None => return,
+            Some(ExpectedReply::Query(statements)) => {
+                // A syntax error is found before any statement of the query is run.
+                let failed = std::mem::take(statements).into_iter().filter(|_| ran);
+                return self.pins.extend(failed.flat_map(|statement| statement.pins));
+            }
+            Some(ExpectedReply::Execute(statement)) => self.pins.extend(std::mem::take(&mut statement.pins)),
+            Some(_) => {}
         }
         // The server skips all messages up to the next Sync.
         while let Some(expect) = self.expected.front() {
@@ -820,12 +871,17 @@
     }
 
     fn handle_ready(&mut self, status: u8, out: &mut Vec<Action>) {
-        match self.expected.front() {
+        match self.expected.front_mut() {
             Some(ExpectedReply::Setup) => {
                 self.expected.pop_front();
                 return self.report_parameters(out);
             }
-            Some(ExpectedReply::Query(_) | ExpectedReply::Sync) => drop(self.expected.pop_front()),
+            Some(ExpectedReply::Sync) => drop(self.expected.pop_front()),
+            Some(ExpectedReply::Query(statements)) => {
+                // A call by a function's number ends without a command tag.
+                self.pins.extend(statements.drain(..).flat_map(|statement| statement.pins));
+                self.expected.pop_front();
+            }
             _ => return self.unexpected_reply(out),
         }
         self.status = status;
@@ -859,9 +915,15 @@
             return None;
         }
         let answered = self.expected.is_empty() && !self.within_message;
-        let clean = answered && self.status == b'I' && !self.in_batch && self.pins.is_empty();
+        let at_rest = answered && self.status == b'I' && !self.in_batch;
         self.detach();
-        Some(if clean { Disposition::Reuse } else { Disposition::Close })
+        Some(match self.mode {
+            _ if !at_rest || !self.pins.iter().all(|pin| pin.is_unknown()) => Disposition::Close,
+            // In this mode the connection may have state that no text tells of, such as a trigger's.
+            Mode::Session => Disposition::Reset,
+            _ if self.pins.is_empty() => Disposition::Reuse,
+            _ => Disposition::Reset,
+        })
     }
 
     /// Handles that the server connection is lost or taken away. The client's errors distinguish requests
@@ -872,16 +934,16 @@
             return;
         }
         let in_transaction = self.in_transaction();
-        let commits = |effect: &Effect| *effect == Effect::Commit;
+        let commits = |statement: &PendingStatement| statement.effect == Effect::Commit;
         let (mut ready_count, mut unknown) = (0, false);
         for expect in &self.expected {
             match expect {
-                ExpectedReply::Query(effects) => {
+                ExpectedReply::Query(statements) => {
                     ready_count += 1;
                     // A statement outside of a transaction commits by itself.
-                    unknown |= !in_transaction || effects.iter().any(commits);
+                    unknown |= !in_transaction || statements.iter().any(commits);
                 }
-                ExpectedReply::Execute(effect) => unknown |= !in_transaction || commits(effect),
+                ExpectedReply::Execute(statement) => unknown |= !in_transaction || commits(statement),
                 ExpectedReply::Sync => ready_count += 1,
                 _ => {}
             }
@@ -894,7 +956,7 @@
             );
         }
         let in_batch = self.in_batch && !self.skipping;
-        let pinned = !self.pins.is_empty();
+        let pinned = !self.pins().is_empty();
         let aborted = in_transaction && !unknown;
         self.detach();
         if pinned || self.within_message {
--- a/crates/pooling/src/settings.rs
+++ b/crates/pooling/src/settings.rs
@@ -9,9 +9,10 @@
 pub type Settings = BTreeMap<String, String>;
 
 /// The effect of a completed statement on settings, prepared statements and transactions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// No lasting effect.
+    #[default]
     None,
     /// Sets a setting to a value.
     Set(String, String),
--- a/crates/pooling/tests/machine.rs
+++ b/crates/pooling/tests/machine.rs
@@ -5,7 +5,8 @@
 use pgwire::session::{self as wire, Piece};
 use pgwire::Message;
 use pooling::{
-    Acquisition, Action, DetachReason, Disposition, Key, Mode, PoolLimits, Pools, ServerSessionState, Session,
+    Acquisition, Action, DetachReason, Disposition, Key, Mode, PoolLimits, Pools, ServerSessionState,
+    Session, StatelessFunctions,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -104,6 +105,97 @@
     assert_eq!(actions.last(), Some(&Action::ReleaseServer(Disposition::Reuse)));
 }
 
+/// Returns what becomes of the connection of a session that has run this text and ends.
+fn disposition_after(mode: Mode, sql: &str, functions: &str) -> Disposition {
+    let functions = StatelessFunctions::parse(functions);
+    let mut session = session(mode).with_stateless_functions(functions.into());
+    from_client(&mut session, vec![text(b'Q', sql)]);
+    attach(&mut session);
+    let actions = from_server(&mut session, vec![text(b'C', "DONE"), ready(b'I')]);
+    match actions.last() {
+        Some(Action::ReleaseServer(disposition)) => *disposition,
+        _ => session.client_disconnected().unwrap(),
+    }
+}
+
+/// Guards against a connection that is used again with state of the session that has ended.
+#[rstest]
+#[case::read(Mode::Transaction, "SELECT 1", "", Disposition::Reuse)]
+#[case::tracked_setting(Mode::Transaction, r"SET a TO E'\''", "", Disposition::Reuse)]
+#[case::untracked_setting(Mode::Transaction, r"SET a TO 'a\b'", "", Disposition::Reset)]
+#[case::unknown_function(Mode::Transaction, "SELECT login(1)", "", Disposition::Reset)]
+#[case::unknown_function_in_a_write(
+    Mode::Statement,
+    "INSERT INTO a VALUES (login(1))",
+    "",
+    Disposition::Reset
+)]
+#[case::stateless_function(Mode::Transaction, "SELECT login(1)", "shop.Login", Disposition::Reuse)]
+#[case::another_function(Mode::Transaction, "SELECT login(1)", "logout", Disposition::Reset)]
+#[case::all_functions(Mode::Transaction, "SELECT login(1)", "*", Disposition::Reuse)]
+#[case::block(Mode::Transaction, "DO $$ $$", "*", Disposition::Reset)]
+#[case::temporary_table(Mode::Transaction, "CREATE TEMP TABLE a (a int)", "*", Disposition::Close)]
+#[case::notifications(Mode::Transaction, "LISTEN a", "*", Disposition::Close)]
+#[case::lock(Mode::Transaction, "SELECT pg_advisory_lock(1)", "*", Disposition::Close)]
+#[case::read_in_session_mode(Mode::Session, "SELECT 1", "*", Disposition::Reset)]
+#[case::write_in_session_mode(Mode::Session, "INSERT INTO a VALUES (1)", "", Disposition::Reset)]
+#[case::notifications_in_session_mode(Mode::Session, "LISTEN a", "", Disposition::Close)]
+fn a_connection_is_reused_only_without_state_of_its_last_session(
+    #[case] mode: Mode,
+    #[case] sql: &str,
+    #[case] stateless_functions: &str,
+    #[case] expected: Disposition,
+) {
+    assert_eq!(disposition_after(mode, sql, stateless_functions), expected);
+}
+
+/// Guards against a pin that is lost because a DISCARD ALL before it is answered after it was sent.
+#[test]
+fn a_pin_behind_a_discard_that_is_not_answered_yet_holds() {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![text(b'Q', "DISCARD ALL")]);
+    attach(&mut session);
+    from_client(&mut session, vec![text(b'Q', "LISTEN a")]);
+    from_server(
+        &mut session,
+        vec![text(b'C', "DISCARD ALL"), ready(b'I'), text(b'C', "LISTEN"), ready(b'I')],
+    );
+    assert!(session.is_attached());
+    assert_eq!(session.client_disconnected(), Some(Disposition::Close));
+}
+
+/// Guards against a session that is bound for good by a text that no server runs.
+#[test]
+fn a_syntax_error_binds_no_session() {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![text(b'Q', "SELEC login(1)")]);
+    attach(&mut session);
+    let actions = from_server(&mut session, vec![text(b'E', "SERROR\0C42601\0Mno\0"), ready(b'I')]);
+    assert_eq!(actions.last(), Some(&Action::ReleaseServer(Disposition::Reuse)));
+}
+
+/// Guards against a pin that is lost with the error of a statement that has run in part.
+#[rstest]
+#[case::at_run_time("SERROR\0C22012\0Mno\0")]
+#[case::of_the_syntax_within_the_function("SERROR\0C42601\0Mno\0WPL/pgSQL function login\0")]
+fn a_failed_call_of_an_unknown_function_binds_the_session(#[case] error: &str) {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![text(b'Q', "SELECT login(1)")]);
+    attach(&mut session);
+    from_server(&mut session, vec![text(b'E', error), ready(b'I')]);
+    assert_eq!(session.client_disconnected(), Some(Disposition::Reset));
+}
+
+#[test]
+fn a_function_that_is_called_by_its_number_binds_the_session() {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![message(b'F', b"\0\0\0\x01\0\0\0\0\0\0")]);
+    attach(&mut session);
+    from_server(&mut session, vec![message(b'V', b"\0\0\0\0"), ready(b'I')]);
+    assert!(session.is_attached());
+    assert_eq!(session.client_disconnected(), Some(Disposition::Reset));
+}
+
 #[test]
 fn a_client_that_leaves_in_a_batch_before_sync_closes_the_connection() {
     let mut session = session(Mode::Transaction);
--- a/crates/pooling/tests/mixed.rs
+++ b/crates/pooling/tests/mixed.rs
@@ -178,7 +178,7 @@
                 self.statements.clear();
                 "DISCARD ALL"
             }
-            ["FAIL"] => {
+            ["SELECT", "fail"] => {
                 self.error("22012", out);
                 return false;
             }
@@ -275,7 +275,7 @@
         let state = self.clients[n].session.take_server_state();
         self.servers[server].1 = match disposition {
             Disposition::Reuse => Some(state),
-            Disposition::Close => {
+            Disposition::Close | Disposition::Reset => {
                 self.servers[server].0 = SimulatedServer::new();
                 Some(ServerSessionState::new(4))
             }
@@ -404,7 +404,7 @@
             }
             13 => {
                 // Several statements in one text: outside of a transaction, an error rolls back all of them.
-                let (_, codes) = self.ask(n, &format!("SET {name} TO 'gone'; FAIL"));
+                let (_, codes) = self.ask(n, &format!("SET {name} TO 'gone'; SELECT fail"));
                 assert_eq!(codes.len(), 1);
                 let model = &mut self.clients[n].model;
                 model.broken = model.open;
--- a/crates/sql/src/kind.rs
+++ b/crates/sql/src/kind.rs
@@ -1,206 +1,13 @@
 //! Classifies the statements of a text.
 
+use crate::functions::{calls, unknown_functions};
 use crate::lexer::{Lexer, Token};
 
+/// Why a statement is not classified that begins with no word that is known.
+const UNKNOWN_STATEMENT: &str = "unknown statement";
 /// Maximum number of statements in one text; a text with more is classified as one unknown statement.
 const MAX_STATEMENTS: usize = 256;
 
-/// Common functions that neither write nor change the session, in alphabetical order. A query that calls any
-/// other function is of an unknown kind, since a function's name does not tell what it does.
-const READ_ONLY_FUNCTIONS: &[&str] = &[
-    "abs",
-    "age",
-    "array_agg",
-    "array_length",
-    "array_to_string",
-    "avg",
-    "bool_and",
-    "bool_or",
-    "btrim",
-    "cardinality",
-    "ceil",
-    "ceiling",
-    "char_length",
-    "clock_timestamp",
-    "coalesce",
-    "concat",
-    "concat_ws",
-    "count",
-    "cume_dist",
-    "current_database",
-    "current_schema",
-    "current_setting",
-    "date_part",
-    "date_trunc",
-    "dense_rank",
-    "encode",
-    "every",
-    "exists",
-    "exp",
-    "extract",
-    "first_value",
-    "floor",
-    "format",
-    "format_type",
-    "generate_series",
-    "greatest",
-    "has_schema_privilege",
-    "has_table_privilege",
-    "initcap",
-    "json_agg",
-    "json_build_object",
-    "jsonb_agg",
-    "jsonb_build_object",
-    "lag",
-    "last_value",
-    "lead",
-    "least",
-    "left",
-    "length",
-    "ln",
-    "log",
-    "lower",
-    "lpad",
-    "ltrim",
-    "make_date",
-    "max",
-    "md5",
-    "min",
-    "mod",
-    "now",
-    "nth_value",
-    "ntile",
-    "nullif",
-    "obj_description",
-    "octet_length",
-    "overlay",
-    "percent_rank",
-    "pg_backend_pid",
-    "pg_encoding_to_char",
-    "pg_get_constraintdef",
-    "pg_get_expr",
-    "pg_get_indexdef",
-    "pg_get_userbyid",
-    "pg_is_in_recovery",
-    "pg_last_wal_replay_lsn",
-    "pg_table_is_visible",
-    "position",
-    "power",
-    "quote_ident",
-    "quote_literal",
-    "rank",
-    "regexp_matches",
-    "regexp_replace",
-    "repeat",
-    "replace",
-    "reverse",
-    "right",
-    "round",
-    "row",
-    "row_number",
-    "row_to_json",
-    "rpad",
-    "rtrim",
-    "sign",
-    "split_part",
-    "sqrt",
-    "statement_timestamp",
-    "stddev",
-    "string_agg",
-    "strpos",
-    "substr",
-    "substring",
-    "sum",
-    "timezone",
-    "to_char",
-    "to_date",
-    "to_json",
-    "to_jsonb",
-    "to_number",
-    "to_timestamp",
-    "transaction_timestamp",
-    "translate",
-    "trim",
-    "trunc",
-    "unnest",
-    "upper",
-    "variance",
-    "version",
-    "width_bucket",
-];
-
-/// Keywords that may precede a parenthesis without being function names.
-const KEYWORDS_BEFORE_PARENTHESIS: &[&str] = &[
-    "all",
-    "and",
-    "any",
-    "array",
-    "as",
-    "between",
-    "by",
-    "case",
-    "cast",
-    "char",
-    "cross",
-    "cube",
-    "decimal",
-    "distinct",
-    "else",
-    "end",
-    "except",
-    "exists",
-    "filter",
-    "from",
-    "full",
-    "group",
-    "grouping",
-    "having",
-    "ilike",
-    "in",
-    "inner",
-    "intersect",
-    "interval",
-    "is",
-    "join",
-    "lateral",
-    "left",
-    "like",
-    "limit",
-    "materialized",
-    "natural",
-    "not",
-    "numeric",
-    "offset",
-    "on",
-    "only",
-    "or",
-    "order",
-    "outer",
-    "over",
-    "partition",
-    "recursive",
-    "right",
-    "rollup",
-    "select",
-    "sets",
-    "similar",
-    "some",
-    "then",
-    "time",
-    "timestamp",
-    "timestamptz",
-    "to",
-    "union",
-    "using",
-    "values",
-    "varchar",
-    "when",
-    "where",
-    "window",
-    "with",
-    "within",
-];
-
 /// A transaction control statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Control {
@@ -264,9 +71,18 @@
     Role,
     /// A loaded library.
     Load,
+    /// A setting whose value is not understood.
+    Setting,
+    /// Whatever a statement leaves in the session whose effect is not known.
+    Unknown,
 }
 
 impl Pin {
+    /// Returns true if it is not known what state the session has.
+    pub fn is_unknown(self) -> bool {
+        matches!(self, Pin::Setting | Pin::Unknown)
+    }
+
     /// Describes the reason for users.
     pub fn describe(self) -> &'static str {
         match self {
@@ -278,6 +94,8 @@
             Pin::Sequence => "a sequence's value",
             Pin::Role => "a session's role",
             Pin::Load => "LOAD",
+            Pin::Setting => "a setting that is not understood",
+            Pin::Unknown => "a function or a statement whose effect is not known",
         }
     }
 }
@@ -304,6 +122,9 @@
     pub kind: Kind,
     /// State by which it binds the session to the connection.
     pub pins: Vec<Pin>,
+    /// Functions that it calls, in lower case and without their schemas, of which it is unknown what they leave
+    /// in the session.
+    pub unknown_functions: Vec<String>,
     /// Whether it copies data from or to the client (`COPY ... FROM STDIN`, `TO STDOUT`).
     pub copies_data: bool,
 }
@@ -354,10 +175,13 @@
 }
 
 fn unknown(why: &'static str, comment: Option<String>) -> Scan {
-    Scan {
-        statements: vec![Statement { kind: Kind::Unknown(why), pins: Vec::new(), copies_data: false }],
-        comment,
-    }
+    let statement = Statement {
+        kind: Kind::Unknown(why),
+        pins: vec![Pin::Unknown],
+        unknown_functions: Vec::new(),
+        copies_data: false,
+    };
+    Scan { statements: vec![statement], comment }
 }
 
 /// A cursor over the tokens of a statement.
@@ -405,15 +229,45 @@
 /// Classifies one statement; returns none if there are no tokens.
 fn statement(tokens: &[Token]) -> Option<Statement> {
     let first = tokens.iter().find(|token| !matches!(token, Token::Symbol('(')))?;
-    let pins = session_pins(tokens);
     let mut words = TokenCursor(tokens);
-    let kind = match first {
-        Token::Word(word) => statement_kind(&word.to_lowercase(), &mut words),
-        _ => Kind::Unknown("it does not begin with a word"),
+    let (first_word, kind) = match first {
+        Token::Word(word) => (word.to_lowercase(), statement_kind(&word.to_lowercase(), &mut words)),
+        _ => (String::new(), Kind::Unknown("it does not begin with a word")),
     };
+    let words = TokenCursor(tokens);
+    let mut pins = session_pins(tokens);
+    pins.extend(unknown_state(&first_word, &kind, &words).filter(|_| pins.is_empty()));
+    let unknown_functions = unknown_functions(called_from(&first_word, &words));
     let copies_data = words.contains(&["from", "stdin"]) || words.contains(&["to", "stdout"]);
     let copies_data = copies_data && matches!(first, Token::Word(word) if word.eq_ignore_ascii_case("copy"));
-    Some(Statement { kind, pins, copies_data })
+    Some(Statement { kind, pins, unknown_functions, copies_data })
+}
+
+/// Returns the pin of a statement that may leave something in the session that its text does not tell. Functions
+/// that it calls are not considered.
+fn unknown_state(first: &str, kind: &Kind, words: &TokenCursor) -> Option<Pin> {
+    let Kind::Unknown(why) = kind else { return None };
+    let is_local = matches!(words.0.get(1), Some(Token::Word(word)) if word.eq_ignore_ascii_case("local"));
+    match first {
+        "set" if !is_local => Some(Pin::Setting),
+        "do" | "" => Some(Pin::Unknown),
+        _ if *why == UNKNOWN_STATEMENT => Some(Pin::Unknown),
+        _ => None,
+    }
+}
+
+/// Returns the part of a statement whose functions are called when it is run.
+fn called_from<'a, 'b>(first: &str, words: &TokenCursor<'a, 'b>) -> &'b [Token<'a>] {
+    let is_as = |token: &Token| matches!(token, Token::Word(word) if word.eq_ignore_ascii_case("as"));
+    match first {
+        "select" | "values" | "table" | "with" | "insert" | "update" | "delete" | "merge" | "copy"
+        | "call" | "declare" | "execute" => words.0,
+        "explain" if words.contains(&["analyze"]) || words.contains(&["analyse"]) => words.0,
+        "create" if words.contains(&["table"]) => {
+            words.0.iter().position(is_as).map_or(&[], |at| &words.0[at + 1..])
+        }
+        _ => &[],
+    }
 }
 
 fn statement_kind(first: &str, words: &mut TokenCursor) -> Kind {
@@ -448,7 +302,7 @@
             Kind::Unknown("it depends on the session's state")
         }
         "call" | "do" => Kind::Unknown("it is unknown what a procedure does"),
-        _ => Kind::Unknown("unknown statement"),
+        _ => Kind::Unknown(UNKNOWN_STATEMENT),
     }
 }
 
@@ -469,22 +323,11 @@
     {
         return Kind::Write;
     }
-    for pair in tokens.windows(2) {
-        let (name, is_call) = match pair {
-            [Token::Word(word), Token::Symbol('(')] => (word.to_lowercase(), true),
-            [Token::Name(_), Token::Symbol('(')] => {
-                return Kind::Unknown("it calls a function with a quoted name")
-            }
-            _ => (String::new(), false),
-        };
-        if is_call
-            && READ_ONLY_FUNCTIONS.binary_search(&name.as_str()).is_err()
-            && !KEYWORDS_BEFORE_PARENTHESIS.contains(&name.as_str())
-        {
-            return Kind::Unknown("it calls a function that may write");
-        }
+    match calls(tokens).find(|call| !call.is_read_only()) {
+        Some(call) if call.is_quoted() => Kind::Unknown("it calls a function with a quoted name"),
+        Some(_) => Kind::Unknown("it calls a function that may write"),
+        None => Kind::Read,
     }
-    Kind::Read
 }
 
 fn control_kind(words: &mut TokenCursor) -> Kind {
@@ -572,7 +415,16 @@
     }
     if words.eat("time") {
         words.eat("zone");
-        return set_kind("timezone".into(), words.0, local);
+        return match words.0 {
+            [Token::Word(word)] if word.eq_ignore_ascii_case("local") && !local => {
+                Kind::Session(Change::Reset("timezone".into()))
+            }
+            // Only SET TIME ZONE accepts an interval.
+            [Token::Word(word), ..] if word.eq_ignore_ascii_case("interval") => {
+                Kind::Unknown("a time zone that is an interval")
+            }
+            value => set_kind("timezone".into(), value, local),
+        };
     }
     if words.eat("names") {
         return set_kind("client_encoding".into(), words.0, local);
@@ -605,14 +457,17 @@
         }
     }
     let mut text = String::new();
-    for token in value {
+    for (index, token) in value.iter().enumerate() {
+        let follows_text = index > 0 && matches!(value[index - 1], Token::Text { .. });
         let piece = match token {
             Token::Word(word) | Token::Number(word) => word.to_string(),
             Token::Name(name) => format!("\"{name}\""),
-            // A backslash would change its meaning: the value is reproduced without the prefix of an E''
-            // constant.
-            Token::Text(inside) if inside.contains('\\') => return Kind::Unknown("a value with escapes"),
-            Token::Text(inside) => format!("'{inside}'"),
+            // Constants that are continued on a further line are one constant there only.
+            Token::Text { .. } if follows_text => return Kind::Unknown("a value of several constants"),
+            Token::Text { content, source } => match reproduced_constant(content, source) {
+                Some(constant) => constant,
+                None => return Kind::Unknown("a value with a backslash"),
+            },
             Token::Symbol(sign @ (',' | '-' | '+' | '.')) => sign.to_string(),
             Token::Symbol(_) => return Kind::Unknown("a value that is not a constant"),
         };
@@ -627,6 +482,17 @@
     Kind::Session(Change::Set { name, value: text, local })
 }
 
+/// Returns a string constant that means the same on every connection. There is none for a plain constant with a
+/// backslash, whose meaning depends on `standard_conforming_strings`.
+fn reproduced_constant(content: &str, source: &str) -> Option<String> {
+    let has_escapes = source.starts_with(['e', 'E']) && content.contains('\\');
+    let is_dollar_quoted = source.starts_with('$') && content.contains(['\\', '\'']);
+    if has_escapes || is_dollar_quoted {
+        return Some(source.to_string());
+    }
+    (!content.contains('\\')).then(|| format!("'{content}'"))
+}
+
 /// Returns the state by which a statement binds its session to the connection.
 fn session_pins(tokens: &[Token]) -> Vec<Pin> {
     let words = TokenCursor(tokens);
@@ -637,7 +503,7 @@
             _ => false,
         })
     };
-    let temporary = words.contains(&["temp"]) || words.contains(&["temporary"]);
+    let temporary = ["temp", "temporary", "pg_temp"].iter().any(|word| words.contains(&[word]));
     let advisory = calls("pg_advisory_lock") || calls("pg_try_advisory_lock");
     let role = first("set") && (words.contains(&["role"]) || words.contains(&["authorization"]));
     let found = [
@@ -654,13 +520,3 @@
     ];
     found.into_iter().filter(|(applies, _)| *applies).map(|(_, pin)| pin).collect()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::READ_ONLY_FUNCTIONS;
-
-    #[test]
-    fn the_list_of_functions_is_sorted_for_binary_search() {
-        assert!(READ_ONLY_FUNCTIONS.is_sorted());
-    }
-}
--- a/crates/sql/src/lexer.rs
+++ b/crates/sql/src/lexer.rs
@@ -7,8 +7,13 @@
     Word(&'a str),
     /// A quoted identifier without its quotes; doubled quotes in it stay doubled.
     Name(&'a str),
-    /// A string or bit string constant without its quotes; escapes in it are not decoded.
-    Text(&'a str),
+    /// A string or bit string constant.
+    Text {
+        /// Its content without the quotes; escapes are not decoded.
+        content: &'a str,
+        /// The constant as written, with its quotes and prefix.
+        source: &'a str,
+    },
     /// A number, or a parameter such as `$1`.
     Number(&'a str),
     /// Any other single character.
@@ -100,6 +105,12 @@
         &self.text[start..]
     }
 
+    /// Consumes the rest of a string constant that began at `start`.
+    fn take_text(&mut self, start: usize, escapes: bool) -> Token<'a> {
+        let content = self.take_quoted(b'\'', escapes);
+        Token::Text { content, source: &self.text[start..self.offset] }
+    }
+
     /// Returns the content of a dollar-quoted string if one begins here, and consumes it.
     fn take_dollar_quoted(&mut self) -> Option<&'a str> {
         let rest = self.rest();
@@ -138,12 +149,13 @@
 
     fn next(&mut self) -> Option<Token<'a>> {
         self.skip_blank();
+        let start = self.offset;
         let first = self.rest().chars().next()?;
         let second = self.rest().as_bytes().get(1).copied();
         match first {
             '\'' => {
                 self.offset += 1;
-                Some(Token::Text(self.take_quoted(b'\'', false)))
+                Some(self.take_text(start, false))
             }
             '"' => {
                 self.offset += 1;
@@ -151,18 +163,18 @@
             }
             'e' | 'E' if second == Some(b'\'') => {
                 self.offset += 2;
-                Some(Token::Text(self.take_quoted(b'\'', true)))
+                Some(self.take_text(start, true))
             }
             'b' | 'B' | 'x' | 'X' | 'n' | 'N' if second == Some(b'\'') => {
                 self.offset += 2;
-                Some(Token::Text(self.take_quoted(b'\'', false)))
+                Some(self.take_text(start, false))
             }
             '$' if second.is_some_and(|byte| byte.is_ascii_digit()) => {
                 self.offset += 1;
                 Some(Token::Number(self.take_while_matching(|c| c.is_ascii_digit())))
             }
             '$' => match self.take_dollar_quoted() {
-                Some(text) => Some(Token::Text(text)),
+                Some(content) => Some(Token::Text { content, source: &self.text[start..self.offset] }),
                 None => {
                     self.offset += 1;
                     Some(Token::Symbol('$'))
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -4,6 +4,7 @@
 //! and never recurses.
 #![warn(missing_docs)]
 
+mod functions;
 mod kind;
 mod lexer;
 
--- a/crates/sql/tests/kinds.rs
+++ b/crates/sql/tests/kinds.rs
@@ -76,6 +76,11 @@
 )]
 #[case("SET LOCAL statement_timeout TO 500", set("statement_timeout", "500", true))]
 #[case("set dewferry.class = 'reports'", set("dewferry.class", "'reports'", false))]
+#[case(r"set app.tenant to E'o\'brien'", set("app.tenant", r"E'o\'brien'", false))]
+#[case("set app.tenant to e'plain'", set("app.tenant", "'plain'", false))]
+#[case("set app.tenant to $$o'brien$$", set("app.tenant", "$$o'brien$$", false))]
+#[case("set app.tenant to $q$plain$q$", set("app.tenant", "'plain'", false))]
+#[case("set time zone local", Kind::Session(Change::Reset("timezone".into())))]
 #[case("set names 'utf8'", set("client_encoding", "'utf8'", false))]
 #[case("set work_mem to default", Kind::Session(Change::Reset("work_mem".into())))]
 #[case("reset time zone", Kind::Session(Change::Reset("timezone".into())))]
@@ -100,11 +105,55 @@
 #[case("set session authorization clerk", Pin::Role)]
 #[case("select set_config('work_mem', '1MB', false)", Pin::Role)]
 #[case("load 'x'", Pin::Load)]
+#[case("create table pg_temp.x (a int)", Pin::Temporary)]
+#[case(r"set app.tenant to 'a\b'", Pin::Setting)]
+#[case(r"set app.tenant to U&'d\0061t'", Pin::Setting)]
+#[case("set app.tenant to 'a'\n'b'", Pin::Setting)]
+#[case("set time zone interval '+02:00' hour to minute", Pin::Setting)]
+#[case("do $$ begin perform login('x'); end $$", Pin::Unknown)]
+#[case("frobnicate items", Pin::Unknown)]
+#[case("select 'never ends", Pin::Unknown)]
 fn statements_that_pin_a_session(#[case] text: &str, #[case] pin: Pin) {
     assert_eq!(scan(text).statements[0].pins, [pin]);
     assert!(!scan(text).is_read_only());
 }
 
+/// Guards against a call that is overlooked, and so against state that the pooler does not know of.
+#[rstest]
+#[case("select login('x')", &["login"])]
+#[case("select * from shop.Login ('x') as t", &["login"])]
+#[case("select \"Login\"('x')", &["login"])]
+#[case("call shop.take(1)", &["take"])]
+#[case("insert into items values (price(1)), (tax(price(2)))", &["price", "tax"])]
+#[case("update items set price = new_price(id) where id in (1, 2)", &["new_price"])]
+#[case("delete from items where is_old(id)", &["is_old"])]
+#[case("copy (select login('x')) to stdout", &["login"])]
+#[case("create temp table x as select login('x')", &["login"])]
+#[case("explain (analyze) select login('x')", &["login"])]
+#[case("declare c cursor for select login('x')", &["login"])]
+fn unknown_functions_are_found(#[case] text: &str, #[case] names: &[&str]) {
+    assert_eq!(scan(text).statements[0].unknown_functions, names);
+}
+
+/// Guards against sessions that are bound to a connection by statements that leave nothing there.
+#[rstest]
+#[case("select count(*), gen_random_uuid(), jsonb_set(a, '{b}', '1') from items where id in (1, 2)")]
+#[case("insert into shop.items (id, name) values (nextval('ids'), $1) on conflict (id) do update set (name) = (row($1)) returning (id)")]
+#[case("insert into \"Items\" (id) values (1)")]
+#[case("with a (x) as (values (1)) select * from a as b (y) join unnest($1) c (z) on (z = y)")]
+#[case("copy items (id, name) from stdin")]
+#[case("create table items (id int primary key, name varchar(20), price numeric(10, 2) check (price > 0))")]
+#[case("explain select login('x')")]
+#[case("merge into items i using new n on (i.id = n.id) when not matched then insert (id) values (n.id)")]
+#[case(r"set local app.tenant to 'a\b'")]
+#[case("fetch 10 from c")]
+#[case("unlisten *")]
+fn statements_that_leave_nothing_in_the_session(#[case] text: &str) {
+    let statement = &scan(text).statements[0];
+    let pins: Vec<&Pin> = statement.pins.iter().filter(|pin| **pin != Pin::Sequence).collect();
+    assert_eq!((pins, &statement.unknown_functions), (vec![], &vec![]));
+}
+
 #[test]
 fn a_text_is_split_into_its_statements() {
     let text = "/* c=1 */ begin; insert into a values (';'); select 1;; commit -- the end;";
