sql: find calls behind DISTINCT ON, and take fewer column lists for calls

Cause: a name between a closing and an opening parenthesis was taken for the alias of a table expression; behind DISTINCT ON (...) it is a function, whose state would not have bound its session. An alias behind WITH ORDINALITY was taken for a call.

Change: the expression before the alias is looked at, up to 500 tokens back, so that nested parentheses cost no more than linear work; what is longer counts as a call.

--- a/crates/sql/src/functions.rs
+++ b/crates/sql/src/functions.rs
@@ -346,7 +346,11 @@
 ];
 
 /// Words after which a name with a parenthesis is that of a table, a column list or an alias.
-const WORDS_BEFORE_NAMES: &[&str] = &["as", "copy", "into", "recursive", "table", "with"];
+const WORDS_BEFORE_NAMES: &[&str] = &["as", "copy", "into", "ordinality", "recursive", "table", "with"];
+
+/// Maximum length of a table expression that is recognized before its alias (tokens). It bounds the work for nested
+/// parentheses.
+const MAX_EXPRESSION_TOKENS: usize = 500;
 
 /// A name that is followed by a parenthesis.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -410,7 +414,27 @@
     }
     match start.checked_sub(1).map(|before| &tokens[before]) {
         Some(Token::Word(word)) => WORDS_BEFORE_NAMES.iter().any(|name| word.eq_ignore_ascii_case(name)),
-        Some(Token::Symbol(')')) => true,
+        Some(Token::Symbol(')')) => follows_table_expression(&tokens[..start]),
+        _ => false,
+    }
+}
+
+/// Returns true if these tokens end in a parenthesis that may be a table expression, whose alias follows. That of
+/// `DISTINCT ON (...)` is none.
+fn follows_table_expression(tokens: &[Token]) -> bool {
+    let tokens = &tokens[tokens.len().saturating_sub(MAX_EXPRESSION_TOKENS)..];
+    let mut depth = 0usize;
+    let opening = tokens.iter().rposition(|token| {
+        match token {
+            Token::Symbol(')') => depth += 1,
+            Token::Symbol('(') => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        depth == 0
+    });
+    match opening.and_then(|index| index.checked_sub(1)).map(|before| &tokens[before]) {
+        Some(Token::Word(word)) => !word.eq_ignore_ascii_case("on"),
+        Some(Token::Name(_)) => true,
         _ => false,
     }
 }
--- a/crates/sql/tests/kinds.rs
+++ b/crates/sql/tests/kinds.rs
@@ -131,6 +131,7 @@
 #[case("create temp table x as select login('x')", &["login"])]
 #[case("explain (analyze) select login('x')", &["login"])]
 #[case("declare c cursor for select login('x')", &["login"])]
+#[case("select distinct on (id, (name)) login('x') from items", &["login"])]
 fn unknown_functions_are_found(#[case] text: &str, #[case] names: &[&str]) {
     assert_eq!(scan(text).statements[0].unknown_functions, names);
 }
@@ -141,6 +142,7 @@
 #[case("insert into shop.items (id, name) values (nextval('ids'), $1) on conflict (id) do update set (name) = (row($1)) returning (id)")]
 #[case("insert into \"Items\" (id) values (1)")]
 #[case("with a (x) as (values (1)) select * from a as b (y) join unnest($1) c (z) on (z = y)")]
+#[case("select * from unnest($1, ($2)) with ordinality a (x, n) join (values (1)) b (y) on (x = y)")]
 #[case("copy items (id, name) from stdin")]
 #[case("create table items (id int primary key, name varchar(20), price numeric(10, 2) check (price > 0))")]
 #[case("explain select login('x')")]
