sessions: tell of failed resets; the fuzzer plays parts of messages

A connection that is closed because its server turned DISCARD ALL down or did not answer within 2 s left no trace: log event pool.reset_failed, seen by the test of a hanging reset. A connection that can't be used again anyway isn't reset first.

The session's fuzz target gave whole messages only, which is why it missed the error within a row. It plays parts now and says that nothing but their rest reaches the client.

--- a/crates/daemon/src/net/sessions/limits.rs
+++ b/crates/daemon/src/net/sessions/limits.rs
@@ -78,10 +78,10 @@
             .map(|(server_slot, server)| (server_slot, server.state))
             .collect();
         for (server_slot, state) in expired_handshakes {
-            if state == ServerState::Cancelling {
-                self.servers.remove(server_slot);
-            } else {
-                self.fail_connection(server_slot, Outcome::ConnectFailed, context);
+            match state {
+                ServerState::Cancelling => drop(self.servers.remove(server_slot)),
+                ServerState::Resetting => self.abandon_reset(server_slot, context),
+                _ => self.fail_connection(server_slot, Outcome::ConnectFailed, context),
             }
         }
         for number in self.pools.expired_connections(now) {
--- a/crates/daemon/src/net/sessions/reset.rs
+++ b/crates/daemon/src/net/sessions/reset.rs
@@ -29,8 +29,11 @@
         let Some(server) = self.servers.get_mut(server_slot) else { return };
         (server.state, server.client) = (ServerState::Resetting, None);
         server.deadline = context.reactor.now() + RESET_TIMEOUT;
-        let unusable = server.cancel_requested || server.drain_until.is_some();
-        if unusable || server.transport.outbox.push(&pgwire::query(RESET_STATEMENT)).is_err() {
+        if server.cancel_requested || server.drain_until.is_some() {
+            self.close_connection(server_slot);
+            return self.serve_waiting_sessions(context);
+        }
+        if server.transport.outbox.push(&pgwire::query(RESET_STATEMENT)).is_err() {
             return self.abandon_reset(server_slot, context);
         }
         self.advance_reset(server_slot, context);
@@ -46,7 +49,15 @@
         }
     }
 
-    fn abandon_reset(&mut self, server_slot: Slot, context: &mut Context) {
+    /// Closes a connection whose reset has failed, or takes too long.
+    pub(super) fn abandon_reset(&mut self, server_slot: Slot, context: &mut Context) {
+        if let Some(server) = self.servers.get_mut(server_slot) {
+            logging::warn!(
+                event = "pool.reset_failed",
+                member = &*server.member,
+                "the state of an ended session was not discarded: its connection is closed"
+            );
+        }
         self.close_connection(server_slot);
         self.serve_waiting_sessions(context);
     }
--- a/crates/daemon/tests/session_state.rs
+++ b/crates/daemon/tests/session_state.rs
@@ -106,6 +106,7 @@
     wait_until(|| fixture.primary.statement_count("DISCARD ALL") == 1);
     assert_eq!(value(&mut fixture.client(), SHOW_TENANT), "");
     assert_eq!(fixture.primary.connections().1, 2);
+    fixture.pooler.wait_for_log("pool.reset_failed");
 }
 
 /// Guards against sessions that each keep a connection because of a function that leaves nothing there.
--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -185,7 +185,8 @@
 
 /// A session between a client and a server that send arbitrary messages. It sends nothing to a server while
 /// none is attached, it releases a server connection for reuse only if no transaction is open and no reply is
-/// pending, and the client receives at most one ReadyForQuery per message that it sent.
+/// pending, and the client receives at most one ReadyForQuery per message that it sent, and nothing but the rest of
+/// a message that it has received in part.
 pub fn session(bytes: &[u8]) {
     let Some((mode, steps)) = bytes.split_first() else { return };
     let mode = [Mode::Transaction, Mode::Statement, Mode::Session][usize::from(*mode) % 3];
@@ -201,7 +202,13 @@
                 body: steps.by_ref().take(length).collect(),
             }
         };
+        let within_message = session.is_within_message();
+        let is_part = (3..=5).contains(&(step >> 5)) && (within_message || step % 16 == 15);
         match step >> 5 {
+            3..=5 if is_part && session.is_attached() => {
+                let part = Piece::Part { bytes: vec![b'x'], is_last: step & 16 == 0 };
+                session.handle_server_piece(part, &mut output);
+            }
             0..=2 if session.accepts_message() => {
                 let message = if step >> 5 == 2 {
                     message_from_input(b"QPBDECHSFdcfp", step)
@@ -238,6 +245,8 @@
             _ => continue,
         }
         attached |= session.is_attached();
+        let sends = output.iter().any(|action| matches!(action, Action::SendToClient(_)));
+        assert!(!within_message || is_part || !sends, "data is sent within a message of the server");
         for action in &output {
             match action {
                 Action::SendToServer(_) => {
