sessions: reset only a connection on which nothing has arrived

Read in the review of the change: a ReadyForQuery that a server had sent unasked before the reset would have counted as its reply, and the connection been used again before its state was discarded. return_connection asks for the same.

--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -157,8 +157,8 @@
         })
     }
 
-    /// Changes the routing table, the users and the functions that leave nothing in a new session. If the file of users cannot be read, the previous users stay
-    /// in use.
+    /// Changes the routing table, the users and the functions that leave nothing in a new session. If the file
+    /// of users cannot be read, the previous users stay in use.
     pub fn reconfigure(&mut self, pool: &Pool, table: Table, now: f64) {
         self.table = table;
         self.stateless_functions = stateless_functions(pool);
--- a/crates/daemon/src/net/sessions/reset.rs
+++ b/crates/daemon/src/net/sessions/reset.rs
@@ -29,7 +29,9 @@
         let Some(server) = self.servers.get_mut(server_slot) else { return };
         (server.state, server.client) = (ServerState::Resetting, None);
         server.deadline = context.reactor.now() + RESET_TIMEOUT;
-        if server.cancel_requested || server.drain_until.is_some() {
+        // What has arrived already is no reply to the reset.
+        let has_data = !server.transport.inbox.is_empty();
+        if server.cancel_requested || server.drain_until.is_some() || has_data {
             self.close_connection(server_slot);
             return self.serve_waiting_sessions(context);
         }
