pooling: bind sessions by portals that are not known, and pass notifications to them

Cause: with pins at Execute, in place of Bind, a statement that is bound while an earlier batch is pending and executed after its end had no portal any more, and so no pin. An SQL cursor that is executed as a portal is not known either. Both bind the session now by Pin::Unknown.

Sessions that are bound by a function's unknown effect get notifications, too, which were passed only to those with a LISTEN of their own.

Test before: a_statement_that_is_bound_before_an_earlier_batch_ends_binds_the_session failed ("session.is_attached()"); the first case of notifications_reach_sessions_... is new behaviour and was not run without the change.

--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -593,10 +593,8 @@
             b'E' => match wire::read_execute(body) {
                 Some(portal) => {
                     self.in_batch = true;
-                    let prepared = self.portals.get(portal).cloned();
-                    let statement = prepared.as_ref().and_then(|prepared| prepared.scan.statements.first());
-                    let pending = statement.map(|statement| self.pending_statement(statement));
-                    self.expected.push_back(ExpectedReply::Execute(pending.unwrap_or_default()));
+                    let pending = self.pending_execution(portal);
+                    self.expected.push_back(ExpectedReply::Execute(pending));
                     out.push(Action::SendToServer(wire::copy_message(&message)));
                 }
                 None => self.protocol_violation(out),
@@ -605,6 +603,18 @@
         }
     }
 
+    /// Returns the statement of a portal that is being executed. One that is not known may be an SQL cursor, or
+    /// may have been bound before the reply to an earlier batch ended all portals.
+    fn pending_execution(&self, portal: &str) -> PendingStatement {
+        match self.portals.get(portal) {
+            Some(prepared) => {
+                let statement = prepared.scan.statements.first();
+                statement.map(|statement| self.pending_statement(statement)).unwrap_or_default()
+            }
+            None => PendingStatement { effect: Effect::None, pins: vec![Pin::Unknown] },
+        }
+    }
+
     /// Returns a statement that is being sent, with what it will leave in the server's session.
     fn pending_statement(&self, statement: &sql::Statement) -> PendingStatement {
         let mut pins = statement.pins.clone();
@@ -743,7 +753,7 @@
                     self.report_parameters(out);
                 }
             }
-            b'A' if !self.pins.contains(&Pin::Listen) => {}
+            b'A' if !self.may_listen() => {}
             b'Z' => self.handle_ready(message.body.first().copied().unwrap_or(b'I'), out),
             b'E' if setup => {
                 // The server rejects a setting of the session.
@@ -790,6 +800,11 @@
         self.send_local_replies(out);
     }
 
+    /// Returns true if the session may have subscribed to notifications, itself or by a function.
+    fn may_listen(&self) -> bool {
+        self.pins.contains(&Pin::Listen) || self.pins.contains(&Pin::Unknown)
+    }
+
     /// Handles a message that answers no request: the connection's state is unreliable, so it is closed.
     fn unexpected_reply(&mut self, out: &mut Vec<Action>) {
         out.push(Action::ReleaseServer(Disposition::Close));
--- a/crates/pooling/tests/machine.rs
+++ b/crates/pooling/tests/machine.rs
@@ -164,6 +164,35 @@
     assert_eq!(session.client_disconnected(), Some(Disposition::Close));
 }
 
+/// Guards against a pin that is lost because an earlier batch ends between Bind and Execute.
+#[test]
+fn a_statement_that_is_bound_before_an_earlier_batch_ends_binds_the_session() {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![parse("", "SELECT 1"), bind(""), execute(), sync()]);
+    attach(&mut session);
+    from_client(&mut session, vec![parse("", "LISTEN a"), bind("")]);
+    let replies = || vec![message(b'1', b""), message(b'2', b""), text(b'C', "DONE"), ready(b'I')];
+    from_server(&mut session, replies());
+    from_client(&mut session, vec![execute(), sync()]);
+    from_server(&mut session, replies());
+    assert!(session.is_attached());
+    assert_ne!(session.client_disconnected(), Some(Disposition::Reuse));
+}
+
+/// Guards against notifications that are kept from a session which a function has subscribed to them.
+#[rstest]
+#[case("SELECT subscribe('news')", "A")]
+#[case("LISTEN news", "A")]
+#[case("CREATE TEMP TABLE a (a int)", "")]
+fn notifications_reach_sessions_that_may_have_subscribed(#[case] sql: &str, #[case] expected: &str) {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, vec![text(b'Q', sql)]);
+    attach(&mut session);
+    from_server(&mut session, vec![text(b'C', "DONE"), ready(b'I')]);
+    let notification = message(b'A', b"\0\0\0\x01news\0\0");
+    assert_eq!(kinds(&from_server(&mut session, vec![notification])).0, expected);
+}
+
 /// Guards against a session that is bound for good by a text that no server runs.
 #[test]
 fn a_syntax_error_binds_no_session() {
