event loop: count the longest iteration and wait, timers and events; report dropped log lines

Cause: the report's logs show iterations over 0.1 s and nothing of their work; a ready connection's wait, pending timers and events in one turn were not measured, and nobody saw that the log's rate limit left lines out. Change: counters iteration_most_ms, ready_wait_most_ms, timers_most, events_most; loop.held_up tells how many sources and timers the iteration handled; every 10 s one line log.left_out with the count, if there are any. Ruled out: nothing yet; behaviour is unchanged.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -48,6 +48,29 @@
     /// [`LOOP_DELAY_THRESHOLD`], and the longest such delay (seconds).
     pub loop_delays: u64,
     pub longest_loop_delay: f64,
+    pub event_loop: EventLoopMetrics,
+}
+
+/// What the iterations of the event loop took at most since the start.
+#[derive(Default)]
+pub(crate) struct EventLoopMetrics {
+    /// The longest iteration (seconds).
+    pub longest_iteration: f64,
+    /// The longest time between the poll that reported a source as ready and its turn (seconds).
+    pub longest_ready_wait: f64,
+    /// The largest number of pending timers.
+    pub most_timers: usize,
+    /// The largest number of events handled in a turn of one source or timer.
+    pub most_events_per_turn: u64,
+}
+
+/// The work of one iteration of the event loop.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct IterationWork {
+    /// Sources that had a turn.
+    pub sources: u64,
+    /// Timers that fired.
+    pub timers: u64,
 }
 
 /// Number of occurrences of each denial.
@@ -76,14 +99,62 @@
 pub(crate) const LOOP_DELAY_THRESHOLD: f64 = 0.1;
 
 impl Counters {
-    /// Records how long the loop was late in waking, or how long it took for one iteration.
-    pub fn record_loop_time(&mut self, seconds: f64) {
+    /// Records how long the loop was late in waking.
+    pub fn record_late_wake(&mut self, seconds: f64) {
+        if self.count_loop_delay(seconds) {
+            logging::warn!(event = "loop.held_up", seconds, "the event loop was delayed");
+        }
+    }
+
+    /// Records how long one iteration of the loop took, and for what work.
+    pub fn record_iteration(&mut self, seconds: f64, work: IterationWork) {
+        let longest = &mut self.event_loop.longest_iteration;
+        *longest = longest.max(seconds);
+        if self.count_loop_delay(seconds) {
+            let IterationWork { sources, timers } = work;
+            logging::warn!(event = "loop.held_up", seconds, sources, timers, "the event loop was delayed");
+        }
+    }
+
+    /// Counts a delay of the loop; returns true if it is long enough to be logged.
+    fn count_loop_delay(&mut self, seconds: f64) -> bool {
         if seconds < LOOP_DELAY_THRESHOLD {
-            return;
+            return false;
         }
         self.loop_delays += 1;
         self.longest_loop_delay = self.longest_loop_delay.max(seconds);
-        logging::warn!(event = "loop.held_up", seconds, "the event loop was delayed");
+        true
+    }
+}
+
+impl EventLoopMetrics {
+    /// Records how long a ready source has waited for its turn.
+    pub fn record_ready_wait(&mut self, seconds: f64) {
+        self.longest_ready_wait = self.longest_ready_wait.max(seconds);
+    }
+
+    /// Records the number of pending timers.
+    pub fn record_timers(&mut self, count: usize) {
+        self.most_timers = self.most_timers.max(count);
+    }
+
+    /// Records the number of events that were handled in one turn.
+    pub fn record_events(&mut self, count: u64) {
+        self.most_events_per_turn = self.most_events_per_turn.max(count);
+    }
+}
+
+impl fmt::Display for EventLoopMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let EventLoopMetrics { longest_iteration, longest_ready_wait, most_timers, most_events_per_turn } =
+            self;
+        write!(
+            f,
+            "iteration_most_ms={:.0} ready_wait_most_ms={:.0}",
+            longest_iteration * 1000.0,
+            longest_ready_wait * 1000.0
+        )?;
+        write!(f, " timers_most={most_timers} events_most={most_events_per_turn}")
     }
 }
 
@@ -136,6 +207,7 @@
         write!(f, " too_old={}", self.too_old)?;
         self.violations.write("violations", f)?;
         self.withheld.write("withheld", f)?;
-        write!(f, " held_up={} held_up_most_ms={:.0}", self.loop_delays, self.longest_loop_delay * 1000.0)
+        write!(f, " held_up={} held_up_most_ms={:.0}", self.loop_delays, self.longest_loop_delay * 1000.0)?;
+        write!(f, " {}", self.event_loop)
     }
 }
--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -9,6 +9,7 @@
 use slab::Slab;
 
 use super::Context;
+use crate::counters::IterationWork;
 
 /// Maximum number of events fetched by one poll.
 const MAX_EVENTS_PER_POLL: usize = 256;
@@ -179,6 +180,8 @@
 pub(crate) enum TimerKind {
     Policy(u64),
     Accept,
+    /// The lines that the log's rate limit has left out are to be reported.
+    LogSummary,
     ClientSweep,
     Client(Slot),
     /// A request of a client may have waited for earlier requests of its connection for the maximum time.
@@ -318,16 +321,22 @@
         }
         let woken_at = context.reactor.now();
         if let Some(timeout) = timeout {
-            context.counters.record_loop_time(woken_at - polled_at - timeout.as_secs_f64());
+            context.counters.record_late_wake(woken_at - polled_at - timeout.as_secs_f64());
         }
+        let mut work = IterationWork::default();
         for event in &events {
+            let waited = context.reactor.now() - woken_at;
+            context.counters.event_loop.record_ready_wait(waited);
             handler.on_ready(event.token().into(), event.is_read_closed(), context);
+            work.sources += 1;
         }
+        context.counters.event_loop.record_timers(context.reactor.timers.len());
         let now = context.reactor.now();
         while let Some(kind) = context.reactor.pop_expired(now) {
             handler.on_timer(kind, context);
+            work.timers += 1;
         }
-        context.counters.record_loop_time(context.reactor.now() - woken_at);
+        context.counters.record_iteration(context.reactor.now() - woken_at, work);
     }
     Ok(())
 }
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -55,6 +55,9 @@
 /// Exit code of a successor that has failed its trial and handed the clients back to its predecessor.
 const EXIT_HANDED_BACK: u8 = 5;
 
+/// Interval of the reports on lines that the rate limit of the log has left out (seconds).
+const LOG_SUMMARY_INTERVAL: f64 = 10.0;
+
 /// The platform kills a process that was asked to end once the longest deadline of a class has passed, but
 /// counts at most this for the deadline (seconds).
 const MAX_DEADLINE: f64 = 3.0;
@@ -130,6 +133,8 @@
     changes: Option<Box<Changes>>,
     control: Option<ControlSocket>,
     log: logging::Handle,
+    /// Log lines left out by the rate limit that have been reported.
+    reported_suppressed_lines: u64,
     /// Address for platform clients.
     listen: SocketAddr,
     /// The address before a change that may still be rolled back.
@@ -325,6 +330,7 @@
             changes: changes.map(Box::new),
             control,
             log,
+            reported_suppressed_lines: 0,
             listen: effective.listen,
             previous_listen: None,
             zones: effective.zones.clone(),
@@ -343,6 +349,7 @@
             pooler.set_paused(true, context);
         }
         pooler.advance_lifecycle(LifecycleInput::ListenerBound, context);
+        context.reactor.set_timer(now + LOG_SUMMARY_INTERVAL, TimerKind::LogSummary);
         context.events.push_back(Event::ListReceived(ListKind::Saved, listings));
         pooler.handle_events(context);
         pooler.adopt_predecessor_state(context);
@@ -356,7 +363,9 @@
 
     /// Handles the queued events in order, each after all actions that result from the previous one.
     fn handle_events(&mut self, context: &mut Context) {
+        let mut handled = 0;
         while let Some(event) = context.events.pop_front() {
+            handled += 1;
             match event {
                 Event::QueryReceived(client, command, query) => {
                     self.handle_query((client, command), *query, context)
@@ -401,6 +410,7 @@
                 Event::ControlCallReceived(caller, call) => self.handle_control_call(caller, *call, context),
             }
         }
+        context.counters.event_loop.record_events(handled);
     }
 
     /// Follows a list that discovery pushes, unless the operator's file contains a list or names a registry.
@@ -808,6 +818,16 @@
         state
     }
 
+    /// Logs how many lines the rate limit has left out since the last report, if there are any.
+    fn report_suppressed_lines(&mut self, context: &mut Context) {
+        context.reactor.set_timer(context.reactor.now() + LOG_SUMMARY_INTERVAL, TimerKind::LogSummary);
+        let total = self.log.suppressed_lines();
+        let lines = total - std::mem::replace(&mut self.reported_suppressed_lines, total);
+        if lines > 0 {
+            logging::warn!(event = "log.left_out", lines, "the rate limit of the log left out lines");
+        }
+    }
+
     fn handle_signals(&mut self, context: &mut Context) {
         let pending: Vec<i32> = self.signals.pending().collect();
         for signal in pending {
@@ -884,6 +904,7 @@
         match kind {
             TimerKind::Policy(cookie) => self.notify_policy(interface::Event::Timer { cookie }, context),
             TimerKind::Accept => self.clients.accept(context),
+            TimerKind::LogSummary => self.report_suppressed_lines(context),
             TimerKind::ClientSweep => self.clients.close_idle(context),
             TimerKind::Client(slot) => self.clients.on_timer(slot, context),
             TimerKind::InFlight(client) => self.refuse_expired(client, context),
