event loop: one scheduler with a share for each source, and answers that do not lead to reading

Each turn on a connection with more to read set a timer, and so did each event of its socket: timers of one connection grew in number, and an iteration ran all of them (platform's front and sessions). An answer led straight back to reading (Clients::answer -> on_ready -> further queries in the queue that handle_events empties), so that an iteration ended only when the client's socket was empty: with new classes and with long comments no other client was answered while the flood lasted. A session took up to 16 steps of 8 KB of small messages in one iteration. Ruled out: the machine (probes beside a flood of unsupported messages, cancels or new users were on time before).

Change: ready sources wait in one queue with a lane each for control, servers and clients, each source at most once. Connections take at most 8 messages or 8 KB in a step; an answer is written, and reading goes on in the connection's next turn. One pending timer a connection. Short replies are written together.

--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -161,6 +161,7 @@
         while let Some(slot) = least_recently_active(&self.connections, Connection::is_idle) {
             let connection = self.connections.get_mut(slot)?;
             let active = connection.active;
+            connection.note_readable();
             let result = connection.process(slot, self.serving, context);
             if result.is_ok() && connection.is_idle() {
                 connection.active = active;
@@ -262,9 +263,10 @@
         self.on_ready(slot, context);
     }
 
-    /// A connection is readable or writable.
+    /// A connection is readable or writable, or has its next turn.
     pub fn on_ready(&mut self, slot: Slot, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(slot) else { return };
+        connection.note_readable();
         let result = connection.process(slot, self.serving, context);
         self.finish_step(slot, result, context);
     }
@@ -279,7 +281,9 @@
     /// Returns true if the client is known to have closed its connection. A connection that was active after
     /// `since` is not checked.
     pub fn has_left(&self, slot: Slot, since: f64) -> bool {
-        self.connections.get(slot).is_none_or(|connection| connection.active < since && connection.has_left())
+        self.connections
+            .get(slot)
+            .is_none_or(|connection| !connection.was_read_after(since) && connection.has_left())
     }
 
     /// Returns the connection to which this cancel key was given.
@@ -294,7 +298,7 @@
     pub fn finish_cancelled(&mut self, slot: Slot, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(slot) else { return };
         connection.finish_cancelled();
-        self.on_ready(slot, context);
+        self.write(slot, context);
     }
 
     /// Removes a connection that has ended, and closes an idle one if all are to be closed.
@@ -343,10 +347,18 @@
         };
         if connection.answer(number, answer) {
             *counter += 1;
-            self.on_ready(slot, context);
+            self.write(slot, context);
         }
     }
 
+    /// Writes the replies of a connection that are available. What its client has sent meanwhile is read in the
+    /// connection's next turn: an answer must not lead straight to the next request.
+    fn write(&mut self, slot: Slot, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let result = connection.write(slot, context);
+        self.finish_step(slot, result, context);
+    }
+
     /// Queries can be carried out from now on: answers the pending empty queries.
     pub fn start_serving(&mut self, context: &mut Context) {
         if std::mem::replace(&mut self.serving, true) {
@@ -357,7 +369,7 @@
         for slot in unready {
             let Some(connection) = self.connections.get_mut(slot) else { continue };
             connection.answer_unready();
-            self.on_ready(slot, context);
+            self.write(slot, context);
         }
     }
 
@@ -372,27 +384,22 @@
         }
     }
 
-    /// A connection has more data to read, or its client may have exceeded a time limit.
+    /// A client may have exceeded a time limit, or a lingering connection is to be read again.
     pub fn on_timer(&mut self, slot: Slot, context: &mut Context) {
         let now = context.reactor.now();
-        if self.connections.get(slot).is_some_and(Connection::has_unread) {
-            self.on_ready(slot, context);
-        }
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        connection.timer_fired(now);
         // A request that has just arrived is read before the time limit is checked.
-        if self.connections.get(slot).is_some_and(|connection| connection.is_overdue(now)) {
+        if connection.is_ending() || connection.is_overdue(now) {
             self.on_ready(slot, context);
         }
         let Some(connection) = self.connections.get_mut(slot) else { return };
-        // Timers cannot be cancelled: this one may belong to an earlier wait of the client.
-        let result = if connection.is_ending() {
-            if !connection.linger_expired(now) {
-                return;
-            }
+        let result = if connection.is_ending() && connection.linger_expired(now) {
             Err(CloseReason::Local)
         } else if connection.is_overdue(now) {
             connection.end_overdue(slot, self.serving, context)
         } else {
-            return;
+            Ok(())
         };
         self.finish_step(slot, result, context);
     }
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -9,7 +9,7 @@
 use pgwire::{sqlstate, ClientQuery, FrameError, Message, Startup};
 
 use super::pipeline::{AfterReply, CommandNumber, Pipeline};
-use crate::net::event_loop::{Slot, TimerKind};
+use crate::net::event_loop::{EarliestTimer, Slot, Source, TimerKind};
 use crate::net::{Context, Event};
 
 /// How long a connection that the pooler closes is still read from, discarding the data (seconds): a
@@ -23,9 +23,15 @@
 /// How long a client may take to send its first query, to complete a message that it has begun, and to read
 /// what it was sent (seconds). Guards against clients that connect only to occupy a connection.
 const CLIENT_TIMEOUT: f64 = 2.0;
-/// Maximum number of messages read from a connection in one iteration. Guards against a client that sends
-/// faster than the errors about its malformed messages can be written.
-const MAX_MESSAGES_PER_ITERATION: usize = 32;
+/// Maximum number of messages taken off a connection before the requests among them are carried out. A client
+/// that has sent more goes on in its next turn.
+const MAX_MESSAGES_PER_STEP: usize = 8;
+/// After this many bytes no further message is taken in a step, since long ones take longer to parse (bytes).
+const MAX_BYTES_PER_STEP: usize = 8 * 1024;
+/// A buffer with fewer bytes than this is filled again before its messages run out (bytes).
+const REFILL_BYTES: usize = 16 * 1024;
+/// Short replies are collected up to this size, and written together (bytes). A buffer has this size anyway.
+const COLLECTED_REPLY_BYTES: usize = 1024;
 /// The memory charged for a command beside its statement, for the state that is stored until its end (bytes).
 /// Guards against many small pipelined commands on many connections.
 const COMMAND_MEMORY: usize = 1024;
@@ -68,13 +74,22 @@
     skipping: bool,
     /// True once the client has sent a query that could be carried out.
     has_queried: bool,
-    /// There may be more data to read, which no event will announce.
+    /// The socket may have more data, which no event will announce.
     unread_data: bool,
+    /// The buffer may hold another complete message.
+    unprocessed: bool,
+    /// No memory is left for the rest of a message: tried again once a reply is given.
+    stalled: bool,
+    /// When the socket was last read.
+    read_at: f64,
     /// The client has closed its sending side: no more data arrives.
     pub half_closed: bool,
     /// The pooler has closed its sending side; and until when the connection lingers.
     send_closed: bool,
     ends_at: f64,
+    /// While the connection lingers: nothing is read before then.
+    discard_at: f64,
+    timer: EarliestTimer,
     /// Together with the connection's number, the key with which its requests can be cancelled on another
     /// connection.
     secret: u32,
@@ -94,26 +109,55 @@
             pipeline: Pipeline::default(),
             skipping: false,
             has_queried: false,
-            unread_data: false,
+            unread_data: true,
+            unprocessed: false,
+            stalled: false,
+            read_at: now,
             half_closed: false,
             send_closed: false,
             ends_at: f64::INFINITY,
+            discard_at: f64::NEG_INFINITY,
+            timer: EarliestTimer::default(),
             secret,
             active: now,
             waiting_since: None,
         }
     }
 
-    /// Reads, processes and writes until the socket would block.
+    /// Notes that an event has announced data, or that the client is to be looked at.
+    pub fn note_readable(&mut self) {
+        self.unread_data = true;
+    }
+
+    /// Takes a step: reads, processes some of the messages that have arrived, and writes. Gets another turn if
+    /// there is more to do.
     pub fn process(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), CloseReason> {
         self.active = context.reactor.now();
-        self.unread_data = false;
+        self.stalled = false;
         self.read_and_process(slot, serving, context)?;
+        self.end_turn(slot, context)
+    }
+
+    /// Writes the replies that are available.
+    pub fn write(&mut self, slot: Slot, context: &mut Context) -> Result<(), CloseReason> {
+        self.active = context.reactor.now();
+        self.stalled = false;
+        self.deliver(context)?;
+        if self.stage == Stage::Ending {
+            self.discard()?;
+        }
+        self.end_turn(slot, context)
+    }
+
+    fn end_turn(&mut self, slot: Slot, context: &mut Context) -> Result<(), CloseReason> {
         // The end of the data may lie behind more unread bytes than a buffer stores: no more commands are
         // begun for a client that has left.
         if self.half_closed && self.pipeline.is_waiting() {
             return Err(CloseReason::Peer);
         }
+        if self.can_continue() {
+            context.reactor.continue_later(Source::Client(slot));
+        }
         Ok(())
     }
 
@@ -123,86 +167,117 @@
         serving: bool,
         context: &mut Context,
     ) -> Result<(), CloseReason> {
-        while self.stage != Stage::Ending {
-            let fill = self.inbox.fill(&mut self.stream).map_err(|_| CloseReason::Peer)?;
-            if fill == Fill::Ended {
-                return Err(CloseReason::Peer);
-            }
-            let before = self.inbox.len();
-            self.process_messages(slot, serving, context)?;
-            if self.unread_data {
-                context.reactor.set_timer(self.active, TimerKind::Client(slot));
-                return Ok(());
-            }
-            // Events are edge-triggered: the data that a full buffer left in the socket must be read now that
-            // there is room, since no further event announces it.
-            if fill == Fill::Drained {
-                return Ok(());
-            }
-            if self.inbox.len() == before {
-                // A message whose rest never fits must not occupy its memory and its connection forever.
-                // While replies are pending, the next of them leads to another check.
-                let cannot_continue =
-                    self.stage != Stage::Ending && self.pipeline.is_empty() && self.outbox.is_empty();
-                return if cannot_continue {
-                    self.fatal(sqlstate::OUT_OF_MEMORY, "no memory", slot, context)
-                } else {
-                    Ok(())
-                };
-            }
+        if self.stage != Stage::Ending && self.unread_data && self.inbox.len() < REFILL_BYTES {
+            self.fill()?;
         }
-        self.discard(slot, context)
+        self.process_messages(slot, serving, context)?;
+        if self.stage != Stage::Ending && self.unread_data && !self.unprocessed {
+            self.read_rest(context)?;
+        }
+        if self.stage == Stage::Ending {
+            return self.discard();
+        }
+        Ok(())
     }
 
-    /// Discards the data of a lingering connection, one buffer at a time with a delay between. Guards the
-    /// event loop against a client that sends without end.
-    fn discard(&mut self, slot: Slot, context: &mut Context) -> Result<(), CloseReason> {
-        self.flush()?;
+    /// Reads more of a message that is incomplete.
+    fn read_rest(&mut self, context: &mut Context) -> Result<(), CloseReason> {
+        let before = self.inbox.len();
+        let fill = self.fill()?;
+        self.unprocessed = self.inbox.len() > before;
+        if fill != Fill::Full || self.unprocessed {
+            return Ok(());
+        }
+        // A message whose rest never fits must not occupy its memory and its connection forever.
+        self.stalled = true;
+        if self.pipeline.is_empty() && self.outbox.is_empty() {
+            self.fatal(sqlstate::OUT_OF_MEMORY, "no memory", context)?;
+        }
+        Ok(())
+    }
+
+    /// Reads what has arrived, as far as the buffer has room.
+    fn fill(&mut self) -> Result<Fill, CloseReason> {
+        self.read_at = self.active;
         let fill = self.inbox.fill(&mut self.stream).map_err(|_| CloseReason::Peer)?;
+        self.unread_data = fill == Fill::Full;
         if fill == Fill::Ended {
             return Err(CloseReason::Peer);
         }
+        Ok(fill)
+    }
+
+    /// Returns true if the next turn can make progress without an event of the socket.
+    fn can_continue(&self) -> bool {
+        self.stage != Stage::Ending
+            && (self.unread_data || self.unprocessed)
+            && !self.stalled
+            && self.pipeline.takes_commands()
+            && self.outbox.is_empty()
+    }
+
+    /// Discards the data of a lingering connection, one buffer at a time with a delay between. Guards the
+    /// event loop against a client that sends without end.
+    fn discard(&mut self) -> Result<(), CloseReason> {
+        self.flush()?;
+        if self.active < self.discard_at {
+            return Ok(());
+        }
+        self.inbox.skip(self.inbox.len());
+        let fill = self.fill()?;
         self.inbox.skip(self.inbox.len());
         if fill == Fill::Full {
-            self.unread_data = true;
-            context.reactor.set_timer(self.active + DISCARD_INTERVAL, TimerKind::Client(slot));
+            self.discard_at = self.active + DISCARD_INTERVAL;
         }
         Ok(())
     }
 
-    /// Processes messages one at a time. The next one is read only after the replies so far are written, so
-    /// that a client that sends without reading gets no further than its buffers.
+    /// Processes some of the messages that have arrived, and writes the replies that are available. A client
+    /// that sends without reading gets no further than its buffers.
     fn process_messages(
         &mut self,
         slot: Slot,
         serving: bool,
         context: &mut Context,
     ) -> Result<(), CloseReason> {
-        for _ in 0..MAX_MESSAGES_PER_ITERATION {
-            if !self.deliver(slot, context)? || !self.pipeline.takes_commands() {
-                return Ok(());
+        self.unprocessed = true;
+        if !self.deliver(context)? {
+            return Ok(());
+        }
+        let before = self.inbox.len();
+        for _ in 0..MAX_MESSAGES_PER_STEP {
+            let enough = before - self.inbox.len() >= MAX_BYTES_PER_STEP;
+            if enough || !self.pipeline.takes_commands() || !self.take_next(slot, serving, context)? {
+                break;
             }
-            let result = match self.stage {
-                Stage::Startup => self.take_startup(slot, context)?,
-                Stage::Open => self.take_message(slot, serving, context)?,
-                Stage::Ending => return Ok(()),
-            };
-            match result {
-                // The time limit for a first query continues until there is one: messages without a query
-                // must not hold a connection open.
-                Ok(true) if self.has_queried => self.waiting_since = None,
-                Ok(true) => {}
-                Ok(false) => return Ok(()),
-                Err(FrameError::Malformed) => {
-                    self.fatal(sqlstate::PROTOCOL_VIOLATION, "malformed message", slot, context)?;
-                }
-                Err(FrameError::TooLong) => {
-                    self.fatal(sqlstate::PROGRAM_LIMIT_EXCEEDED, "message too long", slot, context)?;
-                }
+        }
+        self.deliver(context).map(|_| ())
+    }
+
+    /// Takes the next message and begins what it asks for; returns false if there is none.
+    fn take_next(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<bool, CloseReason> {
+        let result = match self.stage {
+            Stage::Startup => self.take_startup(slot, context)?,
+            Stage::Open => self.take_message(slot, serving, context)?,
+            Stage::Ending => return Ok(false),
+        };
+        match result {
+            // The time limit for a first query continues until there is one: messages without a query must
+            // not hold a connection open.
+            Ok(true) if self.has_queried => self.waiting_since = None,
+            Ok(true) => {}
+            Ok(false) => {
+                self.unprocessed = false;
+                return Ok(false);
+            }
+            Err(FrameError::Malformed) => {
+                self.fatal(sqlstate::PROTOCOL_VIOLATION, "malformed message", context)?;
+            }
+            Err(FrameError::TooLong) => {
+                self.fatal(sqlstate::PROGRAM_LIMIT_EXCEEDED, "message too long", context)?;
             }
         }
-        self.unread_data = true;
-        Ok(())
+        Ok(true)
     }
 
     /// Reads the client's first message; returns false while it is incomplete.
@@ -233,13 +308,14 @@
     }
 
     /// Writes the available replies in the order of their commands; returns true if all of them were written.
-    fn deliver(&mut self, slot: Slot, context: &mut Context) -> Result<bool, CloseReason> {
-        loop {
-            // One reply at a time: each may use the full buffer.
-            if !self.flush()? {
+    fn deliver(&mut self, context: &mut Context) -> Result<bool, CloseReason> {
+        while let Some(length) = self.pipeline.next_reply_length() {
+            // One long reply at a time: each may use the full buffer.
+            let collected = self.outbox.len() + length <= COLLECTED_REPLY_BYTES;
+            if !self.outbox.is_empty() && !collected && !self.flush()? {
                 return Ok(false);
             }
-            let Some(reply) = self.pipeline.next_reply() else { return Ok(true) };
+            let Some(reply) = self.pipeline.next_reply() else { break };
             // If memory is short, the client at least receives an error.
             if self.outbox.push_over_budget(&reply.bytes).is_err() {
                 self.outbox.push_over_budget(&error(
@@ -250,10 +326,14 @@
             }
             match reply.after {
                 AfterReply::Continue => {}
-                AfterReply::Linger => self.end(slot, LINGER_TIMEOUT, context),
-                AfterReply::Close => return Err(CloseReason::Peer),
+                AfterReply::Linger => self.end(LINGER_TIMEOUT, context),
+                AfterReply::Close => {
+                    self.flush()?;
+                    return Err(CloseReason::Peer);
+                }
             }
         }
+        self.flush()
     }
 
     /// Returns true if the connection lingers.
@@ -294,8 +374,17 @@
     }
 
     /// Returns true if the client has closed the connection, even if that has not been read yet. Unread data
-    /// before the end hides it.
+    /// before the end hides it, until an event tells of it.
     pub fn has_left(&self) -> bool {
+        self.half_closed || self.end_has_arrived()
+    }
+
+    /// Returns true if the socket was read after `since`.
+    pub fn was_read_after(&self, since: f64) -> bool {
+        self.read_at >= since
+    }
+
+    fn end_has_arrived(&self) -> bool {
         match self.stream.peek(&mut [0]) {
             Ok(count) => count == 0,
             Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
@@ -307,18 +396,14 @@
         self.secret == secret
     }
 
-    /// Returns true if there may be more data to read, which no event will announce.
-    pub fn has_unread(&self) -> bool {
-        self.unread_data
-    }
-
     /// Returns true if the client has to act within a time limit.
     fn must_act(&self) -> bool {
         match self.stage {
             Stage::Startup => true,
             Stage::Open => {
                 let unasked = !self.has_queried && self.pipeline.is_empty();
-                let unfinished = !self.inbox.is_empty() && self.pipeline.takes_commands();
+                let incomplete = !self.inbox.is_empty() && !self.unprocessed;
+                let unfinished = incomplete && self.pipeline.takes_commands();
                 unasked || unfinished || !self.outbox.is_empty()
             }
             Stage::Ending => false,
@@ -331,10 +416,25 @@
             self.waiting_since = None;
         } else if self.waiting_since.is_none() {
             self.waiting_since = Some(self.active);
-            context.reactor.set_timer(self.active + CLIENT_TIMEOUT, TimerKind::Client(slot));
+        }
+        self.timer.set(self.next_deadline(), TimerKind::Client(slot), &mut context.reactor);
+    }
+
+    /// Returns the time at which the connection is to be looked at without an event; infinite if there is none.
+    fn next_deadline(&self) -> f64 {
+        match (self.stage, self.waiting_since) {
+            (Stage::Ending, _) if self.unread_data => self.ends_at.min(self.discard_at),
+            (Stage::Ending, _) => self.ends_at,
+            (_, Some(since)) => since + CLIENT_TIMEOUT,
+            (_, None) => f64::INFINITY,
         }
     }
 
+    /// Notes that the connection's timer has fired.
+    pub fn timer_fired(&mut self, now: f64) {
+        self.timer.fired(now);
+    }
+
     /// Returns true if the client has exceeded its time limit.
     pub fn is_overdue(&self, now: f64) -> bool {
         self.waiting_since.is_some_and(|since| now >= since + CLIENT_TIMEOUT)
@@ -356,7 +456,7 @@
         if self.inbox.is_empty() {
             return self.linger(slot, serving, context);
         }
-        self.fatal(sqlstate::PROTOCOL_VIOLATION, "message not completed in time", slot, context)?;
+        self.fatal(sqlstate::PROTOCOL_VIOLATION, "message not completed in time", context)?;
         self.process(slot, serving, context)
     }
 
@@ -372,9 +472,7 @@
                 context.events.push_back(Event::CancelRequested(key));
                 return Err(CloseReason::Peer);
             }
-            Startup::Unknown => {
-                self.fatal(sqlstate::FEATURE_NOT_SUPPORTED, "unknown protocol", slot, context)?
-            }
+            Startup::Unknown => self.fatal(sqlstate::FEATURE_NOT_SUPPORTED, "unknown protocol", context)?,
         }
         Ok(())
     }
@@ -412,7 +510,7 @@
             // Flush needs no reply here; the other messages belong to exchanges that have ended or were never
             // begun.
             b'H' | b'p' | b'd' | b'c' | b'f' => {}
-            _ => self.fatal(sqlstate::PROTOCOL_VIOLATION, "unknown message", slot, context)?,
+            _ => self.fatal(sqlstate::PROTOCOL_VIOLATION, "unknown message", context)?,
         }
         Ok(())
     }
@@ -444,29 +542,22 @@
     }
 
     /// Sends a fatal error after the pending replies, and closes the connection once the client has read it.
-    fn fatal(
-        &mut self,
-        code: &str,
-        text: &str,
-        slot: Slot,
-        context: &mut Context,
-    ) -> Result<(), CloseReason> {
+    fn fatal(&mut self, code: &str, text: &str, context: &mut Context) -> Result<(), CloseReason> {
         context.counters.malformed += 1;
         self.pipeline.reply_last(pgwire::error_response("FATAL", code, text, None), AfterReply::Linger);
-        self.deliver(slot, context).map(|_| ())
+        self.deliver(context).map(|_| ())
     }
 
     /// Starts the lingering close: the client has time to read what it was sent and to see the end. Received
     /// data is discarded.
-    fn end(&mut self, slot: Slot, timeout: f64, context: &mut Context) {
+    fn end(&mut self, timeout: f64, context: &mut Context) {
         (self.stage, self.ends_at) = (Stage::Ending, context.reactor.now() + timeout);
-        context.reactor.set_timer(self.ends_at, TimerKind::Client(slot));
     }
 
     /// Closes a connection that has no pending reply.
     pub fn linger(&mut self, slot: Slot, serving: bool, context: &mut Context) -> Result<(), CloseReason> {
         let timeout = if self.outbox.is_empty() { IDLE_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
-        self.end(slot, timeout, context);
+        self.end(timeout, context);
         self.process(slot, serving, context)
     }
 
--- a/crates/daemon/src/net/clients/pipeline.rs
+++ b/crates/daemon/src/net/clients/pipeline.rs
@@ -126,6 +126,14 @@
         self.replace(bytes, |state| matches!(state, ReplyState::Unready));
     }
 
+    /// Returns the length of the oldest reply, if it is available (bytes).
+    pub fn next_reply_length(&self) -> Option<usize> {
+        match self.replies.front() {
+            Some((_, ReplyState::Ready(reply))) => Some(reply.bytes.len()),
+            _ => None,
+        }
+    }
+
     /// Takes the oldest reply, if it is available.
     pub fn next_reply(&mut self) -> Option<Reply> {
         if !matches!(self.replies.front(), Some((_, ReplyState::Ready(_)))) {
--- a/crates/daemon/src/net/event_loop/tests.rs
+++ b/crates/daemon/src/net/event_loop/tests.rs
@@ -1,3 +1,5 @@
+use mio::Token;
+
 use super::*;
 
 #[test]
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -919,7 +919,6 @@
                 self.registry.iter_mut().for_each(|r| r.on_timer(context));
             }
             TimerKind::ConfigChange => self.check_probation(context),
-            TimerKind::Session(slot) => self.sessions.iter_mut().for_each(|s| s.on_ready(slot, context)),
             TimerKind::Peers => self.coordination.iter_mut().for_each(|c| c.on_timer(context)),
             TimerKind::SessionSweep => {
                 self.sessions.iter_mut().for_each(|sessions| sessions.enforce_limits(context))
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -12,7 +12,7 @@
 use super::members::Member;
 use super::server::{reported_role, ServerConnection, ServerState};
 use super::{Detachment, RoutedServerRequest, Sessions};
-use crate::net::event_loop::{Slot, TimerKind};
+use crate::net::event_loop::{Slot, Source};
 use crate::net::{Context, Event};
 
 /// A session's pending request for a server connection.
@@ -173,7 +173,7 @@
         if let Step::Closed = self.carry_out(slot, actions, context) {
             return self.remove_client(slot, context);
         }
-        context.reactor.set_timer(context.reactor.now(), TimerKind::Session(slot));
+        context.reactor.continue_later(Source::SessionClient(slot));
     }
 
     /// Returns a connection that no session uses to the pool, or closes it.
@@ -261,7 +261,7 @@
         self.release(slot, Disposition::Close, outcome, context);
         match self.carry_out(slot, actions, context) {
             Step::Closed => self.remove_client(slot, context),
-            _ => context.reactor.set_timer(context.reactor.now(), TimerKind::Session(slot)),
+            _ => context.reactor.continue_later(Source::SessionClient(slot)),
         }
     }
 
@@ -286,7 +286,7 @@
         }
         match self.carry_out(slot, actions, context) {
             Step::Closed => self.remove_client(slot, context),
-            _ => context.reactor.set_timer(context.reactor.now(), TimerKind::Session(slot)),
+            _ => context.reactor.continue_later(Source::SessionClient(slot)),
         }
     }
 
--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -15,14 +15,14 @@
 use super::assignment::{PendingRequest, ServerAssignment};
 use super::server::ServerState;
 use super::Sessions;
-use crate::net::event_loop::{Slot, TimerKind};
+use crate::net::event_loop::{Slot, Source};
 use crate::net::{Context, Event};
 
 /// While more than this number of bytes waits for one side, no more data is read from the other. Together
 /// with the longest message it fits into a buffer.
 pub(super) const PENDING_LIMIT: usize = 8 * 1024;
-/// Maximum number of steps of one session in an iteration.
-pub(super) const MAX_STEPS_PER_ITERATION: usize = 16;
+/// Maximum number of messages of one side that are handled in a step.
+const MAX_MESSAGES_PER_STEP: usize = 64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -65,18 +65,16 @@
 }
 
 impl Sessions {
-    /// A client's connection is readable or writable, or its session continues after other sessions were
-    /// served.
+    /// A client's connection is readable or writable, or its session has its next turn.
     pub fn on_ready(&mut self, slot: Slot, context: &mut Context) {
-        for _ in 0..MAX_STEPS_PER_ITERATION {
-            match self.step(slot, context) {
-                Step::Progress => {}
-                Step::Waiting => return self.update_busy_time(slot, context.reactor.now()),
-                Step::Closed => return self.remove_client(slot, context),
-            }
+        let step = self.step(slot, context);
+        if let Step::Closed = step {
+            return self.remove_client(slot, context);
         }
         self.update_busy_time(slot, context.reactor.now());
-        context.reactor.set_timer(context.reactor.now(), TimerKind::Session(slot));
+        if let Step::Progress = step {
+            context.reactor.continue_later(Source::SessionClient(slot));
+        }
     }
 
     /// Updates the times for which the server is busy and for which the client is idle.
@@ -136,7 +134,11 @@
             conn.session.as_mut().filter(|_| server_has_room && conn.transport.outbox.len() < PENDING_LIMIT)
         {
             let mut bytes = 0;
-            while bytes < PENDING_LIMIT && session.accepts_message() && !must_be_carried_out_first(&actions) {
+            for _ in 0..MAX_MESSAGES_PER_STEP {
+                let full = bytes >= PENDING_LIMIT || !session.accepts_message();
+                if full || must_be_carried_out_first(&actions) {
+                    break;
+                }
                 match pgwire::read_message(&mut conn.transport.inbox) {
                     Ok(None) => break,
                     Ok(Some(message)) => {
@@ -192,7 +194,10 @@
         }
         let fill = server.transport.process_io(&mut server.stream);
         let (mut actions, mut bytes, mut malformed) = (Vec::new(), 0, false);
-        while bytes < PENDING_LIMIT && !must_be_carried_out_first(&actions) {
+        for _ in 0..MAX_MESSAGES_PER_STEP {
+            if bytes >= PENDING_LIMIT || must_be_carried_out_first(&actions) {
+                break;
+            }
             match server.reader.next(&mut server.transport.inbox) {
                 Ok(None) => break,
                 Ok(Some(piece)) => {
--- /dev/null
+++ b/crates/daemon/tests/floods.rs
@@ -0,0 +1,143 @@
+//! Clients that send small, unsound or unfinished messages at full speed: the other clients of the same pooler
+//! get their answers in time, memory stays under its limit, and the pooler ends in its usual time.
+
+mod pool_fixture;
+
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use flood::{Flood, Form, Probes, Summary, Target};
+use peers::*;
+use pool_fixture::{Fixture, PROGRAM};
+use rstest::rstest;
+
+/// One flood at a time: floods side by side would measure how the machine shares its cores.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Clients that are measured.
+const PROBES: usize = 6;
+/// How long a probe's request may take (milliseconds).
+const PROBE_TIMEOUT_MS: u64 = 250;
+/// An answer counts as lost from this time after the request's timeout on (seconds).
+const LOST_AFTER: f64 = 0.5;
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+/// The limit in the configuration of the tests (megabytes).
+const MEMORY_LIMIT_MB: f64 = 192.0;
+
+fn exclusive() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn target() -> Target {
+    Target { class: "reports".into(), group: 2 }
+}
+
+/// Starts a pooler for the platform's clients with three members that answer at once.
+fn start_platform() -> (Pooler, Discovery) {
+    let discovery = Discovery::listen();
+    let members: Vec<AnsweringMember> =
+        (0..3).map(|_| AnsweringMember::new(|_| answer_with_role(b"\x9f\x00\x03", "reader"))).collect();
+    let entry = |(n, member): (usize, &AnsweringMember)| member.list_entry(&format!("s-{n}"), "here");
+    let entries: Vec<String> = members.iter().enumerate().map(entry).collect();
+    (Pooler::start(PROGRAM, &list(41, true, &entries), &discovery, &[]), discovery)
+}
+
+fn platform_probes(pooler: &Pooler) -> Probes {
+    Probes::start(pooler.address, PROBES, |n| {
+        flood::query(&format!(
+            "/* id=a{n:x},c=reports,t=acme,d={PROBE_TIMEOUT_MS},cluster=2 */ SELECT doc FROM items WHERE id = 'p'"
+        ))
+    })
+}
+
+/// Returns the resident memory of a pooler (megabytes).
+fn resident_mb(pooler: &Pooler) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", pooler.pid())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1024.0
+}
+
+/// Runs a flood beside the probes. Returns what the probes saw, and the largest resident memory (megabytes).
+fn play(pooler: &Pooler, probes: Probes, flood: Flood, time: Duration) -> (Summary, f64) {
+    let started_at = Instant::now();
+    let mut most_mb: f64 = 0.0;
+    while started_at.elapsed() < time {
+        most_mb = most_mb.max(resident_mb(pooler));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let summary = probes.stop();
+    flood.stop();
+    (summary, most_mb)
+}
+
+fn assert_shielded(form: Form, (summary, most_mb): &(Summary, f64)) {
+    let Summary { served, errors, closed, unanswered, .. } = summary;
+    let limit = PROBE_TIMEOUT_MS as f64 / 1000.0 + LOST_AFTER;
+    let seen = format!(
+        "{form:?}: worst {:.3} s, median {:.4} s; {served} served, {errors} errors, {closed} closed, \
+         {unanswered} unanswered; {most_mb:.0} MB",
+        summary.worst(),
+        summary.median()
+    );
+    println!("{seen}");
+    assert!(summary.worst() <= limit, "answers after {limit} s or never: {seen}");
+    assert_eq!(*closed, 0, "requests met connections that were closed: {seen}");
+    assert!(*most_mb <= MEMORY_LIMIT_MB, "over {MEMORY_LIMIT_MB} MB: {seen}");
+}
+
+/// Guards issue 55, picture (a): while clients flooded, the others on the platform's front were answered late
+/// or never.
+#[rstest]
+#[case::empty_queries(Form::EmptyQueries, 8, true)]
+#[case::empty_queries_of_one_client(Form::EmptyQueries, 1, true)]
+#[case::empty_queries_unread(Form::EmptyQueries, 6, false)]
+#[case::new_classes(Form::NewClasses, 8, true)]
+#[case::new_classes_of_one_client(Form::NewClasses, 1, true)]
+#[case::new_tenants(Form::NewTenants, 8, true)]
+#[case::unsupported(Form::Unsupported, 6, true)]
+#[case::malformed(Form::Malformed, 6, true)]
+#[case::new_users(Form::NewUsers, 6, true)]
+#[case::cancels(Form::Cancels, 6, true)]
+#[case::many_fields(Form::ManyFields, 6, true)]
+#[case::mixture(Form::Mixture, 8, true)]
+fn a_flood_on_the_platforms_front_delays_no_other_client(
+    #[case] form: Form,
+    #[case] clients: usize,
+    #[case] reads: bool,
+) {
+    let _exclusive = exclusive();
+    let (pooler, _discovery) = start_platform();
+    let probes = platform_probes(&pooler);
+    std::thread::sleep(Duration::from_millis(300));
+    let flood = Flood::start(pooler.address, form, clients, reads, &target());
+    assert_shielded(form, &play(&pooler, probes, flood, FLOOD_TIME));
+    println!("{}", pooler.counters());
+}
+
+fn start_sessions(name: &str) -> Fixture {
+    Fixture::with_known_primary(name, "mode = \"transaction\"\n")
+}
+
+fn session_probes(fixture: &Fixture) -> Probes {
+    Probes::start(fixture.address, PROBES, |_| flood::query("SELECT who"))
+}
+
+/// Guards issue 55, picture (a), for ordinary clients: others waited, and memory passed its limit.
+#[rstest]
+#[case::empty_queries(Form::EmptyQueries)]
+#[case::reads(Form::Reads)]
+#[case::one_setting(Form::SetOne)]
+#[case::new_settings(Form::SetNew)]
+#[case::new_statements(Form::NewStatements)]
+#[case::endless_batch(Form::EndlessBatch)]
+#[case::new_users(Form::NewUsers)]
+#[case::cancels(Form::Cancels)]
+fn a_flood_of_ordinary_clients_delays_no_other_client(#[case] form: Form) {
+    let _exclusive = exclusive();
+    let fixture = start_sessions("flood");
+    let probes = session_probes(&fixture);
+    std::thread::sleep(Duration::from_millis(300));
+    let flood = Flood::start(fixture.address, form, 4, true, &target());
+    assert_shielded(form, &play(&fixture.pooler, probes, flood, FLOOD_TIME));
+    println!("{}", fixture.pooler.counters());
+}
