timers: one pending timer for a server connection and a client; the policy's end with requests

Cause: each exchange with a server set a timer of its own for a deadline that the client chose, each request of a connection that waited for an earlier one another, and the two that the policy sets for a request stayed until its deadline, however early it was answered. A server that sends messages without end was read in one turn. Change: server connections and waiting requests keep the earliest timer only and set the next when it fires; the policy's timers are dropped when there are four for each tracked request and their requests have ended; a request's time is cut to the deadline of its class, as the policy does; at most 64 messages of a server in a step.

--- a/crates/daemon/src/net/event_loop.rs
+++ b/crates/daemon/src/net/event_loop.rs
@@ -55,6 +55,14 @@
         self.timers.set(at, kind);
     }
 
+    /// Drops timers of the policy that `is_needed` does not accept, once there are more than `limit`. Requests that
+    /// are answered at once leave timers behind, which must not grow in number with what clients send.
+    pub fn limit_policy_timers(&mut self, limit: usize, is_needed: impl Fn(u64) -> bool) {
+        if self.timers.policy_timers() > limit {
+            self.timers.retain_policy_timers(is_needed);
+        }
+    }
+
     /// Gives a source another turn, behind the other sources that are ready: there is more to do for it,
     /// which no event of its socket announces.
     pub fn continue_later(&mut self, source: Source) {
--- a/crates/daemon/src/net/event_loop/timers.rs
+++ b/crates/daemon/src/net/event_loop/timers.rs
@@ -64,14 +64,32 @@
 pub(super) struct TimerQueue {
     timers: BinaryHeap<Reverse<Timer>>,
     timers_set: u64,
+    /// Number of pending timers of the policy.
+    policy_timers: usize,
 }
 
 impl TimerQueue {
     pub fn set(&mut self, at: f64, kind: TimerKind) {
         self.timers_set += 1;
+        self.policy_timers += usize::from(matches!(kind, TimerKind::Policy(_)));
         self.timers.push(Reverse(Timer { at, number: self.timers_set, kind }));
     }
 
+    /// Returns the number of pending timers of the policy.
+    pub fn policy_timers(&self) -> usize {
+        self.policy_timers
+    }
+
+    /// Drops the timers of the policy that `is_needed` does not accept.
+    pub fn retain_policy_timers(&mut self, is_needed: impl Fn(u64) -> bool) {
+        self.timers.retain(|Reverse(timer)| match timer.kind {
+            TimerKind::Policy(cookie) => is_needed(cookie),
+            _ => true,
+        });
+        let is_policy_timer = |timer: &&Reverse<Timer>| matches!(timer.0.kind, TimerKind::Policy(_));
+        self.policy_timers = self.timers.iter().filter(is_policy_timer).count();
+    }
+
     /// Returns the number of pending timers.
     pub fn len(&self) -> usize {
         self.timers.len()
@@ -85,7 +103,9 @@
     /// Removes the next timer that is due by `now`.
     pub fn pop_expired(&mut self, now: f64) -> Option<TimerKind> {
         self.next_at().filter(|at| *at <= now)?;
-        self.timers.pop().map(|Reverse(timer)| timer.kind)
+        let Reverse(timer) = self.timers.pop()?;
+        self.policy_timers -= usize::from(matches!(timer.kind, TimerKind::Policy(_)));
+        Some(timer.kind)
     }
 }
 
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -55,6 +55,10 @@
 /// Exit code of a successor that has failed its trial and handed the clients back to its predecessor.
 const EXIT_HANDED_BACK: u8 = 5;
 
+/// Timers that the policy may have pending without any request, and for each request that it tracks: twice the
+/// number that it sets, so that timers left behind are dropped seldom and many at a time.
+const MIN_TIMER_LIMIT: usize = 1_024;
+const TIMERS_PER_REQUEST: usize = 4;
 /// Interval of the reports on lines that the rate limit of the log has left out (seconds).
 const LOG_SUMMARY_INTERVAL: f64 = 10.0;
 
@@ -478,7 +482,12 @@
                 }
                 Action::Refuse { id, backoff } => self.answer(&id, Answer::Refused(backoff), context),
                 Action::Fail { id } => self.answer(&id, Answer::Failed, context),
-                Action::Timer { at, cookie } => context.reactor.set_timer(at, TimerKind::Policy(cookie)),
+                Action::Timer { at, cookie } => {
+                    context.reactor.set_timer(at, TimerKind::Policy(cookie));
+                    let limit = MIN_TIMER_LIMIT + TIMERS_PER_REQUEST * self.policy.tracked_requests();
+                    let policy = &self.policy;
+                    context.reactor.limit_policy_timers(limit, |cookie| policy.awaits_timer(cookie));
+                }
                 Action::Probe { member } => {
                     context.counters.probes_sent += 1;
                     self.servers.send(
@@ -538,7 +547,7 @@
             id: id.clone(),
             class,
             group: query.group,
-            time_left: query.timeout.min(self.kill_at - now),
+            time_left: query.timeout.min(self.kill_at - now).min(self.policy.class_deadline(class)),
             required_position: query.required_position,
             session: query.session_key.filter(|_| uses_session).map(Into::into),
             tenant,
@@ -563,7 +572,7 @@
         self.requests.insert(id, request);
         match self.in_flight.insert((client, command), access, arrival, now) {
             Ok(arrival) => self.begin_request(arrival, consistency, context),
-            Err(expires_at) => context.reactor.set_timer(expires_at, TimerKind::InFlight(client)),
+            Err(_expires_at) => self.in_flight.set_timer(client, &mut context.reactor),
         }
     }
 
@@ -587,11 +596,13 @@
     /// Refuses requests that have waited for earlier requests of their connection for the maximum time. They
     /// were not sent.
     fn refuse_expired(&mut self, client: Slot, context: &mut Context) {
+        self.in_flight.timer_fired(client);
         for id in self.in_flight.expired(client, context.reactor.now()) {
             let backoff = self.lifecycle.jittered_backoff(self.retry_after);
             trace::refused_unsent(&id, "waited too long for earlier requests of its connection");
             self.answer(&id, Answer::Refused(backoff), context);
         }
+        self.in_flight.set_timer(client, &mut context.reactor);
     }
 
     /// An ordinary client's session requests a server. This counts as one request, whatever the session sends
--- a/crates/daemon/src/net/pooler/in_flight.rs
+++ b/crates/daemon/src/net/pooler/in_flight.rs
@@ -6,7 +6,7 @@
 use routing::interface::{Arrival, Consistency, RequestId};
 
 use crate::net::clients::CommandNumber;
-use crate::net::event_loop::Slot;
+use crate::net::event_loop::{EarliestTimer, Reactor, Slot, TimerKind};
 
 /// A request waits for earlier requests of its connection for at most this share of its remaining time. The
 /// rest is left to the policy, which may hold a request for a part of its time as well.
@@ -55,6 +55,8 @@
 #[derive(Default)]
 pub(super) struct InFlight {
     by_client: HashMap<Slot, Vec<Entry>>,
+    /// Pending timers for requests that wait, one for each connection.
+    timers: HashMap<Slot, EarliestTimer>,
 }
 
 impl InFlight {
@@ -117,6 +119,21 @@
         expired.map(|entry| entry.id.clone()).collect()
     }
 
+    /// Sets the timer for the first waiting request of a connection that expires, unless an earlier one is pending.
+    pub fn set_timer(&mut self, client: Slot, reactor: &mut Reactor) {
+        let entries = self.by_client.get(&client).map(Vec::as_slice).unwrap_or_default();
+        let waiting = entries.iter().filter_map(|entry| entry.waiting.as_ref());
+        let next = waiting.map(|waiting| waiting.expires_at).fold(f64::INFINITY, f64::min);
+        if next.is_finite() {
+            self.timers.entry(client).or_default().set(next, TimerKind::InFlight(client), reactor);
+        }
+    }
+
+    /// Records that the timer of a connection has fired.
+    pub fn timer_fired(&mut self, client: Slot) {
+        self.timers.remove(&client);
+    }
+
     /// Removes all requests of a connection and returns their ids, oldest first.
     pub fn take_all(&mut self, client: Slot) -> Vec<RequestId> {
         let entries = self.by_client.remove(&client).unwrap_or_default();
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -11,7 +11,7 @@
 use pgwire::{sqlstate, Message};
 use routing::interface::{ListKind, MemberId, Outcome, Phase, Report, RequestId};
 
-use super::event_loop::{Slot, Slots, Source, TimerKind};
+use super::event_loop::{EarliestTimer, Slot, Slots, Source, TimerKind};
 use super::{Context, Event, ServerTask, TaskResult};
 use crate::counters::Counters;
 
@@ -28,6 +28,8 @@
 const REPORT_POSITION: &str = "x0";
 const REPORT_PRIMARY: &str = "x1";
 
+/// Maximum number of messages that are taken off a connection in a step.
+const MAX_MESSAGES_PER_STEP: usize = 64;
 /// Share of a member's own idle timeout after which an idle connection is closed: a request that is written
 /// to a connection while the member closes it would end in a reset.
 const KEEPALIVE_SHARE: f64 = 0.7;
@@ -105,8 +107,11 @@
     malformed: bool,
     /// Part of the answer has been received: the rest is due soon.
     answer_begun: bool,
+    /// The buffer or the socket may hold further messages, which no event announces.
+    unprocessed: bool,
     /// The time limit of the present stage.
     deadline: f64,
+    timer: EarliestTimer,
 }
 
 /// The result of a step on a connection.
@@ -138,6 +143,8 @@
                 Err(()) => return Step::Failed(Outcome::ConnectFailed),
             }
         }
+        let mut messages_left = MAX_MESSAGES_PER_STEP;
+        self.unprocessed = false;
         loop {
             if self.outbox.drain(&mut self.stream).is_err() {
                 return self.connection_ended();
@@ -146,10 +153,14 @@
             let fill = self.inbox.fill(&mut self.stream).unwrap_or(Fill::Ended);
             let before = self.inbox.len();
             let stage_before = self.stage;
-            match self.process_messages(now) {
+            match self.process_messages(now, &mut messages_left) {
                 Step::Waiting => {}
                 step => return step,
             }
+            if messages_left == 0 {
+                self.unprocessed = true;
+                return Step::Waiting;
+            }
             if fill == Fill::Ended {
                 return self.connection_ended();
             }
@@ -196,11 +207,15 @@
         Step::Failed(Outcome::Error)
     }
 
-    /// Processes messages one at a time.
-    fn process_messages(&mut self, now: f64) -> Step {
-        loop {
+    /// Processes messages one at a time, as many as are left for this step.
+    fn process_messages(&mut self, now: f64, messages_left: &mut usize) -> Step {
+        while *messages_left > 0 {
+            *messages_left -= 1;
             match pgwire::read_server_message(&mut self.inbox) {
-                Ok(None) => return Step::Waiting,
+                Ok(None) => {
+                    *messages_left += 1;
+                    return Step::Waiting;
+                }
                 Ok(Some(message)) => match self.handle_message(message, now) {
                     Step::Waiting => {}
                     step => return step,
@@ -208,6 +223,7 @@
                 Err(_) => return self.reject_answer(),
             }
         }
+        Step::Waiting
     }
 
     fn handle_message(&mut self, message: Message, now: f64) -> Step {
@@ -415,7 +431,6 @@
             } else {
                 Step::Failed(Outcome::NotSent)
             };
-            context.reactor.set_timer(connection.deadline, TimerKind::Server(slot));
             self.finish_step(slot, step, context);
             return Some(slot);
         }
@@ -444,11 +459,13 @@
             value_charge: self.budget.charge(),
             malformed: false,
             answer_begun: false,
+            unprocessed: false,
             deadline,
+            timer: EarliestTimer::default(),
         });
         let connection = self.connections.get_mut(slot)?;
         let (token, both) = (Source::Server(slot).into(), Interest::READABLE | Interest::WRITABLE);
-        context.reactor.set_timer(deadline, TimerKind::Server(slot));
+        connection.timer.set(deadline, TimerKind::Server(slot), &mut context.reactor);
         if context.reactor.registry.register(&mut connection.stream, token, both).is_err() {
             self.finish_step(slot, Step::Failed(Outcome::ConnectFailed), context);
         }
@@ -492,18 +509,20 @@
     pub fn on_ready(&mut self, slot: Slot, context: &mut Context) {
         let now = context.reactor.now();
         let Some(connection) = self.connections.get_mut(slot) else { return };
-        let deadline = connection.deadline;
         let step = connection.process(now, self.connect_timeout);
-        if connection.deadline != deadline {
-            context.reactor.set_timer(connection.deadline, TimerKind::Server(slot));
-        }
         self.finish_step(slot, step, context);
     }
 
     /// Reports the end of an exchange; the connection becomes idle or is closed.
     fn finish_step(&mut self, slot: Slot, step: Step, context: &mut Context) {
         match step {
-            Step::Waiting => {}
+            Step::Waiting => {
+                let Some(connection) = self.connections.get_mut(slot) else { return };
+                connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
+                if connection.unprocessed {
+                    context.reactor.continue_later(Source::Server(slot));
+                }
+            }
             Step::Failed(outcome) => {
                 let Some(connection) = self.remove(slot) else { return };
                 let Counters { malformed_answers, unexpected_data, .. } = &mut context.counters;
@@ -524,7 +543,7 @@
                 let member = connection.member.clone();
                 (connection.stage, connection.deadline) =
                     (Stage::Idle, context.reactor.now() + self.keepalive);
-                context.reactor.set_timer(connection.deadline, TimerKind::Server(slot));
+                connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
                 let reusable = connection.outbox.is_empty() && connection.inbox.is_empty();
                 let address = connection.address;
                 let entry = self.members.get_mut(&member).filter(|entry| !entry.removed && reusable);
@@ -554,9 +573,11 @@
     pub fn on_timer(&mut self, slot: Slot, context: &mut Context) {
         let now = context.reactor.now();
         let connect_timeout = self.connect_timeout;
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        connection.timer.fired(now);
         // Timers cannot be cancelled: this one may belong to an earlier stage.
-        if self.connections.get_mut(slot).is_none_or(|connection| connection.deadline > now) {
-            return;
+        if connection.deadline > now {
+            return connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
         }
         // Data that has arrived by now still counts, even if its event has not been processed.
         self.on_ready(slot, context);
@@ -643,7 +664,9 @@
             value_charge: budget.charge(),
             malformed: false,
             answer_begun: false,
+            unprocessed: false,
             deadline: 10.0,
+            timer: EarliestTimer::default(),
         };
         assert!(connection.send_request(0.0));
         assert!(matches!(connection.process(0.0, 1.0), Step::Waiting));
--- a/crates/routing/src/guard.rs
+++ b/crates/routing/src/guard.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Returns the deadline of a class (seconds): no request of it has more time, whatever its client states.
+    pub fn class_deadline(&self, class: usize) -> f64 {
+        self.settings.classes[class].deadline
+    }
+
     /// Returns true if the member may get new work. A drain holds from the moment at which it is reported.
     pub(crate) fn usable(&self, m: usize) -> bool {
         let member = &self.members[m];
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::permission::{Denial, History};
 use crate::relative_latency::RelativeLatency;
 pub use crate::state::Policy;
-use crate::state::{Attempt, Choice, Member, Request};
+use crate::state::{Attempt, Choice, Member, Request, HOUSEKEEPING_COOKIE};
 use crate::thresholds::*;
 use std::collections::VecDeque;
 
@@ -61,8 +61,6 @@
 const BACKOFF_AIM_SHARE: f64 = 0.12;
 /// Retention of a member that left, in multiples of `max_list_age`: far longer than any deadline.
 const MEMBER_RETENTION_FACTOR: f64 = 3.0;
-/// Cookie of the housekeeping timer; requests use their own number, which starts at 1.
-const HOUSEKEEPING_COOKIE: u64 = 0;
 
 impl Policy {
     /// Creates a policy; the seed determines all its randomness. Returns an error for settings out of range.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -12,6 +12,9 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Cookie of the housekeeping timer; requests use their own number, which starts at 1.
+pub(crate) const HOUSEKEEPING_COOKIE: u64 = 0;
+
 /// What other instances have reported about a member, if the state exchange is in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ReportedState {
@@ -318,6 +321,11 @@
         self.requests.len()
     }
 
+    /// Returns true if the timer with this cookie may still matter: it is no request's, or its request is tracked.
+    pub fn awaits_timer(&self, cookie: u64) -> bool {
+        cookie == HOUSEKEEPING_COOKIE || self.requests.contains_key(&cookie)
+    }
+
     /// Returns the number of tracked groups.
     pub fn tracked_groups(&self) -> usize {
         self.groups.len()
