shutdown: read what has come once, then end connections that never pause; bounded accepts

Cause: a client's connection was closed only with its buffer empty and no reply pending, and a flooding one never is; a session was ended only if a timer happened to find it without a pending reply. accept() ran until the queue was empty. Change: when the listener is closed, each connection is read once more; after that only the rest of a message that has begun is read, until the time that is left before the kill at the most, and the connection ends once all of it is answered. What is unread then crosses the close, and its client sends it elsewhere. Sessions take no new work from SIGTERM on and end between two requests. At most 16 connections are accepted in a turn, all that wait when a listener is closed. The limit of the test is 2.5 s.

--- a/crates/buffer/src/lib.rs
+++ b/crates/buffer/src/lib.rs
@@ -14,6 +14,8 @@
 /// An empty buffer above this size (bytes) frees its memory. Guards against a thousand idle connections that
 /// each retain the size of their largest message.
 const MAX_RETAINED_BYTES: usize = 4 * 1024;
+/// Maximum size of a charge for which the reserve of a budget is kept (bytes).
+const MAX_SMALL_BYTES: usize = MAX_RETAINED_BYTES;
 /// Maximum size of a buffer: the largest message of either protocol, with its header. A value has at most 64
 /// KiB, and twice that in hexadecimal.
 pub const MAX_BUFFER_BYTES: usize = 160 * 1024;
@@ -41,11 +43,33 @@
 struct BudgetState {
     limit: Cell<usize>,
     used: Cell<usize>,
+    /// Whether a part of the limit is kept for small buffers.
+    has_reserve: bool,
 }
 
+/// The part of a limit that is kept for small buffers is one in this many.
+const RESERVE_DIVISOR: usize = 16;
+
 impl Budget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(BudgetState { limit: Cell::new(bytes), used: Cell::new(0) }))
+        Budget::create(bytes, false)
+    }
+
+    /// A budget of which a part is kept for small charges and buffers, so that many large messages that are
+    /// not complete leave room for the short ones of other connections.
+    pub fn with_reserve(bytes: usize) -> Self {
+        Budget::create(bytes, true)
+    }
+
+    fn create(bytes: usize, has_reserve: bool) -> Self {
+        Budget(Rc::new(BudgetState { limit: Cell::new(bytes), used: Cell::new(0), has_reserve }))
+    }
+
+    /// Returns the limit for a charge of this size.
+    fn limit_for(&self, bytes: usize) -> usize {
+        let limit = self.0.limit.get();
+        let reserve = if self.0.has_reserve && bytes > MAX_SMALL_BYTES { limit / RESERVE_DIVISOR } else { 0 };
+        limit - reserve
     }
 
     /// Changes the limit. Memory above a lower limit stays allocated; no more is granted until the total is
@@ -73,7 +97,7 @@
 
 impl Charge {
     /// Sets the charge to `bytes` even if that exceeds the budget.
-    fn force(&mut self, bytes: usize) {
+    pub fn set_over_budget(&mut self, bytes: usize) {
         let Budget(state) = &self.budget;
         state.used.set(state.used.get() - self.bytes + bytes);
         self.bytes = bytes;
@@ -81,12 +105,11 @@
 
     /// Sets the charge to `bytes`; leaves it unchanged if that exceeds the budget.
     pub fn set(&mut self, bytes: usize) -> Result<(), Overflow> {
-        let Budget(state) = &self.budget;
-        let used = state.used.get() - self.bytes + bytes;
-        if bytes > self.bytes && used > state.limit.get() {
+        let used = self.budget.used() - self.bytes + bytes;
+        if bytes > self.bytes && used > self.budget.limit_for(bytes) {
             return Err(Overflow);
         }
-        self.force(bytes);
+        self.set_over_budget(bytes);
         Ok(())
     }
 }
@@ -149,16 +172,29 @@
 
     /// Reads until the source would block, has ended, or the buffer is full.
     pub fn fill(&mut self, source: &mut impl Read) -> io::Result<Fill> {
+        self.fill_up_to(source, usize::MAX)
+    }
+
+    /// Reads at most `wanted` bytes; returns `Drained` once they are read, otherwise like [`Ring::fill`].
+    pub fn fill_up_to(&mut self, source: &mut impl Read, wanted: usize) -> io::Result<Fill> {
+        let mut left = wanted;
         loop {
+            if left == 0 {
+                return Ok(Fill::Drained);
+            }
             if self.len == self.buffer.len() && self.reserve(1).is_err() {
                 return Ok(Fill::Full);
             }
             let size = self.buffer.len();
             let tail = (self.head + self.len) % size;
             let end = if tail < self.head { self.head } else { size };
+            let end = end.min(tail.saturating_add(left));
             match source.read(&mut self.buffer[tail..end]) {
                 Ok(0) => return Ok(Fill::Ended),
-                Ok(count) => self.len += count,
+                Ok(count) => {
+                    self.len += count;
+                    left -= count;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.release();
                     return Ok(Fill::Drained);
@@ -193,7 +229,7 @@
         if !self.is_empty() || bytes.len() > INITIAL_BYTES {
             return Err(Overflow);
         }
-        self.charge.force(INITIAL_BYTES);
+        self.charge.set_over_budget(INITIAL_BYTES);
         (self.buffer, self.head) = (vec![0; INITIAL_BYTES], 0);
         self.push(bytes)
     }
@@ -303,6 +339,19 @@
         assert_eq!(budget.used(), 0);
     }
 
+    /// Guards short messages against many long ones that are not complete.
+    #[test]
+    fn long_messages_leave_a_part_of_the_memory_to_short_ones() {
+        let budget = Budget::with_reserve(RESERVE_DIVISOR * MAX_BUFFER_BYTES);
+        let mut long: Vec<Ring> = (0..RESERVE_DIVISOR).map(|_| Ring::new(&budget)).collect();
+        let filled = long.iter_mut().filter_map(|ring| ring.push(&[1; MAX_BUFFER_BYTES]).ok()).count();
+        assert_eq!(filled, RESERVE_DIVISOR - 1);
+        let mut short: Vec<Ring> =
+            (0..MAX_BUFFER_BYTES / INITIAL_BYTES).map(|_| Ring::new(&budget)).collect();
+        assert!(short.iter_mut().all(|ring| ring.push(&[2; INITIAL_BYTES]).is_ok()));
+        assert!(Ring::new(&budget).push(&[2]).is_err(), "beyond the budget of all");
+    }
+
     #[test]
     fn buffers_share_a_budget_and_return_it() {
         let budget = Budget::new(MAX_BUFFER_BYTES + INITIAL_BYTES);
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -19,6 +19,10 @@
 
 /// Delay before accepting again after the system had no descriptor or memory for a connection (seconds).
 const ACCEPT_RETRY_DELAY: f64 = 0.1;
+/// Maximum number of connections accepted from a listener in a turn.
+const MAX_ACCEPTS_PER_TURN: usize = 16;
+/// Maximum number of connections accepted from a listener that is being closed: more than wait in its queue.
+const MAX_LAST_ACCEPTS: usize = 2_048;
 /// Maximum number of lingering connections beyond the connection limit; each uses one of the reserved
 /// descriptors.
 const MAX_LINGERING: usize = 4;
@@ -99,18 +103,30 @@
         self.accept(context);
     }
 
-    /// Accepts all waiting connections.
+    /// Accepts waiting connections; those beyond a turn's share wait for the next turn.
     pub fn accept(&mut self, context: &mut Context) {
         if self.paused {
             return;
         }
-        self.accept_from(false, context);
-        self.accept_from(true, context);
+        for previous in [false, true] {
+            if self.accept_from(previous, MAX_ACCEPTS_PER_TURN, context) {
+                context.reactor.continue_later(Source::ClientListener);
+            }
+        }
+    }
+
+    /// Accepts the connections that wait on listeners about to be closed.
+    fn accept_last(&mut self, context: &mut Context) {
+        if !self.paused {
+            self.accept_from(false, MAX_LAST_ACCEPTS, context);
+            self.accept_from(true, MAX_LAST_ACCEPTS, context);
+        }
     }
 
-    fn accept_from(&mut self, previous: bool, context: &mut Context) {
+    /// Accepts up to `max_accepts` connections. Returns true if more may wait that can be accepted now.
+    fn accept_from(&mut self, previous: bool, max_accepts: usize, context: &mut Context) -> bool {
         self.at_limit = false;
-        loop {
+        for _ in 0..max_accepts {
             // At the limit, a new connection replaces an idle one; if all are busy, new ones wait. The idle
             // connection is closed only once a new one has arrived, which uses one reserved descriptor for
             // that moment.
@@ -121,9 +137,12 @@
             if at_limit && idlest.is_none() && lingering <= MAX_LINGERING {
                 self.at_limit = true;
                 let clients = self.connections.len() - lingering;
-                return self.log_held_up(now, &format!("{clients} clients, all busy: new connections wait"));
+                self.log_held_up(now, &format!("{clients} clients, all busy: new connections wait"));
+                return false;
             }
-            let Some(listener) = (if previous { &self.previous } else { &self.listener }) else { return };
+            let Some(listener) = (if previous { &self.previous } else { &self.listener }) else {
+                return false;
+            };
             match listener.accept() {
                 Ok((stream, _)) => {
                     // The connections that have lingered longest are removed before there are too many.
@@ -137,17 +156,19 @@
                     }
                     self.admit(stream, context);
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
                 // The client has closed its connection while it waited in the queue.
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     // No descriptor or no memory: waiting connections are accepted when the timer fires.
                     context.reactor.set_timer(now + ACCEPT_RETRY_DELAY, TimerKind::Accept);
-                    return self.log_held_up(now, &format!("cannot accept: {error}"));
+                    self.log_held_up(now, &format!("cannot accept: {error}"));
+                    return false;
                 }
             }
         }
+        true
     }
 
     /// Returns the number of lingering connections.
@@ -201,7 +222,7 @@
     /// Closes the previous listener after accepting the connections that wait on it; open connections
     /// continue.
     pub fn close_previous_listener(&mut self, context: &mut Context) {
-        self.accept(context);
+        self.accept_last(context);
         self.previous = None;
     }
 
@@ -373,14 +394,17 @@
         }
     }
 
-    /// Accepts no more connections, and closes each one as soon as it has no pending reply.
-    pub fn close(&mut self, context: &mut Context) {
+    /// Accepts no more connections, and closes each one as soon as what it has sent by now is answered. A message
+    /// that has begun must be complete at `finish_by`.
+    pub fn close(&mut self, finish_by: f64, context: &mut Context) {
         // Requests that have arrived by now are still read and answered.
-        self.accept(context);
+        self.accept_last(context);
         (self.listener, self.previous) = (None, None);
         let all: Vec<Slot> = self.connections.iter().map(|(slot, _)| slot).collect();
         for slot in all {
-            self.on_ready(slot, context);
+            let Some(connection) = self.connections.get_mut(slot) else { continue };
+            let result = connection.drain(slot, self.serving, finish_by, context);
+            self.finish_step(slot, result, context);
         }
     }
 
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -87,6 +87,8 @@
     /// The pooler has closed its sending side; and until when the connection lingers.
     send_closed: bool,
     ends_at: f64,
+    /// The connection ends once what has been read is answered; a message that has begun must be complete then.
+    drain_until: Option<f64>,
     /// While the connection lingers: nothing is read before then.
     discard_at: f64,
     timer: EarliestTimer,
@@ -116,6 +118,7 @@
             half_closed: false,
             send_closed: false,
             ends_at: f64::INFINITY,
+            drain_until: None,
             discard_at: f64::NEG_INFINITY,
             timer: EarliestTimer::default(),
             secret,
@@ -124,6 +127,23 @@
         }
     }
 
+    /// Reads what has arrived for the last time, and from then on only the rest of a message that has begun, until
+    /// `finish_by`. Guards the shutdown against a client that never pauses.
+    pub fn drain(
+        &mut self,
+        slot: Slot,
+        serving: bool,
+        finish_by: f64,
+        context: &mut Context,
+    ) -> Result<(), CloseReason> {
+        self.active = context.reactor.now();
+        if self.stage != Stage::Ending {
+            self.fill()?;
+        }
+        self.drain_until = Some(finish_by);
+        self.process(slot, serving, context)
+    }
+
     /// Notes that an event has announced data, or that the client is to be looked at.
     pub fn note_readable(&mut self) {
         self.unread_data = true;
@@ -167,7 +187,8 @@
         serving: bool,
         context: &mut Context,
     ) -> Result<(), CloseReason> {
-        if self.stage != Stage::Ending && self.unread_data && self.inbox.len() < REFILL_BYTES {
+        let refills = self.stage != Stage::Ending && self.drain_until.is_none();
+        if refills && self.unread_data && self.inbox.len() < REFILL_BYTES {
             self.fill()?;
         }
         self.process_messages(slot, serving, context)?;
@@ -196,10 +217,15 @@
         Ok(())
     }
 
-    /// Reads what has arrived, as far as the buffer has room.
+    /// Reads what has arrived, as far as the buffer has room; while the connection is drained only what its
+    /// incomplete message needs.
     fn fill(&mut self) -> Result<Fill, CloseReason> {
+        let wanted = match self.drain_until {
+            Some(_) if self.stage != Stage::Ending => self.missing_message_bytes(),
+            _ => usize::MAX,
+        };
         self.read_at = self.active;
-        let fill = self.inbox.fill(&mut self.stream).map_err(|_| CloseReason::Peer)?;
+        let fill = self.inbox.fill_up_to(&mut self.stream, wanted).map_err(|_| CloseReason::Peer)?;
         self.unread_data = fill == Fill::Full;
         if fill == Fill::Ended {
             return Err(CloseReason::Peer);
@@ -207,6 +233,18 @@
         Ok(fill)
     }
 
+    /// Returns how many bytes the message that has begun needs, or its header; 0 if none has begun.
+    fn missing_message_bytes(&self) -> usize {
+        if self.inbox.is_empty() {
+            return 0;
+        }
+        let length = match self.stage {
+            Stage::Startup => pgwire::startup_length(&self.inbox),
+            _ => pgwire::message_length(&self.inbox),
+        };
+        length.saturating_sub(self.inbox.len())
+    }
+
     /// Returns true if the next turn can make progress without an event of the socket.
     fn can_continue(&self) -> bool {
         self.stage != Stage::Ending
@@ -425,11 +463,16 @@
         match (self.stage, self.waiting_since) {
             (Stage::Ending, _) if self.unread_data => self.ends_at.min(self.discard_at),
             (Stage::Ending, _) => self.ends_at,
-            (_, Some(since)) => since + CLIENT_TIMEOUT,
+            (_, Some(since)) => self.overdue_at(since),
             (_, None) => f64::INFINITY,
         }
     }
 
+    /// Returns when a client that has had to act since `since` has exceeded its time limit.
+    fn overdue_at(&self, since: f64) -> f64 {
+        (since + CLIENT_TIMEOUT).min(self.drain_until.unwrap_or(f64::INFINITY))
+    }
+
     /// Notes that the connection's timer has fired.
     pub fn timer_fired(&mut self, now: f64) {
         self.timer.fired(now);
@@ -437,7 +480,7 @@
 
     /// Returns true if the client has exceeded its time limit.
     pub fn is_overdue(&self, now: f64) -> bool {
-        self.waiting_since.is_some_and(|since| now >= since + CLIENT_TIMEOUT)
+        self.waiting_since.is_some_and(|since| now >= self.overdue_at(since))
     }
 
     /// Closes a connection whose client has not sent or read in time. An incomplete message is answered with
--- a/crates/daemon/src/net/pooler/process_lifecycle.rs
+++ b/crates/daemon/src/net/pooler/process_lifecycle.rs
@@ -225,7 +225,7 @@
                 Action::RefuseWaiting => self.refuse_waiting(context),
                 Action::StopAccepting => {
                     self.sessions.iter_mut().for_each(|sessions| sessions.end_sessions(false, context));
-                    self.clients.close(context);
+                    self.clients.close(self.kill_at, context);
                 }
                 Action::AnswerPending => self.answer_pending(context),
                 Action::ReadConfig => self.reload(context),
--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -65,6 +65,8 @@
     listener: Option<TcpListener>,
     /// True while another process accepts from the listener.
     paused: bool,
+    /// True once the process shuts down: sessions end between two requests.
+    ending: bool,
     clients: Slots<ClientConnection>,
     servers: Slots<ServerConnection>,
     pools: Pools,
@@ -129,6 +131,7 @@
         Ok(Sessions {
             listener: Some(listener),
             paused: false,
+            ending: false,
             clients: Slots::new(),
             servers: Slots::new(),
             pools: Pools::new(pool_limits, seed),
@@ -203,6 +206,7 @@
     /// ends all sessions if `at_once`.
     pub fn end_sessions(&mut self, at_once: bool, context: &mut Context) {
         self.listener = None;
+        self.ending = true;
         let idle: Vec<Slot> = self
             .clients
             .iter()
@@ -212,20 +216,23 @@
             .map(|(slot, _)| slot)
             .collect();
         for slot in idle {
-            let Some(conn) = self.clients.get_mut(slot) else { continue };
-            if conn.session.as_ref().is_some_and(|session| session.is_within_message()) {
-                // The client would take an error for the rest of the message.
-                conn.assignment
-                    .iter()
-                    .for_each(|assignment| log_cut_message(&assignment.member, "pooler_ends"));
-            } else {
-                let text = "the pooler ends";
-                let error = error_response("FATAL", sqlstate::ADMIN_SHUTDOWN, text, None);
-                let _ = conn.transport.outbox.push(&error);
-            }
-            let _ = conn.transport.process_io(&mut conn.stream);
-            self.remove_client(slot, context);
+            self.end_session(slot, context);
+        }
+    }
+
+    /// Ends a session because the process shuts down.
+    fn end_session(&mut self, slot: Slot, context: &mut Context) {
+        let Some(conn) = self.clients.get_mut(slot) else { return };
+        if conn.session.as_ref().is_some_and(|session| session.is_within_message()) {
+            // The client would take an error for the rest of the message.
+            conn.assignment.iter().for_each(|assignment| log_cut_message(&assignment.member, "pooler_ends"));
+        } else {
+            let text = "the pooler ends";
+            let error = error_response("FATAL", sqlstate::ADMIN_SHUTDOWN, text, None);
+            let _ = conn.transport.outbox.push(&error);
         }
+        let _ = conn.transport.process_io(&mut conn.stream);
+        self.remove_client(slot, context);
     }
 }
 
--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -133,10 +133,11 @@
         } else if let Some(session) =
             conn.session.as_mut().filter(|_| server_has_room && conn.transport.outbox.len() < PENDING_LIMIT)
         {
+            let ending = self.ending;
             let mut bytes = 0;
             for _ in 0..MAX_MESSAGES_PER_STEP {
                 let full = bytes >= PENDING_LIMIT || !session.accepts_message();
-                if full || must_be_carried_out_first(&actions) {
+                if full || must_be_carried_out_first(&actions) || ending && session.is_between_requests() {
                     break;
                 }
                 match pgwire::read_message(&mut conn.transport.inbox) {
@@ -160,6 +161,11 @@
         if fill == Fill::Ended || conn.transport.is_truncated() {
             return Step::Closed;
         }
+        let at_rest = |session: &Pooled| session.is_between_requests() && !session.awaits_reply();
+        if self.ending && written && conn.session.as_deref().is_some_and(at_rest) {
+            self.end_session(slot, context);
+            return Step::Waiting;
+        }
         match self.forward_from_server(slot, context) {
             Step::Waiting if fill == Fill::Full && self.is_stuck(slot) => Step::Closed,
             step => step,
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -16,13 +16,19 @@
 use crate::net::event_loop::{Slot, Source};
 use crate::net::Context;
 
+/// Maximum number of connections accepted in a turn.
+const MAX_ACCEPTS_PER_TURN: usize = 16;
+
 impl Sessions {
-    /// Accepts waiting connections up to the limit.
+    /// Accepts waiting connections up to the limit; those beyond a turn's share wait for the next turn.
     pub fn accept(&mut self, context: &mut Context) {
         if self.paused {
             return;
         }
-        while self.clients.len() < self.pool.clients as usize {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
+            if self.clients.len() >= self.pool.clients as usize {
+                return;
+            }
             let Some(listener) = &self.listener else { return };
             // After an error, waiting connections are accepted by the next check of time limits.
             let Ok((stream, address)) = listener.accept() else { return };
@@ -53,6 +59,7 @@
                 self.clients.remove(slot);
             }
         }
+        context.reactor.continue_later(Source::SessionListener);
     }
 
     pub(super) fn handle_startup(&mut self, slot: Slot, first: FirstMessage, context: &mut Context) -> Step {
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -21,6 +21,11 @@
 /// An answer counts as lost from this time after the request's timeout on (seconds).
 const LOST_AFTER: f64 = 0.5;
 const FLOOD_TIME: Duration = Duration::from_secs(4);
+/// How long a flood lasts before the pooler is asked to end, and how long it goes on then.
+const FLOOD_TIME_BEFORE_SIGTERM: Duration = Duration::from_secs(1);
+/// The pooler goes on for 0.75 s after SIGTERM; the last request may take its time, and its client has a second to
+/// read the end.
+const END_LIMIT: Duration = Duration::from_millis(2_500);
 /// The limit in the configuration of the tests (megabytes).
 const MEMORY_LIMIT_MB: f64 = 192.0;
 
@@ -114,6 +119,27 @@
     println!("{}", pooler.counters());
 }
 
+/// Guards issue 55: a process that was asked to end did so only when the flood ended.
+#[rstest]
+#[case::empty_queries(Form::EmptyQueries)]
+#[case::new_classes(Form::NewClasses)]
+#[case::new_tenants(Form::NewTenants)]
+#[case::unsupported(Form::Unsupported)]
+#[case::mixture(Form::Mixture)]
+fn sigterm_ends_the_pooler_in_its_usual_time_amid_a_flood(#[case] form: Form) {
+    let _exclusive = exclusive();
+    let (mut pooler, _discovery) = start_platform();
+    let flood = Flood::start(pooler.address, form, 4, true, &target());
+    std::thread::sleep(FLOOD_TIME_BEFORE_SIGTERM);
+    let started_at = Instant::now();
+    pooler.signal("TERM");
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+    let took = started_at.elapsed();
+    flood.stop();
+    println!("{form:?}: ended after {took:?}");
+    assert!(took <= END_LIMIT, "{form:?}: ended after {took:?}");
+}
+
 fn start_sessions(name: &str) -> Fixture {
     Fixture::with_known_primary(name, "mode = \"transaction\"\n")
 }
@@ -141,3 +167,23 @@
     assert_shielded(form, &play(&fixture.pooler, probes, flood, FLOOD_TIME));
     println!("{}", fixture.pooler.counters());
 }
+
+/// Guards issue 55: a process with flooding ordinary clients did not end when it was asked to.
+#[rstest]
+#[case::empty_queries(Form::EmptyQueries)]
+#[case::reads(Form::Reads)]
+#[case::one_setting(Form::SetOne)]
+#[case::new_statements(Form::NewStatements)]
+fn sigterm_ends_the_pooler_in_its_usual_time_amid_a_flood_of_ordinary_clients(#[case] form: Form) {
+    let _exclusive = exclusive();
+    let mut fixture = start_sessions("flood-end");
+    let flood = Flood::start(fixture.address, form, 4, true, &target());
+    std::thread::sleep(FLOOD_TIME_BEFORE_SIGTERM);
+    let started_at = Instant::now();
+    fixture.pooler.signal("TERM");
+    assert_eq!(fixture.pooler.wait_for_exit().code(), Some(0));
+    let took = started_at.elapsed();
+    flood.stop();
+    println!("{form:?}: ended after {took:?}");
+    assert!(took <= END_LIMIT, "{form:?}: ended after {took:?}");
+}
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -20,6 +20,10 @@
 /// float.
 const MAX_DIGITS: usize = 15;
 
+/// Length of a message's type and length fields, and of the length field of a first message (bytes).
+const MESSAGE_HEADER_BYTES: usize = 5;
+const STARTUP_HEADER_BYTES: usize = 4;
+
 pub const PROTOCOL_VERSION: u32 = 3 << 16;
 const SSL_REQUEST: u32 = 80_877_103;
 const GSS_REQUEST: u32 = 80_877_104;
@@ -128,6 +132,17 @@
     }
 }
 
+/// Returns the length of the next message with its header, or of the header while that is incomplete (bytes).
+pub fn message_length(ring: &Ring) -> usize {
+    ring.peek().map_or(MESSAGE_HEADER_BYTES, |[_, a, b, c, d]| 1 + u32::from_be_bytes([a, b, c, d]) as usize)
+}
+
+/// Returns the length of a first message, which has no type byte, or of its length field while that is incomplete
+/// (bytes).
+pub fn startup_length(ring: &Ring) -> usize {
+    ring.peek().map_or(STARTUP_HEADER_BYTES, |bytes| u32::from_be_bytes(bytes) as usize)
+}
+
 /// What a client requests in its first message.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Startup {
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -257,6 +257,13 @@
         self.status != b'I'
     }
 
+    /// Returns true if the client's next message would begin a new request: it is in no transaction, and in no
+    /// batch but one whose rest is skipped.
+    pub fn is_between_requests(&self) -> bool {
+        let in_batch = self.in_batch && !self.skipping;
+        self.status == b'I' && !in_batch && self.queued.is_empty() && !self.copying && !self.within_message
+    }
+
     /// Returns true if replies are pending.
     pub fn awaits_reply(&self) -> bool {
         !self.expected.is_empty()
