pooling: users and databases leave no entry behind before a connection is opened

Cause: Pools::acquire made an entry for member, user and database when it looked for an idle connection. Where none was opened (connect failed, all in use, the client left while waiting) the entry stayed for good. Ruled out: queues of waiting requests, which are removed when they are empty. Change: acquire only looks.

--- a/crates/pooling/src/pool.rs
+++ b/crates/pooling/src/pool.rs
@@ -150,6 +150,11 @@
         self.count
     }
 
+    /// Returns the number of keys of which anything is kept.
+    pub fn tracked_keys(&self) -> usize {
+        self.connections.len() + self.queues.len()
+    }
+
     /// Returns the number of queued tickets.
     pub fn waiting(&self) -> usize {
         self.queues.values().flat_map(|queue| queue.tenants.values()).map(VecDeque::len).sum()
@@ -169,9 +174,10 @@
             .reserve_ticket
             .take_if(|reserved| *reserved == ticket)
             .map_or(0, |_| self.limits.reserve_per_key);
-        let of_key = self.connections.entry(key.clone()).or_default();
+        // No entry is made before a connection is opened: users and databases are names that clients choose.
+        let of_key = self.connections.get(key);
         // Among equals, the most recently used one is taken, so that the others reach the idle timeout.
-        let idle = of_key.iter().filter_map(|(n, connection)| {
+        let idle = of_key.into_iter().flatten().filter_map(|(n, connection)| {
             connection.idle_since.filter(|_| now < connection.retire_at).map(|at| (n, connection, at))
         });
         let best = idle.max_by(|a, b| {
@@ -180,12 +186,11 @@
                 .unwrap_or(std::cmp::Ordering::Equal)
         });
         if let Some(number) = best.map(|(number, ..)| *number) {
-            if let Some(connection) = of_key.get_mut(&number) {
-                connection.idle_since = None;
-            }
+            let connection = self.connections.get_mut(key).and_then(|of_key| of_key.get_mut(&number));
+            connection.into_iter().for_each(|connection| connection.idle_since = None);
             return Acquisition::Reuse(number);
         }
-        if of_key.len() < self.limits.max_per_key + reserve {
+        if of_key.map_or(0, BTreeMap::len) < self.limits.max_per_key + reserve {
             if self.count < self.limits.max_connections {
                 return Acquisition::Open;
             }
