sessions: bound and charge what a client makes its session keep

Cause: while a session was attached it took any message, and kept a pending reply for each: some hundred bytes for 5 on the wire, as far as the server's socket buffers reach. Prepared statements were counted by their texts without names, types and classification, portals and settings not at all, queued messages by their bodies, summed anew for each message (quadratic); none of it was charged to the memory's budget. Change: pending replies have a bound of 64 KiB (module expected), behind which the client's messages wait; a batch without end is flushed so that its replies come. Statements and portals have 4 MiB each with all that they keep, settings 16 KiB (a session with more keeps its connection, which is reset at its end), savepoints 256 KiB, a queued batch 256 KiB with its overhead, counted as it grows. What a session keeps beyond 16 KiB is charged; where there is no memory the session is ended with 53200. A step takes 16 messages; a transaction that changed no setting copies none.

--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Shutdown};
 use std::rc::Rc;
 
-use buffer::Fill;
+use buffer::{Charge, Fill};
 use mio::net::TcpStream;
 use pgwire::session as wire;
 use pgwire::sqlstate;
@@ -21,8 +21,11 @@
 /// While more than this number of bytes waits for one side, no more data is read from the other. Together
 /// with the longest message it fits into a buffer.
 pub(super) const PENDING_LIMIT: usize = 8 * 1024;
+/// Memory that a session may always take for what its client has sent (bytes). Beyond it the session is ended where
+/// the memory for all is exhausted.
+const FREE_SESSION_BYTES: usize = 16 * 1024;
 /// Maximum number of messages of one side that are handled in a step.
-const MAX_MESSAGES_PER_STEP: usize = 64;
+const MAX_MESSAGES_PER_STEP: usize = 16;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -40,6 +43,8 @@
     pub(super) transport: Transport,
     pub(super) stage: Stage,
     pub(super) session: Option<Box<Pooled>>,
+    /// The memory charged for what the session keeps of what its client has sent.
+    pub(super) session_charge: Charge,
     /// An authentication in progress.
     pub(super) login: Option<scram::Server>,
     pub(super) options: Vec<(String, String)>,
@@ -73,10 +78,33 @@
         }
         self.update_busy_time(slot, context.reactor.now());
         if let Step::Progress = step {
+            self.charge_session(slot, context);
             context.reactor.continue_later(Source::SessionClient(slot));
         }
     }
 
+    /// Charges what a session keeps of what its client has sent, and ends the session where there is no memory for
+    /// it.
+    fn charge_session(&mut self, slot: Slot, context: &mut Context) {
+        let Some(conn) = self.clients.get_mut(slot) else { return };
+        let Some(session) = conn.session.as_mut().filter(|_| conn.stage == Stage::Running) else { return };
+        let memory = session.memory();
+        if memory <= FREE_SESSION_BYTES {
+            return conn.session_charge.set_over_budget(memory);
+        }
+        if conn.session_charge.set(memory).is_ok() {
+            return;
+        }
+        logging::warn!(
+            event = "pool.memory",
+            bytes = memory,
+            "a session is ended: no memory for what it keeps"
+        );
+        let mut actions = Vec::new();
+        session.end_with_error(sqlstate::OUT_OF_MEMORY, "no memory for what the session keeps", &mut actions);
+        self.carry_out(slot, actions, context);
+    }
+
     /// Updates the times for which the server is busy and for which the client is idle.
     pub(super) fn update_busy_time(&mut self, slot: Slot, now: f64) {
         let Some(conn) = self.clients.get_mut(slot) else { return };
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -40,6 +40,7 @@
                 transport,
                 stage: Stage::Startup,
                 session: None,
+                session_charge: self.budget.charge(),
                 login: None,
                 options: Vec::new(),
                 peer_ip: address.ip(),
--- /dev/null
+++ b/crates/pooling/src/expected.rs
@@ -0,0 +1,146 @@
+//! The replies that a session expects from its server, in order, within a bound of memory.
+
+use std::collections::VecDeque;
+
+use sql::Pin;
+
+use crate::server_state::StatementDigest;
+use crate::settings::Effect;
+
+/// Memory of expected replies from which on a session takes no further messages of its client (bytes), and below
+/// which it takes them again. Guards against a client that sends faster than its server answers: what the server's
+/// connection takes in is no measure, since a short message may lead to much that is kept here.
+const MAX_BYTES: usize = 64 * 1024;
+const RESUME_BYTES: usize = MAX_BYTES / 2;
+
+/// A statement whose reply is pending.
+#[derive(Debug, Default)]
+pub(crate) struct PendingStatement {
+    pub effect: Effect,
+    /// The state that it leaves in the server's session if it runs.
+    pub pins: Vec<Pin>,
+}
+
+impl PendingStatement {
+    /// Returns the memory that it takes (bytes).
+    fn memory(&self) -> usize {
+        size_of::<PendingStatement>() + self.effect.text_bytes() + self.pins.len() * size_of::<Pin>()
+    }
+}
+
+/// A pending reply of the server, or an entry that keeps replies of the session itself in order.
+#[derive(Debug)]
+pub(crate) enum ExpectedReply {
+    /// All replies to the SQL that synchronizes the settings.
+    Setup,
+    /// ParseComplete; `forward` if the client receives it, `named` unless it is the unnamed statement.
+    Parse {
+        digest: StatementDigest,
+        forward: bool,
+        named: bool,
+    },
+    /// CloseComplete; `forward` if the client receives it.
+    Close {
+        forward: bool,
+    },
+    Bind,
+    Describe,
+    Execute(PendingStatement),
+    /// ReadyForQuery at the end of a batch.
+    Sync,
+    /// All replies to a simple query, with its statements.
+    Query(VecDeque<PendingStatement>),
+    /// No reply: marks where the client ended its COPY data.
+    DataEnd,
+    /// No reply: these bytes are sent to the client in turn, followed by ReadyForQuery if the flag is set.
+    Local(Vec<u8>, bool),
+}
+
+impl ExpectedReply {
+    /// Returns the memory that it takes (bytes).
+    fn memory(&self) -> usize {
+        let more = match self {
+            ExpectedReply::Local(bytes, _) => bytes.len(),
+            ExpectedReply::Execute(statement) => statement.memory(),
+            ExpectedReply::Query(statements) => statements.iter().map(PendingStatement::memory).sum(),
+            _ => 0,
+        };
+        size_of::<Entry>() + more
+    }
+}
+
+/// A reply, and the memory that is counted for it until it is removed (bytes).
+type Entry = (ExpectedReply, usize);
+
+/// The replies that are expected, in order.
+#[derive(Default)]
+pub(crate) struct ExpectedReplies {
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    full: bool,
+}
+
+impl ExpectedReplies {
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns true while the client's further messages have to wait.
+    pub fn is_full(&self) -> bool {
+        self.full
+    }
+
+    /// Returns the memory that the replies take (bytes).
+    pub fn memory(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn front(&self) -> Option<&ExpectedReply> {
+        self.entries.front().map(|(reply, _)| reply)
+    }
+
+    pub fn front_mut(&mut self) -> Option<&mut ExpectedReply> {
+        self.entries.front_mut().map(|(reply, _)| reply)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &ExpectedReply> {
+        self.entries.iter().map(|(reply, _)| reply)
+    }
+
+    pub fn push_back(&mut self, reply: ExpectedReply) {
+        let bytes = reply.memory();
+        self.entries.push_back((reply, bytes));
+        self.bytes += bytes;
+        self.full |= self.bytes >= MAX_BYTES;
+    }
+
+    pub fn pop_front(&mut self) -> Option<ExpectedReply> {
+        let (reply, bytes) = self.entries.pop_front()?;
+        self.count_removed(bytes);
+        Some(reply)
+    }
+
+    pub fn clear(&mut self) {
+        *self = ExpectedReplies::default();
+    }
+
+    /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of the
+    /// data. Returns true if that end has not been sent yet.
+    pub fn remove_ignored_syncs(&mut self) -> bool {
+        let end = self.entries.iter().position(|(reply, _)| matches!(reply, ExpectedReply::DataEnd));
+        let (mut index, mut removed) = (0, 0);
+        self.entries.retain(|(reply, bytes)| {
+            index += 1;
+            let keep = !matches!(reply, ExpectedReply::Sync) || end.is_some_and(|end| index > end);
+            removed += if keep { 0 } else { *bytes };
+            keep
+        });
+        self.count_removed(removed);
+        end.is_none()
+    }
+
+    fn count_removed(&mut self, bytes: usize) {
+        self.bytes -= bytes;
+        self.full &= self.bytes > RESUME_BYTES;
+    }
+}
--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -8,6 +8,7 @@
 //! connection is opened, reused or closed, and who waits for one.
 #![warn(missing_docs)]
 
+mod expected;
 mod pool;
 mod server_state;
 mod session;
--- a/crates/pooling/src/server_state.rs
+++ b/crates/pooling/src/server_state.rs
@@ -22,15 +22,23 @@
     pub types: Vec<u8>,
     /// Classification of the text.
     pub scan: sql::Scan,
+    /// The memory that the statement takes (bytes).
+    pub memory: usize,
 }
 
+/// Memory of a prepared statement beside its text, its types and its classification: its fields, and its entries
+/// in tables (bytes).
+const STATEMENT_OVERHEAD: usize = 256;
+
 impl PreparedStatement {
     /// Creates a statement from its text and parameter types.
     pub fn new(text: &str, types: &[u8]) -> Rc<PreparedStatement> {
         let hash = Sha256::new().chain_update(types).chain_update([0]).chain_update(text).finalize();
         let mut digest = StatementDigest::default();
         digest.copy_from_slice(&hash[..16]);
-        Rc::new(PreparedStatement { digest, text: text.into(), types: types.into(), scan: sql::scan(text) })
+        let scan = sql::scan(text);
+        let memory = STATEMENT_OVERHEAD + text.len() + types.len() + scan.memory();
+        Rc::new(PreparedStatement { digest, text: text.into(), types: types.into(), scan, memory })
     }
 
     /// Returns the statement's name on the servers.
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -7,7 +7,8 @@
 use pgwire::{error_code, error_response, sqlstate, Message};
 use sql::{Change, Control, Kind, Pin, Scan};
 
-use crate::server_state::{self, PreparedStatement, ServerSessionState, StatementDigest};
+use crate::expected::{ExpectedReplies, ExpectedReply, PendingStatement};
+use crate::server_state::{self, PreparedStatement, ServerSessionState};
 use crate::settings::{Effect, Settings, SettingsTracker};
 use crate::stateless::StatelessFunctions;
 
@@ -15,9 +16,13 @@
 const MAX_STATEMENTS: usize = 1_000;
 /// Maximum size of the texts of a session's prepared statements (bytes).
 const MAX_STATEMENT_BYTES: usize = 1024 * 1024;
-/// Maximum size of a batch that is queued until its end arrives (bytes). A longer batch is treated as one
+/// Maximum memory of a session's prepared statements, and of its portals, with names and parameter types (bytes).
+const MAX_STATEMENT_MEMORY: usize = 4 * 1024 * 1024;
+/// Maximum memory of a batch that is queued until its end arrives (bytes). A longer batch is treated as one
 /// that writes.
 const MAX_QUEUED_BYTES: usize = 256 * 1024;
+/// Memory that a short allocation takes (bytes).
+const MIN_ALLOCATION_BYTES: usize = 32;
 /// The setting with which a session selects a class.
 const CLASS_SETTING: &str = "dewferry.class";
 
@@ -117,42 +122,6 @@
     }
 }
 
-/// A statement whose reply is pending.
-#[derive(Debug, Default)]
-struct PendingStatement {
-    effect: Effect,
-    /// The state that it leaves in the server's session if it runs.
-    pins: Vec<Pin>,
-}
-
-/// A pending reply of the server, or an entry that keeps replies of the session itself in order.
-#[derive(Debug)]
-enum ExpectedReply {
-    /// All replies to the SQL that synchronizes the settings.
-    Setup,
-    /// ParseComplete; `forward` if the client receives it, `named` unless it is the unnamed statement.
-    Parse {
-        digest: StatementDigest,
-        forward: bool,
-        named: bool,
-    },
-    /// CloseComplete; `forward` if the client receives it.
-    Close {
-        forward: bool,
-    },
-    Bind,
-    Describe,
-    Execute(PendingStatement),
-    /// ReadyForQuery at the end of a batch.
-    Sync,
-    /// All replies to a simple query, with its statements.
-    Query(VecDeque<PendingStatement>),
-    /// No reply: marks where the client ended its COPY data.
-    DataEnd,
-    /// No reply: these bytes are sent to the client in turn, followed by ReadyForQuery if the flag is set.
-    Local(Vec<u8>, bool),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     /// Has no server connection and needs none.
@@ -172,13 +141,19 @@
     /// The class selected by `SET dewferry.class` as a statement of its own.
     class: Option<String>,
     statements: HashMap<String, Rc<PreparedStatement>>,
-    /// Total size of the statements' texts.
+    /// Total size of the statements' texts, and all memory that the statements take (bytes).
     statement_bytes: usize,
+    statement_memory: usize,
     portals: HashMap<String, Rc<PreparedStatement>>,
+    /// The memory that the portals take, with their statements (bytes).
+    portal_memory: usize,
     server_state: ServerSessionState,
-    expected: VecDeque<ExpectedReply>,
-    /// Messages that wait for a server connection.
+    expected: ExpectedReplies,
+    /// Whether the server was asked for the replies of a batch that has no end yet, since too many are expected.
+    flush_sent: bool,
+    /// Messages that wait for a server connection, and the memory that they take (bytes).
     queued: Vec<Message>,
+    queued_bytes: usize,
     /// Transaction status of the server's last ReadyForQuery.
     status: u8,
     /// Whether an error has arrived since then.
@@ -218,10 +193,14 @@
             class: None,
             statements: HashMap::new(),
             statement_bytes: 0,
+            statement_memory: 0,
             portals: HashMap::new(),
+            portal_memory: 0,
             server_state: ServerSessionState::default(),
-            expected: VecDeque::new(),
+            expected: ExpectedReplies::default(),
+            flush_sent: false,
             queued: Vec::new(),
+            queued_bytes: 0,
             status: b'I',
             failed: false,
             in_batch: false,
@@ -244,7 +223,16 @@
 
     /// Returns true if the client's next message may be passed in.
     pub fn accepts_message(&self) -> bool {
-        self.stage != Stage::Waiting
+        self.stage != Stage::Waiting && !self.expected.is_full()
+    }
+
+    /// Returns the memory that the session takes for what its client has sent (bytes).
+    pub fn memory(&self) -> usize {
+        self.queued_bytes
+            + self.expected.memory()
+            + self.statement_memory
+            + self.portal_memory
+            + self.settings.memory()
     }
 
     /// Returns true if the session has a server connection.
@@ -279,7 +267,7 @@
     /// replies are pending.
     pub fn pins(&self) -> BTreeSet<Pin> {
         let mut pins = self.pins.clone();
-        for reply in &self.expected {
+        for reply in self.expected.iter() {
             match reply {
                 ExpectedReply::Execute(statement) => pins.extend(&statement.pins),
                 ExpectedReply::Query(statements) => {
@@ -318,12 +306,36 @@
         }
         match self.stage {
             Stage::Idle => self.handle_idle(message, out),
-            Stage::Waiting => self.queued.push(message),
-            Stage::Attached => self.handle_attached(message, out),
+            Stage::Waiting => self.enqueue(message),
+            Stage::Attached => {
+                self.handle_attached(message, out);
+                self.flush_long_batch(out);
+            }
             Stage::Aborted => self.handle_aborted(message, out),
         }
     }
 
+    /// Adds a message to those that wait for a server connection.
+    fn enqueue(&mut self, message: Message) {
+        self.queued_bytes += size_of::<Message>() + MIN_ALLOCATION_BYTES.max(message.body.len());
+        self.queued.push(message);
+    }
+
+    /// Takes the messages that wait for a server connection.
+    fn take_queued(&mut self) -> Vec<Message> {
+        self.queued_bytes = 0;
+        std::mem::take(&mut self.queued)
+    }
+
+    /// Asks the server for the replies to a batch that has no end yet and is not continued before they come.
+    fn flush_long_batch(&mut self, out: &mut Vec<Action>) {
+        let waits = self.expected.is_full() && self.in_batch && !self.copying;
+        if waits && !self.flush_sent {
+            out.push(Action::SendToServer(wire::empty_message(b'H')));
+        }
+        self.flush_sent = waits;
+    }
+
     /// Handles a client message while the session has no server connection.
     fn handle_idle(&mut self, message: Message, out: &mut Vec<Action>) {
         match message.kind {
@@ -346,17 +358,17 @@
                 if let Some(answer) = self.answer_locally(&scan) {
                     return out.push(Action::SendToClient([answer, wire::ready_for_query(b'I')].concat()));
                 }
-                self.queued.push(message);
+                self.enqueue(message);
                 self.request_server(out);
             }
             b'P' | b'B' | b'D' | b'E' | b'C' => {
-                self.queued.push(message);
-                if self.queued.iter().map(|message| message.body.len()).sum::<usize>() > MAX_QUEUED_BYTES {
+                self.enqueue(message);
+                if self.queued_bytes > MAX_QUEUED_BYTES {
                     self.request_server(out);
                 }
             }
             b'Q' | b'S' | b'H' | b'F' => {
-                self.queued.push(message);
+                self.enqueue(message);
                 self.request_server(out);
             }
             _ => self.protocol_violation(out),
@@ -450,9 +462,10 @@
         self.settings.attach(std::mem::take(&mut server_state.settings));
         self.server_state = server_state;
         self.synchronize(out);
-        for message in std::mem::take(&mut self.queued) {
+        for message in self.take_queued() {
             self.handle_attached(message, out);
         }
+        self.flush_long_batch(out);
     }
 
     /// Sends the SQL that changes the connection's settings to the session's, ahead of further messages.
@@ -483,7 +496,7 @@
             return;
         }
         self.stage = Stage::Idle;
-        let queued = std::mem::take(&mut self.queued);
+        let queued = self.take_queued();
         out.push(Action::SendToClient(error_response("ERROR", code, text, detail)));
         let ended = matches!(queued.last(), Some(Message { kind: b'Q' | b'S' | b'F', .. }));
         self.skipping = !ended;
@@ -579,16 +592,14 @@
                 Some((b'S', name)) if message.kind == b'D' => self.describe(name, out),
                 Some((b'S', name)) => {
                     self.in_batch = true;
-                    if let Some(known) = self.statements.remove(name) {
-                        self.statement_bytes -= known.text.len();
-                    }
+                    self.remove_statement(name);
                     // It stays prepared on the server, where other sessions may use it.
                     self.reply_locally(wire::empty_message(b'3'), out);
                 }
                 Some((_, portal)) => {
                     self.in_batch = true;
                     if message.kind == b'C' {
-                        self.portals.remove(portal);
+                        self.remove_portal(portal);
                         self.expected.push_back(ExpectedReply::Close { forward: true });
                     } else {
                         self.expected.push_back(ExpectedReply::Describe);
@@ -645,16 +656,18 @@
         if forbidden {
             return self.reply_error(sqlstate::FEATURE_NOT_SUPPORTED, NO_TRANSACTIONS, out);
         }
-        if let Some(old) = self.statements.remove(name) {
-            self.statement_bytes -= old.text.len();
-        }
-        if self.statements.len() >= MAX_STATEMENTS || self.statement_bytes + text.len() > MAX_STATEMENT_BYTES
-        {
+        self.remove_statement(name);
+        let memory = statement_memory(name, &prepared);
+        let too_many = self.statements.len() >= MAX_STATEMENTS
+            || self.statement_bytes + text.len() > MAX_STATEMENT_BYTES
+            || self.statement_memory + memory > MAX_STATEMENT_MEMORY;
+        if too_many {
             let text =
                 format!("over {MAX_STATEMENTS} prepared statements, or {MAX_STATEMENT_BYTES} bytes of them");
             return self.reply_error(sqlstate::CONFIGURATION_LIMIT_EXCEEDED, &text, out);
         }
         self.statement_bytes += text.len();
+        self.statement_memory += memory;
         self.statements.insert(name.to_string(), prepared.clone());
         if name.is_empty() {
             return self.send_unnamed(&prepared, true, out);
@@ -665,6 +678,24 @@
         self.send_named(&prepared, true, out);
     }
 
+    fn remove_statement(&mut self, name: &str) {
+        if let Some(known) = self.statements.remove(name) {
+            self.statement_bytes -= known.text.len();
+            self.statement_memory -= statement_memory(name, &known);
+        }
+    }
+
+    fn remove_portal(&mut self, portal: &str) {
+        if let Some(prepared) = self.portals.remove(portal) {
+            self.portal_memory -= statement_memory(portal, &prepared);
+        }
+    }
+
+    fn clear_portals(&mut self) {
+        self.portals.clear();
+        self.portal_memory = 0;
+    }
+
     fn send_unnamed(&mut self, prepared: &PreparedStatement, forward: bool, out: &mut Vec<Action>) {
         self.server_state.unnamed = Some(prepared.digest);
         self.expected.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: false });
@@ -722,13 +753,16 @@
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
         self.in_batch = true;
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
-        if self.portals.len() >= MAX_STATEMENTS && !self.portals.contains_key(portal) {
+        self.remove_portal(portal);
+        let memory = statement_memory(portal, &prepared);
+        if self.portals.len() >= MAX_STATEMENTS || self.portal_memory + memory > MAX_STATEMENT_MEMORY {
             return self.reply_error(
                 sqlstate::CONFIGURATION_LIMIT_EXCEEDED,
-                &format!("over {MAX_STATEMENTS} portals"),
+                &format!("over {MAX_STATEMENTS} portals, or {MAX_STATEMENT_MEMORY} bytes of them"),
                 out,
             );
         }
+        self.portal_memory += memory;
         self.portals.insert(portal.to_string(), prepared);
         self.expected.push_back(ExpectedReply::Bind);
         out.push(Action::SendToServer(wire::message_of_strings(b'B', &[portal, &server_name], rest)));
@@ -821,13 +855,7 @@
     /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of
     /// the data.
     fn copy_started(&mut self) {
-        let end = self.expected.iter().position(|expect| matches!(expect, ExpectedReply::DataEnd));
-        self.copying = end.is_none();
-        let mut index = 0;
-        self.expected.retain(|expect| {
-            index += 1;
-            !matches!(expect, ExpectedReply::Sync) || end.is_some_and(|end| index > end)
-        });
+        self.copying = self.expected.remove_ignored_syncs();
     }
 
     /// Applies the effect of a completed statement.
@@ -843,15 +871,17 @@
         self.pins.extend(pins);
         if matches!(effect, Effect::DiscardAll | Effect::DeallocateAll) {
             self.statements.clear();
-            self.statement_bytes = 0;
+            (self.statement_bytes, self.statement_memory) = (0, 0);
             self.server_state.clear_statements();
         }
         if effect == Effect::DiscardAll {
-            self.portals.clear();
+            self.clear_portals();
             self.pins.clear();
             self.class = None;
         }
-        self.settings.apply(&effect, tag);
+        if !self.settings.apply(&effect, tag) {
+            self.pins.insert(Pin::Setting);
+        }
     }
 
     fn handle_error(&mut self, message: &Message, out: &mut Vec<Action>) {
@@ -910,7 +940,7 @@
         let failed = std::mem::take(&mut self.failed);
         if status == b'I' {
             self.settings.end_transaction(failed);
-            self.portals.clear();
+            self.clear_portals();
         }
         out.push(Action::SendToClient(wire::ready_for_query(status)));
         self.send_local_replies(out);
@@ -925,7 +955,7 @@
     fn detach(&mut self) {
         self.stage = Stage::Idle;
         self.server_state.settings = self.settings.detach();
-        self.portals.clear();
+        self.clear_portals();
         self.expected.clear();
         (self.status, self.failed, self.in_batch, self.copying) = (b'I', false, false, false);
     }
@@ -958,7 +988,7 @@
         let in_transaction = self.in_transaction();
         let commits = |statement: &PendingStatement| statement.effect == Effect::Commit;
         let (mut ready_count, mut unknown) = (0, false);
-        for expect in &self.expected {
+        for expect in self.expected.iter() {
             match expect {
                 ExpectedReply::Query(statements) => {
                     ready_count += 1;
@@ -1057,6 +1087,11 @@
     }
 }
 
+/// Returns the memory that a statement takes under this name, as a statement or as a portal (bytes).
+fn statement_memory(name: &str, prepared: &PreparedStatement) -> usize {
+    name.len() + prepared.memory
+}
+
 const NO_TRANSACTIONS: &str = "transactions of several statements need pool.mode transaction or session";
 
 fn no_transactions_error() -> Vec<u8> {
--- a/crates/pooling/src/settings.rs
+++ b/crates/pooling/src/settings.rs
@@ -37,6 +37,18 @@
 }
 
 impl Effect {
+    /// Returns the size of the texts in it (bytes).
+    pub(crate) fn text_bytes(&self) -> usize {
+        match self {
+            Effect::Set(name, value) => name.len() + value.len(),
+            Effect::Reset(name)
+            | Effect::Savepoint(name)
+            | Effect::RollbackTo(name)
+            | Effect::Release(name) => name.len(),
+            _ => 0,
+        }
+    }
+
     /// Returns the effect of a statement of this kind.
     pub fn of(kind: &Kind) -> Effect {
         match kind {
@@ -66,6 +78,18 @@
 /// a dropped savepoint restores the settings of the transaction's start.
 const MAX_SAVEPOINTS: usize = 64;
 
+/// Maximum memory of a session's settings (bytes). A further setting is not tracked.
+const MAX_SETTINGS_BYTES: usize = 16 * 1024;
+/// Maximum memory of the settings that savepoints keep (bytes); beyond it the oldest are dropped, too.
+const MAX_SAVEPOINT_BYTES: usize = 256 * 1024;
+/// Memory of a setting beside its name and its value (bytes).
+const SETTING_OVERHEAD: usize = 64;
+
+/// Returns the memory that settings take (bytes).
+fn memory_of(settings: &Settings) -> usize {
+    settings.iter().map(|(name, value)| name.len() + value.len() + SETTING_OVERHEAD).sum()
+}
+
 /// The settings that the session wants, and those that its server connection has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct SettingsPair {
@@ -73,6 +97,12 @@
     server: Settings,
 }
 
+impl SettingsPair {
+    fn memory(&self) -> usize {
+        memory_of(&self.session) + memory_of(&self.server)
+    }
+}
+
 /// The settings of a session and of its server connection.
 #[derive(Clone, Debug, Default)]
 pub struct SettingsTracker {
@@ -82,26 +112,51 @@
     committed: SettingsPair,
     current: SettingsPair,
     savepoints: Vec<(String, SettingsPair)>,
+    /// Whether `current` may differ from `committed`.
+    changed: bool,
+    /// The memory that all of them take (bytes).
+    memory: usize,
 }
 
 impl SettingsTracker {
     /// Creates the tracker of a session that starts with these settings.
     pub fn new(start: Settings) -> SettingsTracker {
         let committed = SettingsPair { session: start.clone(), server: Settings::new() };
-        SettingsTracker { start, current: committed.clone(), committed, savepoints: Vec::new() }
+        let current = committed.clone();
+        let mut tracker =
+            SettingsTracker { start, current, committed, savepoints: Vec::new(), changed: false, memory: 0 };
+        tracker.update_memory();
+        tracker
+    }
+
+    /// Returns the memory that the settings take (bytes).
+    pub fn memory(&self) -> usize {
+        self.memory
+    }
+
+    fn update_memory(&mut self) {
+        let pairs = self.committed.memory() + self.current.memory();
+        self.memory = memory_of(&self.start) + pairs + self.savepoint_memory();
+    }
+
+    fn savepoint_memory(&self) -> usize {
+        self.savepoints.iter().map(|(name, pair)| name.len() + pair.memory()).sum()
     }
 
     /// Records that the session is attached to a server connection with these settings.
     pub fn attach(&mut self, server: Settings) {
         self.current.server = server.clone();
         self.committed.server = server;
+        self.update_memory();
     }
 
     /// Records that the session is detached. Returns the committed settings of the connection.
     pub fn detach(&mut self) -> Settings {
         self.savepoints.clear();
         self.current = self.committed.clone();
-        std::mem::take(&mut self.current.server)
+        let server = std::mem::take(&mut self.current.server);
+        self.update_memory();
+        server
     }
 
     /// Returns the session's current settings.
@@ -124,12 +179,25 @@
     pub fn mark_synchronized(&mut self) {
         self.current.server = self.current.session.clone();
         self.committed.server = self.current.server.clone();
+        self.update_memory();
+    }
+
+    /// Applies the effect of a completed statement; `tag` is the server's command tag. Returns false for a
+    /// setting that is not tracked, since there are too many: the connection has it, and no other can get it.
+    pub fn apply(&mut self, effect: &Effect, tag: &str) -> bool {
+        let changes = !matches!(effect, Effect::None | Effect::DeallocateAll);
+        self.changed |= changes;
+        let tracked = self.apply_tracked(effect, tag);
+        if changes {
+            self.update_memory();
+        }
+        tracked
     }
 
-    /// Applies the effect of a completed statement; `tag` is the server's command tag.
-    pub fn apply(&mut self, effect: &Effect, tag: &str) {
+    fn apply_tracked(&mut self, effect: &Effect, tag: &str) -> bool {
         match effect {
             Effect::None | Effect::DeallocateAll => {}
+            Effect::Set(name, value) if !self.has_room_for(name, value) => return false,
             Effect::Set(name, value) => {
                 self.current.session.insert(name.clone(), value.clone());
                 self.current.server.insert(name.clone(), value.clone());
@@ -149,7 +217,8 @@
             Effect::Commit | Effect::Rollback => self.rollback(),
             Effect::Savepoint(name) => {
                 self.savepoints.push((name.clone(), self.current.clone()));
-                if self.savepoints.len() > MAX_SAVEPOINTS {
+                while self.savepoints.len() > MAX_SAVEPOINTS || self.savepoint_memory() > MAX_SAVEPOINT_BYTES
+                {
                     self.savepoints.remove(0);
                 }
             }
@@ -166,24 +235,39 @@
                 }
             }
         }
+        true
+    }
+
+    /// Returns true if a setting can be tracked beside the others.
+    fn has_room_for(&self, name: &str, value: &str) -> bool {
+        let known = self.current.session.get(name).map_or(0, |old| name.len() + old.len() + SETTING_OVERHEAD);
+        let needed = name.len() + value.len() + SETTING_OVERHEAD;
+        memory_of(&self.current.session) - known + needed <= MAX_SETTINGS_BYTES
     }
 
     /// Records that the server is outside of a transaction: commits the settings, or restores the committed
     /// ones if the batch or query before it failed.
     pub fn end_transaction(&mut self, failed: bool) {
+        // Most transactions change no setting: nothing is copied for them.
+        if !self.changed {
+            return;
+        }
         if failed {
             self.rollback();
         } else {
             self.commit();
         }
+        self.update_memory();
     }
 
     fn commit(&mut self) {
+        self.changed = false;
         self.savepoints.clear();
         self.committed = self.current.clone();
     }
 
     fn rollback(&mut self) {
+        self.changed = false;
         self.savepoints.clear();
         self.current = self.committed.clone();
     }
--- a/crates/sql/src/kind.rs
+++ b/crates/sql/src/kind.rs
@@ -129,6 +129,16 @@
     pub copies_data: bool,
 }
 
+impl Statement {
+    /// Returns the memory that the classification takes (bytes); texts in it are counted with the statement's own.
+    fn memory(&self) -> usize {
+        let name = |name: &String| size_of::<String>() + name.len();
+        size_of::<Statement>()
+            + self.pins.len() * size_of::<Pin>()
+            + self.unknown_functions.iter().map(name).sum::<usize>()
+    }
+}
+
 /// The classified statements of a text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Scan {
@@ -139,6 +149,12 @@
 }
 
 impl Scan {
+    /// Returns the memory that the classification takes (bytes).
+    pub fn memory(&self) -> usize {
+        let comment = self.comment.as_ref().map_or(0, String::len);
+        comment + self.statements.iter().map(Statement::memory).sum::<usize>()
+    }
+
     /// Returns true if all statements only read.
     pub fn is_read_only(&self) -> bool {
         self.statements.iter().all(|statement| statement.kind == Kind::Read)
