clients: unfinished queries take neither the memory nor the places of clients that have sent some

Cause: all buffers shared one budget, so that half-received messages could use all of it; at the limit the connection at rest for longest made room, though only clients with complete requests rest. Ruled out: the limit of memory itself, which held (23 to 28 MB resident). Change: one sixteenth of the budget is for charges up to 4 KiB. At the limit, connections that have sent no request make room first; where these hold more than half of all places, no other does, and new ones wait until the time limit of a first request (2 s) ends some. The short idle time-outs look at connections that have sent requests.

--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -26,8 +26,8 @@
 /// Maximum number of lingering connections beyond the connection limit; each uses one of the reserved
 /// descriptors.
 const MAX_LINGERING: usize = 4;
-/// Idle timeouts while more than a quarter and more than half of the permitted connections are open, and the
-/// interval of the check (seconds). Guards against clients that send one request and keep the connection open
+/// Idle timeouts while more than a quarter and more than half of the permitted connections are open on which requests
+/// were sent, and the interval of the check (seconds). Guards against clients that send one request and keep the connection open
 /// for good: if a client application keeps all the connections that it may open in this way, it has none left
 /// for further requests.
 const IDLE_TIMEOUT: f64 = 2.0;
@@ -133,7 +133,7 @@
             let now = context.reactor.now();
             let lingering = self.lingering();
             let at_limit = self.connections.len() >= self.limit + lingering.min(MAX_LINGERING);
-            let idlest = if at_limit { self.longest_idle(context) } else { None };
+            let idlest = if at_limit { self.replaceable(context) } else { None };
             if at_limit && idlest.is_none() && lingering <= MAX_LINGERING {
                 self.at_limit = true;
                 let clients = self.connections.len() - lingering;
@@ -176,10 +176,27 @@
         self.connections.iter().filter(|(_, connection)| connection.is_ending()).count()
     }
 
-    /// Returns the connection that has been idle for longest. Reads what has arrived on it meanwhile, so that
+    /// Returns the idle connection that makes room for a new one: one that has sent no request yet, else the one that
+    /// has been idle for longest. Clients that have sent requests make no room for ever more that have not: beyond
+    /// half of all places these wait, until the time limit of a first request ends some of them.
+    fn replaceable(&mut self, context: &mut Context) -> Option<Slot> {
+        let unproven = |connection: &Connection| !connection.is_ending() && !connection.has_queried();
+        let unproven_count = self.connections.iter().filter(|(_, connection)| unproven(connection)).count();
+        if unproven_count > self.limit / 2 {
+            return self.longest_idle(|connection| !connection.has_queried(), context);
+        }
+        self.longest_idle(|_| true, context)
+    }
+
+    /// Returns the connection that has been idle for longest among those that `eligible` accepts. Reads what has arrived on it meanwhile, so that
     /// a request is carried out instead.
-    fn longest_idle(&mut self, context: &mut Context) -> Option<Slot> {
-        while let Some(slot) = least_recently_active(&self.connections, Connection::is_idle) {
+    fn longest_idle(
+        &mut self,
+        eligible: impl Fn(&Connection) -> bool,
+        context: &mut Context,
+    ) -> Option<Slot> {
+        let idle = |connection: &Connection| connection.is_idle() && eligible(connection);
+        while let Some(slot) = least_recently_active(&self.connections, idle) {
             let connection = self.connections.get_mut(slot)?;
             let active = connection.active;
             connection.note_readable();
@@ -231,7 +248,7 @@
     pub fn set_limit(&mut self, limit: usize, context: &mut Context) {
         self.limit = limit;
         while self.connections.len() > self.limit + self.lingering() {
-            let Some(slot) = self.longest_idle(context) else { break };
+            let Some(slot) = self.longest_idle(|_| true, context) else { break };
             self.linger(slot, context);
             context.counters.idle_clients_closed += 1;
         }
@@ -245,7 +262,9 @@
         let now = context.reactor.now();
         context.reactor.set_timer(now + IDLE_CHECK_INTERVAL, TimerKind::ClientSweep);
         loop {
-            let timeout = match self.connections.len() - self.lingering() {
+            let proven = |connection: &Connection| !connection.is_ending() && connection.has_queried();
+            let proven_count = self.connections.iter().filter(|(_, connection)| proven(connection)).count();
+            let timeout = match proven_count {
                 open if open > self.limit / 2 => IDLE_TIMEOUT_CROWDED,
                 open if open > self.limit / 4 => IDLE_TIMEOUT,
                 _ => return,
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -406,6 +406,11 @@
         self.is_quiet() && (self.stage == Stage::Startup || self.inbox.is_empty())
     }
 
+    /// Returns true if the client has sent a query that could be carried out.
+    pub fn has_queried(&self) -> bool {
+        self.has_queried
+    }
+
     /// Returns true if the client has sent a query, and the connection has been idle for `rest` seconds.
     pub fn idle_longer_than(&self, now: f64, timeout: f64) -> bool {
         self.has_queried && self.is_idle() && now >= self.active + timeout
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -249,7 +249,7 @@
                 "the limit of sockets leaves none for clients",
             ));
         }
-        let budget = Budget::new(effective.memory / 2);
+        let budget = Budget::with_reserve(effective.memory / 2);
         let control = &effective.document.control;
         // A successor binds these sockets when it completes the takeover; until then its predecessor owns
         // them.
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -34,17 +34,22 @@
 }
 
 fn target() -> Target {
-    Target { class: "reports".into(), group: 2 }
+    Target { class: "reports".into(), group: 2, id_prefix: "x".into() }
 }
 
 /// Starts a pooler for the platform's clients with three members that answer at once.
 fn start_platform() -> (Pooler, Discovery) {
+    start_platform_with(&[])
+}
+
+/// Like `start_platform`, on a configuration in which each text of `edits` is replaced.
+fn start_platform_with(edits: &[(&str, &str)]) -> (Pooler, Discovery) {
     let discovery = Discovery::listen();
     let members: Vec<AnsweringMember> =
         (0..3).map(|_| AnsweringMember::new(|_| answer_with_role(b"\x9f\x00\x03", "reader"))).collect();
     let entry = |(n, member): (usize, &AnsweringMember)| member.list_entry(&format!("s-{n}"), "here");
     let entries: Vec<String> = members.iter().enumerate().map(entry).collect();
-    (Pooler::start(PROGRAM, &list(41, true, &entries), &discovery, &[]), discovery)
+    (Pooler::start(PROGRAM, &list(41, true, &entries), &discovery, edits), discovery)
 }
 
 fn platform_probes(pooler: &Pooler) -> Probes {
@@ -140,6 +145,25 @@
     assert!(took <= END_LIMIT, "{form:?}: ended after {took:?}");
 }
 
+/// Guards issue 55, picture (b): with hundreds of clients that stop half way through a large request, no memory and
+/// no connection was left for the others.
+#[rstest]
+#[case::much_memory("192")]
+#[case::little_memory("24")]
+fn a_crowd_of_unfinished_queries_takes_nothing_from_other_clients(#[case] memory_mb: &str) {
+    let _exclusive = exclusive();
+    let limit = format!(r#""memory_mb":{memory_mb}"#);
+    let (pooler, _discovery) = start_platform_with(&[(r#""memory_mb":192"#, &limit)]);
+    let probes = platform_probes(&pooler);
+    std::thread::sleep(Duration::from_millis(300));
+    let flood = Flood::start(pooler.address, Form::HalfQueries, 2, true, &target());
+    let (summary, most_mb) = play(&pooler, probes, flood, FLOOD_TIME);
+    assert!(most_mb <= memory_mb.parse().unwrap(), "{most_mb:.0} MB");
+    assert_eq!(summary.errors, 0, "refused or failed, of {} requests", summary.latencies.len());
+    assert_shielded(Form::HalfQueries, &(summary, most_mb));
+    println!("{}", pooler.counters());
+}
+
 fn start_sessions(name: &str) -> Fixture {
     Fixture::with_known_primary(name, "mode = \"transaction\"\n")
 }
--- a/crates/flood/src/form.rs
+++ b/crates/flood/src/form.rs
@@ -8,12 +8,14 @@
 const COMMENT_FIELDS: usize = 7_000;
 
 /// What the messages of a flood refer to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Target {
     /// The name of a class that the pooler serves.
     pub class: String,
     /// The number of a group that has members.
     pub group: u32,
+    /// The beginning of the ids of requests.
+    pub id_prefix: String,
 }
 
 /// The kind of messages that a flooding client sends.
@@ -73,10 +75,10 @@
 
     /// Appends the message with this number, which is unique to it.
     pub(crate) fn push(self, out: &mut Vec<u8>, number: u64, target: &Target) {
-        let Target { class, group } = target;
+        let Target { class, group, id_prefix } = target;
         let request = |class: &str, tenant: &str| {
             format!(
-                "/* id=x{number:x},c={class},t={tenant},d=400,cluster={group} */ \
+                "/* id={id_prefix}{number:x},c={class},t={tenant},d=400,cluster={group} */ \
                  SELECT doc FROM items WHERE id = 'k{number:x}'"
             )
         };
@@ -96,7 +98,7 @@
             }
             Form::ManyFields => {
                 let fields = ",a=b".repeat(COMMENT_FIELDS);
-                out.extend(query(&format!("/* id=x{number:x}{fields} */ SELECT 1")));
+                out.extend(query(&format!("/* id={id_prefix}{number:x}{fields} */ SELECT 1")));
             }
             Form::Reads => out.extend(query("SELECT who")),
             Form::SetOne => out.extend(query("SET app.flood TO 'one'")),
--- a/crates/flood/src/sender.rs
+++ b/crates/flood/src/sender.rs
@@ -1,5 +1,6 @@
 //! Threads that send a flood until they are stopped.
 
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,6 +14,8 @@
 const BATCH_BYTES: usize = 32 * 1024;
 /// How long a client waits when it can neither write nor read (microseconds).
 const IDLE_WAIT_US: u64 = 200;
+/// Maximum number of connections that a client keeps open without sending on them.
+const MAX_OPEN: usize = 300;
 /// How long a client waits before it connects again (milliseconds).
 const RECONNECT_DELAY_MS: u64 = 2;
 
@@ -79,6 +82,21 @@
     }
 }
 
+/// Opens connections on each of which half of a large query is sent. They stay open until they are dropped.
+pub fn open_unfinished(address: SocketAddr, connections: usize) -> Vec<TcpStream> {
+    let target = Target::default();
+    let mut bytes = Form::HalfQueries.opening(next_number());
+    Form::HalfQueries.push(&mut bytes, next_number(), &target);
+    let open = |_| {
+        let mut stream = TcpStream::connect(address).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        // What the system does not take at once is missing anyway.
+        let _ = stream.write(&bytes);
+        Some(stream)
+    };
+    (0..connections).filter_map(open).collect()
+}
+
 /// One flooding client.
 struct Sender {
     connect: Connect,
@@ -94,14 +112,17 @@
     }
 
     fn run(&self) {
-        // Connections that stay open until the flood ends.
-        let mut open = Vec::new();
+        // Connections that stay open, the oldest first.
+        let mut open = VecDeque::new();
         while !self.is_stopping() {
             match (self.connect)() {
                 Ok(mut stream) => {
                     let ended = self.run_connection(&mut *stream);
                     if self.form.stays() && ended.is_ok() {
-                        open.push(stream);
+                        open.push_back(stream);
+                        if open.len() > MAX_OPEN {
+                            open.pop_front();
+                        }
                     }
                 }
                 Err(_) => std::thread::sleep(Duration::from_millis(RECONNECT_DELAY_MS)),
