soak: floods, crowds of unfinished queries and series of signals join the faults

A planned kill excuses nothing any more; requests of flooding clients count for the rule on cold members; a rule on the size of the log.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,6 +3,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use flood::{Flood, Target};
+
+use crate::clients;
 use crate::discovery::Discovery;
 use crate::fleet::{Fleet, Phase};
 use crate::plan::{Fault, Trouble};
@@ -18,6 +21,22 @@
     pub record: Arc<Record>,
 }
 
+/// The class of sound requests in floods: reads without a freshness bound.
+const FLOODED_CLASS: &str = "class-4";
+/// The ids of flooding clients' requests begin with this; no other id does.
+const FLOOD_ID_MARK: char = 'x';
+const FLOOD_ID_SEPARATOR: char = '-';
+
+/// Returns the beginning of the ids of flooding clients at a pooler.
+fn flood_id_prefix(pooler: usize) -> String {
+    format!("{FLOOD_ID_MARK}{pooler}{FLOOD_ID_SEPARATOR}")
+}
+
+/// Returns the pooler of a flooding client's request by its id; `None` if the id is no such client's.
+pub fn flooded_pooler(id: &str) -> Option<usize> {
+    id.strip_prefix(FLOOD_ID_MARK)?.split(FLOOD_ID_SEPARATOR).next()?.parse().ok()
+}
+
 fn pause(seconds: f64) {
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
@@ -66,6 +85,25 @@
                 }
             }),
             Fault::Restart { pooler } => self.poolers.restart(pooler),
+            Fault::Flood { pooler, form, clients, reads, group, lasts } => {
+                let id_prefix = flood_id_prefix(pooler);
+                let target = Target { class: FLOODED_CLASS.into(), group: group as u32, id_prefix };
+                let flood = Flood::start(clients::address(pooler), form, clients, reads, &target);
+                pause(lasts);
+                flood.stop();
+            }
+            Fault::Crowd { pooler, connections, lasts } => {
+                let opened = flood::open_unfinished(clients::address(pooler), connections);
+                pause(lasts);
+                drop(opened);
+            }
+            Fault::SignalSeries { pooler, times, between } => {
+                for _ in 0..times {
+                    self.poolers.reload(pooler);
+                    self.poolers.print_counters(pooler);
+                    pause(between);
+                }
+            }
             Fault::Kill { pooler } => self.poolers.kill(pooler),
         }
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -58,6 +58,9 @@
     /// set of loopback addresses to use; runs at the same time need different sets (0 to 39, default 0)
     #[argh(option, default = "0")]
     place: u8,
+    /// draw no floods, crowds of unfinished queries and series of signals
+    #[argh(switch)]
+    without_floods: bool,
     /// also print the plan of each run
     #[argh(switch)]
     plan: bool,
@@ -70,6 +73,9 @@
     for seed in options.seed..options.seed + options.runs {
         let mut plan = Plan::from_seed(seed, options.seconds.clamp(8.0, 600.0));
         plan.limit_poolers(options.poolers);
+        if !options.without_floods {
+            plan.draw_floods();
+        }
         if options.plan {
             println!("{plan:#?}");
         }
--- a/crates/soak/src/members.rs
+++ b/crates/soak/src/members.rs
@@ -11,6 +11,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 
+use crate::faults::flooded_pooler;
 use crate::fleet::{address, Fleet};
 use crate::plan::{Class, Consistency, Trouble, CONNECT_TIMEOUT};
 use crate::record::{Event, Record, Reply};
@@ -245,9 +246,9 @@
             let answer = self.probe_answer(n, now);
             return self.schedule_answer(token, 0, (now, answer), (Reply::Served, false));
         }
-        let id = wire::comment_value(sql, "id")
-            .and_then(|id| u64::from_str_radix(id, 16).ok())
-            .unwrap_or_default();
+        let id_text = wire::comment_value(sql, "id").unwrap_or_default();
+        let flooded = flooded_pooler(id_text);
+        let id = u64::from_str_radix(id_text, 16).unwrap_or_default();
         let class =
             wire::comment_value(sql, "c").and_then(|c| c.strip_prefix("class-")?.parse::<usize>().ok());
         let timeout =
@@ -255,7 +256,13 @@
         self.attempts += 1;
         let attempt = self.attempts;
         connection.attempt = Some(attempt);
-        self.record.add_at(now, Event::AttemptArrived { id, attempt, member: n, first_byte_at, timeout });
+        self.record.add_at(
+            now,
+            match flooded {
+                Some(pooler) => Event::FloodArrived { pooler, member: n },
+                None => Event::AttemptArrived { id, attempt, member: n, first_byte_at, timeout },
+            },
+        );
         let Some(class) = class.and_then(|class| self.classes.get(class).cloned()) else { return };
         let (bytes, reply, closes) = self.execute(n, &class, wire::key(sql), now);
         let trouble = self.trouble(n);
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -107,8 +107,11 @@
     plan: &'a Plan,
     requests: BTreeMap<Id, Request>,
     paused: Spans,
-    /// Times at which poolers were killed.
+    /// Times at which poolers were killed, and those of them without a planned end before.
     kills: HashMap<usize, Vec<f64>>,
+    sudden_kills: HashMap<usize, Vec<f64>>,
+    /// Requests of flooding clients as members received them: time, member, pooler.
+    flood_arrivals: Vec<(f64, usize, usize)>,
     /// Times at which a delay of the soak process was noticed, and the delays.
     soak_delays: Vec<(f64, f64)>,
     /// Changes of the list: time, member, whether it is usable, version.
@@ -130,6 +133,8 @@
         requests: BTreeMap::new(),
         paused: Spans::default(),
         kills: HashMap::new(),
+        sudden_kills: HashMap::new(),
+        flood_arrivals: Vec::new(),
         soak_delays: Vec::new(),
         list_changes: Vec::new(),
         lists_sent: HashMap::new(),
@@ -209,7 +214,16 @@
                     let from = paused_since.remove(&pooler).unwrap_or(at);
                     self.paused.0.entry(pooler).or_default().push((from, at));
                 }
-                Event::Killed { pooler } => self.kills.entry(pooler).or_default().push(at),
+                Event::Killed { pooler, planned } => {
+                    self.kills.entry(pooler).or_default().push(at);
+                    if !planned {
+                        self.sudden_kills.entry(pooler).or_default().push(at);
+                    }
+                }
+                Event::FloodArrived { pooler, member } => self.flood_arrivals.push((at, member, pooler)),
+                Event::LogTooLong { pooler, bytes } => {
+                    self.verdict.record_violation("log", format!("n{pooler}: {bytes} bytes"));
+                }
                 Event::ExitedUnexpectedly { pooler, status } => {
                     self.verdict.record_violation("crash", format!("n{pooler} at {at:.3}: {status}"));
                 }
@@ -267,6 +281,11 @@
         self.kills.get(&pooler).is_some_and(|kills| kills.iter().any(|at| (from..=to).contains(at)))
     }
 
+    /// Returns true if a pooler was killed between two times without a planned end before.
+    fn was_killed_suddenly(&self, pooler: usize, from: f64, to: f64) -> bool {
+        self.sudden_kills.get(&pooler).is_some_and(|kills| kills.iter().any(|at| (from..=to).contains(at)))
+    }
+
     fn count(&mut self, request: &Request) {
         self.verdict.requests += 1;
         match request.answer {
@@ -300,7 +319,7 @@
                     );
                 }
             }
-            (None, Some(at)) if !self.was_killed(pooler, sent_at, at + KILL_SLACK) => {
+            (None, Some(at)) if !self.was_killed_suddenly(pooler, sent_at, at + KILL_SLACK) => {
                 let forwarded = request.attempts.iter().any(|attempt| attempt.first_byte_at <= at);
                 if forwarded {
                     let description =
@@ -308,9 +327,11 @@
                     self.verdict.record_violation("lost", description);
                 }
             }
-            // Excused if the pooler was killed without SIGTERM, or as early as allowed after it: by then a
-            // planned shutdown has answered all requests that arrived early enough.
-            (None, _) if request.unanswered && !self.was_killed(pooler, sent_at, answer_due + 3.0) => {
+            // Excused only if the pooler was killed without SIGTERM: a planned shutdown answers whatever it reads,
+            // and ends its connections before it is killed.
+            (None, _)
+                if request.unanswered && !self.was_killed_suddenly(pooler, sent_at, answer_due + 3.0) =>
+            {
                 self.verdict.record_violation("lost", format!("{id:016x} at n{pooler}: no answer"));
             }
             _ => {}
@@ -504,7 +525,9 @@
                 let attempts = request.attempts.iter().filter(|a| a.member == n && a.arrived_at >= start);
                 attempts.map(|attempt| (attempt.arrived_at, request.pooler))
             });
-            let arrivals: Vec<(f64, usize)> = arrivals.collect();
+            let of_floods = self.flood_arrivals.iter().filter(|(at, to, _)| *to == n && *at >= start);
+            let of_floods = of_floods.map(|(at, _, pooler)| (*at, *pooler));
+            let arrivals: Vec<(f64, usize)> = arrivals.chain(of_floods).collect();
             for (from, _) in &arrivals {
                 let within = arrivals.iter().filter(|(at, _)| (*from..from + OVERLOAD_WINDOW).contains(at));
                 let within: Vec<&(f64, usize)> = within.collect();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 //! here are printed with the plan.
 
 use fastrand::Rng;
+use flood::Form;
 use serde_json::{json, Value};
 
 /// Whether and how far a request of a class may be repeated.
@@ -115,6 +116,28 @@
     Kill {
         pooler: usize,
     },
+    /// Clients send small or unsound messages at full speed.
+    Flood {
+        pooler: usize,
+        form: Form,
+        clients: usize,
+        /// Whether they read their answers.
+        reads: bool,
+        group: usize,
+        lasts: f64,
+    },
+    /// Clients connect, send half of a large query each, and stay.
+    Crowd {
+        pooler: usize,
+        connections: usize,
+        lasts: f64,
+    },
+    /// Reloads and requests for the counters in quick succession.
+    SignalSeries {
+        pooler: usize,
+        times: usize,
+        between: f64,
+    },
 }
 
 /// Parameters of the preloaded library that makes system calls fail.
@@ -167,6 +190,22 @@
 /// Faults are drawn for the time between these first and last parts of a run (seconds).
 const FAULT_FREE_START: f64 = 2.0;
 const FAULT_FREE_END: f64 = 4.0;
+/// What flooding clients send.
+const FLOOD_FORMS: [Form; 11] = [
+    Form::EmptyQueries,
+    Form::NewClasses,
+    Form::NewTenants,
+    Form::Unsupported,
+    Form::Malformed,
+    Form::NewUsers,
+    Form::Cancels,
+    Form::ManyFields,
+    Form::Mixture,
+    Form::EmptyQueries,
+    Form::NewClasses,
+];
+/// Distinguishes the random numbers for floods, so that seeds draw the other faults as they did without them.
+const FLOOD_SEED: u64 = 0xf100d;
 /// Connect timeout of a pooler towards a member (seconds).
 pub const CONNECT_TIMEOUT: f64 = 0.25;
 /// Share of its capacity that a member has when it starts.
@@ -241,6 +280,38 @@
         self.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
     }
 
+    /// Draws floods, crowds of unfinished queries and series of signals beside the other faults.
+    pub fn draw_floods(&mut self) {
+        let mut rng = Rng::with_seed(self.seed ^ FLOOD_SEED);
+        let end = self.seconds - FAULT_FREE_END;
+        for _ in 0..rng.usize(1..=3) {
+            let (at, pooler) = (uniform(&mut rng, FAULT_FREE_START, end), rng.usize(..self.poolers));
+            let flood = Fault::Flood {
+                pooler,
+                form: FLOOD_FORMS[rng.usize(..FLOOD_FORMS.len())],
+                clients: [1, 6, 8][rng.usize(..3)],
+                reads: rng.usize(..4) != 0,
+                group: rng.usize(..self.groups),
+                lasts: uniform(&mut rng, 3.0, 8.0),
+            };
+            self.faults.push((at, flood));
+            if rng.bool() {
+                self.faults.push((at + uniform(&mut rng, 0.5, 2.5), Fault::Restart { pooler }));
+            }
+        }
+        if rng.usize(..3) == 0 {
+            let (at, pooler) = (uniform(&mut rng, FAULT_FREE_START, end), rng.usize(..self.poolers));
+            let (connections, lasts) = (rng.usize(100..400), uniform(&mut rng, 2.0, 5.0));
+            self.faults.push((at, Fault::Crowd { pooler, connections, lasts }));
+        }
+        for _ in 0..rng.usize(0..=2) {
+            let (at, pooler) = (uniform(&mut rng, FAULT_FREE_START, end), rng.usize(..self.poolers));
+            let (times, between) = (rng.usize(2..=6), uniform(&mut rng, 0.005, 0.3));
+            self.faults.push((at, Fault::SignalSeries { pooler, times, between }));
+        }
+        self.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
+    }
+
     /// Draws a drain of one member per group at about the same time, possibly while discovery is slow or
     /// unreachable, watches are reset, or poolers are paused.
     fn draw_drain_wave(&mut self, at: f64, rng: &mut Rng) {
@@ -322,6 +393,9 @@
             Fault::Reload { pooler }
             | Fault::Stalls { pooler, .. }
             | Fault::Restart { pooler }
+            | Fault::Flood { pooler, .. }
+            | Fault::Crowd { pooler, .. }
+            | Fault::SignalSeries { pooler, .. }
             | Fault::Kill { pooler } => *pooler < poolers,
             _ => true,
         });
--- a/crates/soak/src/poolers.rs
+++ b/crates/soak/src/poolers.rs
@@ -28,6 +28,9 @@
 const READY_TIMEOUT: f64 = 20.0;
 const READY_CHECK_INTERVAL_MS: u64 = 10;
 const MAX_SOCKETS: u64 = 600;
+/// Maximum size of a pooler's log for each second of the run (bytes): what the rate limit lets through of some ten
+/// kinds of lines at once, whatever clients send.
+const MAX_LOG_BYTES_PER_S: f64 = 50_000.0;
 /// Texts in log lines that report a fault of the pooler itself.
 const FAULT_MARKERS: [&str; 2] = ["rule.violation", "panicked"];
 
@@ -220,11 +223,16 @@
     pub fn kill(&self, n: usize) {
         let Ok(_restart_lock) = self.restart_locks[n].try_lock() else { return };
         self.clients.unavailable[n].store(true, Ordering::Relaxed);
-        self.record.add(Event::Killed { pooler: n });
+        self.record.add(Event::Killed { pooler: n, planned: false });
         self.end_child(n);
         self.start(n);
     }
 
+    /// Has a pooler print its counters.
+    pub fn print_counters(&self, n: usize) {
+        self.signal(n, Signal::USR1);
+    }
+
     fn end_child(&self, n: usize) {
         let child = self.process(n).child.take();
         if let Some(mut child) = child {
@@ -242,7 +250,7 @@
         let longest = self.plan.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         let kill_after = longest.min(MAX_DEADLINE) + KILL_GRACE - ACCEPT_GRACE;
         std::thread::sleep(Duration::from_secs_f64(kill_after));
-        self.record.add(Event::Killed { pooler: n });
+        self.record.add(Event::Killed { pooler: n, planned: true });
         self.end_child(n);
         self.start(n);
     }
@@ -271,6 +279,10 @@
         for n in 0..self.plan.poolers {
             self.end_child(n);
             let log = std::fs::read_to_string(self.log_path(n)).unwrap_or_default();
+            let bytes = log.len() as u64;
+            if bytes as f64 > MAX_LOG_BYTES_PER_S * self.record.now() {
+                self.record.add(Event::LogTooLong { pooler: n, bytes });
+            }
             let faults = log.lines().filter(|line| FAULT_MARKERS.iter().any(|fault| line.contains(fault)));
             for line in faults.take(3) {
                 self.record.add(Event::LogFault { pooler: n, line: line.to_string() });
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -83,6 +83,11 @@
         first_byte_at: f64,
         timeout: f64,
     },
+    /// A member received a request of a flooding client.
+    FloodArrived {
+        pooler: usize,
+        member: usize,
+    },
     AttemptAnswered {
         attempt: u64,
         reply: Reply,
@@ -117,8 +122,15 @@
         pooler: usize,
         paused: bool,
     },
+    /// A pooler was killed; `planned` if it was asked to end as long before as a planned restart allows.
     Killed {
         pooler: usize,
+        planned: bool,
+    },
+    /// A pooler's log is longer than it may be.
+    LogTooLong {
+        pooler: usize,
+        bytes: u64,
     },
     /// A pooler exited that was neither killed nor asked to exit.
     ExitedUnexpectedly {
