pooler: an id that may have run for a client that has left does not run again

Cause: a request whose client leaves is forgotten once its attempts are cancelled, though they may have run; the same id on another connection was a new request. Ruled out: requests sent on after the client's close (an event that tells of the end is handled ahead of other clients' now, and no command is begun after it; disconnects.rs).

--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod configuration;
+mod departed;
 mod guard;
 mod handover;
 mod in_flight;
@@ -47,6 +48,7 @@
 use crate::counters::{count_outcome, Counters};
 use crate::files;
 use crate::numbers::{ActiveClass, NumberedSettings, Numbers};
+use departed::DepartedRequests;
 use handover::{InheritedState, PredecessorHandover, SuccessorHandover};
 use in_flight::{Access, InFlight};
 use process_lifecycle::{PidFile, ProcessLifecycle};
@@ -82,6 +84,8 @@
 struct Request {
     /// Recipient of the final answer; none once it has been given or the client has left.
     reply_target: Option<ReplyTarget>,
+    /// The client has left before the answer.
+    client_left: bool,
     statement: Rc<Statement>,
     /// Record of what was sent and received for the request, which decides whether further actions are
     /// permitted.
@@ -126,6 +130,7 @@
     name: String,
     signals: Signals,
     requests: HashMap<RequestId, Request>,
+    departed: DepartedRequests,
     /// Requests with a pending answer, by connection of a platform client.
     in_flight: InFlight,
     /// Classes and tenants of the configuration in force, for new requests.
@@ -326,6 +331,7 @@
             name: config.name.clone(),
             signals,
             requests: HashMap::new(),
+            departed: DepartedRequests::default(),
             in_flight: InFlight::default(),
             classes,
             tenants,
@@ -538,6 +544,10 @@
         };
         context.counters.requests += 1;
         let now = context.reactor.now();
+        if self.departed.contains(&id, now) {
+            // It may have run for a client that has left.
+            return self.clients.answer(client, command, Answer::Failed, context);
+        }
         let uses_session = matches!(consistency, Consistency::Write | Consistency::Session);
         let tenant = self.tenants.iter().find(|(name, _)| *name == query.tenant).map(|(_, number)| *number);
         // An unknown tenant gets a number that the policy does not know.
@@ -558,6 +568,7 @@
         let attempt_rules = self.policy.attempt_rules(class, now + arrival.time_left);
         let request = Request {
             reply_target: Some(ReplyTarget::Client(client)),
+            client_left: false,
             statement: Rc::new(query.statement),
             history: History::new(attempt_rules),
             attempts_in_flight: Vec::new(),
@@ -634,6 +645,7 @@
         };
         let request = Request {
             reply_target: Some(ReplyTarget::Session(slot)),
+            client_left: false,
             statement: Rc::new(Statement::new("".into(), 0..0)),
             history: History::new(self.policy.attempt_rules(number, f64::INFINITY)),
             attempts_in_flight: Vec::new(),
@@ -691,6 +703,7 @@
             let Some(request) = self.requests.get_mut(&id) else { continue };
             context.counters.requests_abandoned += 1;
             request.reply_target = None;
+            request.client_left = true;
             request.history.close();
             self.notify_policy(interface::Event::ClientLeft { id: id.clone() }, context);
             self.cancel_attempts(&id, context);
@@ -752,6 +765,9 @@
             .is_some_and(|request| request.reply_target.is_none() && request.attempts_in_flight.is_empty())
         {
             if let Some(request) = self.requests.remove(id) {
+                if request.client_left && request.history.may_have_had_an_effect() {
+                    self.departed.insert(id, now);
+                }
                 self.release_write_ticket(&request.sharing, now);
             }
         }
--- a/crates/daemon/tests/disconnects.rs
+++ b/crates/daemon/tests/disconnects.rs
@@ -42,6 +42,29 @@
     assert!(taken <= 2, "{taken}");
 }
 
+/// Guards issue 55, picture (c): an id ran twice when it came again after its client had left.
+#[rstest]
+#[case::never_repeated(r#""effect":"non_idempotent""#)]
+#[case::keyed(r#""effect":"idempotency_key","group":"cell","dedupWindow":2"#)]
+fn an_id_that_may_have_run_for_a_client_that_has_left_does_not_run_again(#[case] effect: &str) {
+    let member = ScriptedMember::listen();
+    let keyed = r#""effect":"idempotency_key","group":"cell","dedupWindow":2"#;
+    let (pooler, _discovery) = start_with_one_member(PROGRAM, &member, &[(keyed, effect)]);
+    let mut wire = establish_primary(&member, &mut client(&pooler), VALUE);
+    let mut leaving = client(&pooler);
+    leaving.send(&query(&request_sql("1", "order-write")));
+    assert!(read_query(&mut wire).contains("id=1,"));
+    drop(leaving);
+    wire.expect_closed();
+    wait_for_counter(&pooler, "gone", 1);
+    let mut other = client(&pooler);
+    other.send(&query(&request_sql("1", "order-write")));
+    assert_eq!(other.error().0, "58000");
+    // Another id is carried out: nothing of the first was sent before it.
+    other.send(&query(&request_sql("2", "order-write")));
+    assert!(read_query(&mut member.accept()).contains("id=2,"));
+}
+
 /// No byte of a request is written if its client leaves while the connection for it is being opened.
 #[rstest]
 #[case::leaves(false)]
--- a/crates/routing/src/permission.rs
+++ b/crates/routing/src/permission.rs
@@ -189,6 +189,11 @@
         self.attempts.iter().any(|(_, evidence)| !evidence.proves_not_run())
     }
 
+    /// Returns true if any attempt may have had an effect that another one could double.
+    pub fn may_have_had_an_effect(&self) -> bool {
+        self.rules.effect != Effect::Safe && self.may_have_run()
+    }
+
     /// Returns when repeats cease to be dropped (seconds); infinite if nothing can have run.
     pub fn window_end(&self) -> f64 {
         let first = self.attempts.iter().find(|(_, evidence)| !evidence.proves_not_run());
