in_flight: a connection has a share of the requests that run at once

Cause: each connection may have 64 requests at the members at once. Eight of them fill the members' queues with 512, the expected latency passes what admission allows, and all are refused alike. An unknown tenant has no quota either. Change: while 64 requests run, a connection may not add to more than 8 of its own; further ones wait in their order, are begun as its earlier ones end, and refused after a quarter of their time as those that wait for an earlier write are. A connection alone may have its 64 as before.

--- a/crates/daemon/src/net/pooler/in_flight.rs
+++ b/crates/daemon/src/net/pooler/in_flight.rs
@@ -1,5 +1,6 @@
 //! Unanswered requests of platform clients, by connection and in the order of their commands, and which of
-//! them have to wait for an earlier request of the same connection.
+//! them have to wait for an earlier request of the same connection: for the order of writes, or since their
+//! connection has its share of the requests that run.
 
 use std::collections::HashMap;
 
@@ -12,6 +13,11 @@
 /// rest is left to the policy, which may hold a request for a part of its time as well.
 const WAIT_SHARE: f64 = 0.25;
 
+/// While this many requests run, a connection may not add to more than `MAX_RUNNING_WHILE_CROWDED` of its own. Guards
+/// the members' queues, and so the answers of all others, against a client that sends many requests ahead.
+const CROWDED_RUNNING: usize = 64;
+const MAX_RUNNING_WHILE_CROWDED: usize = 8;
+
 /// The data that a request accesses, and how. Determines whether two requests of a connection may run
 /// concurrently.
 #[derive(Clone, Debug)]
@@ -55,6 +61,8 @@
 #[derive(Default)]
 pub(super) struct InFlight {
     by_client: HashMap<Slot, Vec<Entry>>,
+    /// Number of requests that do not wait.
+    running: usize,
     /// Pending timers for requests that wait, one for each connection.
     timers: HashMap<Slot, EarliestTimer>,
 }
@@ -80,9 +88,10 @@
         now: f64,
     ) -> Result<Arrival, f64> {
         let entries = self.by_client.entry(client).or_default();
-        let waits = entries.iter().any(|earlier| earlier.access.precedes(&access));
+        let preceded = entries.iter().any(|earlier| earlier.access.precedes(&access));
         let id = arrival.id.clone();
-        if !waits {
+        if !preceded && has_share(self.running, running_of(entries)) {
+            self.running += 1;
             entries.push(Entry { command, id, access, waiting: None });
             return Ok(arrival);
         }
@@ -96,8 +105,9 @@
     pub fn finish(&mut self, client: Slot, id: &RequestId) -> Option<(CommandNumber, Vec<RequestId>)> {
         let entries = self.by_client.get_mut(&client)?;
         let index = entries.iter().position(|entry| entry.id == *id)?;
-        let command = entries.remove(index).command;
-        let released = released(entries);
+        let Entry { command, waiting, .. } = entries.remove(index);
+        self.running -= usize::from(waiting.is_none());
+        let released = released(entries, self.running);
         if entries.is_empty() {
             self.by_client.remove(&client);
         }
@@ -108,7 +118,9 @@
     pub fn release(&mut self, client: Slot, id: &RequestId) -> Option<Arrival> {
         let entries = self.by_client.get_mut(&client)?;
         let entry = entries.iter_mut().find(|entry| entry.id == *id)?;
-        entry.waiting.take().map(|waiting| waiting.arrival)
+        let waiting = entry.waiting.take()?;
+        self.running += 1;
+        Some(waiting.arrival)
     }
 
     /// Waiting requests of a connection whose time has expired.
@@ -137,17 +149,32 @@
     /// Removes all requests of a connection and returns their ids, oldest first.
     pub fn take_all(&mut self, client: Slot) -> Vec<RequestId> {
         let entries = self.by_client.remove(&client).unwrap_or_default();
+        self.running -= running_of(&entries);
         entries.into_iter().map(|entry| entry.id).collect()
     }
 }
 
-/// Returns the waiting requests of a connection that no longer have to wait for an earlier one.
-fn released(entries: &[Entry]) -> Vec<RequestId> {
+/// Returns the number of a connection's requests that do not wait.
+fn running_of(entries: &[Entry]) -> usize {
+    entries.iter().filter(|entry| entry.waiting.is_none()).count()
+}
+
+/// Returns true if another request of a connection may run, beside those of all and its own that do.
+fn has_share(running: usize, own: usize) -> bool {
+    running < CROWDED_RUNNING || own < MAX_RUNNING_WHILE_CROWDED
+}
+
+/// Returns the waiting requests of a connection that no longer have to wait, while `running` requests of all
+/// connections run.
+fn released(entries: &[Entry], running: usize) -> Vec<RequestId> {
     let is_free = |(index, entry): &(usize, &Entry)| {
         entry.waiting.is_some()
             && !entries[..*index].iter().any(|earlier| earlier.access.precedes(&entry.access))
     };
-    entries.iter().enumerate().filter(is_free).map(|(_, entry)| entry.id.clone()).collect()
+    let own = running_of(entries);
+    let free = entries.iter().enumerate().filter(is_free).enumerate();
+    let with_share = free.take_while(|(count, _)| has_share(running + count, own + count));
+    with_share.map(|(_, (_, entry))| entry.id.clone()).collect()
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/net/pooler/in_flight/tests.rs
+++ b/crates/daemon/src/net/pooler/in_flight/tests.rs
@@ -82,3 +82,23 @@
     assert_eq!(in_flight.take_all(client).len(), 2);
     assert!(in_flight.expired(client, expires_at).is_empty());
 }
+
+/// Guards issue 55: the requests that one client sent ahead filled the members' queues, and others were refused.
+#[test]
+fn a_connection_with_its_share_waits_while_many_requests_run() {
+    let (mut in_flight, greedy) = (InFlight::default(), Slot::from_number(7));
+    let read = || access(Consistency::Any, None);
+    let mut insert = |client: u64, n: u64| {
+        let key = (Slot::from_number(client), CommandNumber::from(n));
+        in_flight.insert(key, read(), arrival(&format!("{client}-{n}")), NOW).is_ok()
+    };
+    assert!((0..CROWDED_RUNNING as u64).all(|n| insert(7, n)), "nobody else is there");
+    assert!(!insert(7, 100), "its share is spent");
+    assert!((0..MAX_RUNNING_WHILE_CROWDED as u64).all(|n| insert(8, n)), "another client has its own share");
+    assert!(!insert(8, 100));
+    // The requests that run are still too many: one that ends makes no room for a connection beyond its share.
+    assert_eq!(released(&mut in_flight, greedy, "7-0"), Vec::<String>::new());
+    assert_eq!(released(&mut in_flight, Slot::from_number(8), "8-0"), ["8-100"]);
+    in_flight.take_all(Slot::from_number(8));
+    assert_eq!(released(&mut in_flight, greedy, "7-1"), ["7-100"]);
+}
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -26,6 +26,8 @@
 /// The pooler goes on for 0.75 s after SIGTERM; the last request may take its time, and its client has a second to
 /// read the end.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long a slow member takes for a request.
+const MEMBER_WORK_TIME: Duration = Duration::from_millis(2);
 /// The limit in the configuration of the tests (megabytes).
 const MEMORY_LIMIT_MB: f64 = 192.0;
 
@@ -145,6 +147,33 @@
     assert!(took <= END_LIMIT, "{form:?}: ended after {took:?}");
 }
 
+/// Guards issue 55: sound requests that some clients sent ahead at full speed filled the members' queues, and others
+/// were refused or answered late.
+#[test]
+fn a_flood_of_sound_requests_leaves_other_clients_their_share_of_slow_members() {
+    let _exclusive = exclusive();
+    let discovery = Discovery::listen();
+    let member = |n: usize| {
+        // One request at a time, so that a queue is felt by all.
+        let turn = Mutex::new(());
+        let member = AnsweringMember::new(move |_| {
+            let _turn = turn.lock();
+            std::thread::sleep(MEMBER_WORK_TIME);
+            answer_with_role(b"\x9f\x00\x03", "reader")
+        });
+        member.list_entry(&format!("s-{n}"), "here")
+    };
+    let entries: Vec<String> = (0..3).map(member).collect();
+    let pooler = Pooler::start(PROGRAM, &list(41, true, &entries), &discovery, &[]);
+    let probes = platform_probes(&pooler);
+    std::thread::sleep(Duration::from_millis(300));
+    let flood = Flood::start(pooler.address, Form::NewTenants, 8, true, &target());
+    let played = play(&pooler, probes, flood, FLOOD_TIME);
+    assert_shielded(Form::NewTenants, &played);
+    let (Summary { served, errors, .. }, _) = played;
+    assert!(served > 19 * errors, "{served} served, {errors} refused or failed");
+}
+
 /// Guards issue 55, picture (b): with hundreds of clients that stop half way through a large request, no memory and
 /// no connection was left for the others.
 #[rstest]
