names that clients choose: kept as digests where long, charged, and cut in the log

Cause: sessions that have written are remembered for 60 s, 20,000 of them, by a key of up to 150 KB from the statement; names in a request were kept beside the statement and not charged; the log printed ids and users whole, so that 200 lines of a kind in 10 s could be 32 MB.

--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -573,7 +573,8 @@
             Ok(ClientQuery::Query(mut query)) => {
                 // Guards against many statements that are each within the limit and together exceed the
                 // memory.
-                let Ok(charge) = self.inbox.charge(query.statement.len() + COMMAND_MEMORY) else {
+                let memory = query.statement.len() + query.name_bytes() + COMMAND_MEMORY;
+                let Ok(charge) = self.inbox.charge(memory) else {
                     context.counters.refused += 1;
                     return self.pipeline.reply(error(sqlstate::TOO_MANY_CONNECTIONS, "no memory", None));
                 };
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -7,6 +7,7 @@
 mod guard;
 mod handover;
 mod in_flight;
+mod names;
 mod process_lifecycle;
 mod sharing;
 mod sources;
@@ -559,7 +560,7 @@
             group: query.group,
             time_left: query.timeout.min(self.kill_at - now).min(self.policy.class_deadline(class)),
             required_position: query.required_position,
-            session: query.session_key.filter(|_| uses_session).map(Into::into),
+            session: query.session_key.filter(|_| uses_session).map(names::session_name),
             tenant,
             predicted_work: None,
             repeat: query.repeat,
--- a/crates/daemon/src/net/pooler/guard.rs
+++ b/crates/daemon/src/net/pooler/guard.rs
@@ -7,6 +7,7 @@
 use routing::interface::{MemberId, Outcome, Report, RequestId};
 use routing::permission::Denial;
 
+use super::names::for_log;
 use super::{Pooler, ReplyTarget};
 use crate::net::{Context, Event, ServerTask, TaskResult};
 
@@ -22,7 +23,7 @@
     context.counters.violations.count(denial);
     logging::error!(
         event = "rule.violation",
-        id = &**id,
+        id = for_log(id),
         denial = denial.name(),
         "action not permitted and not carried out: a fault of the policy"
     );
@@ -72,7 +73,12 @@
         match denial {
             Denial::OutOfTime | Denial::DedupWindowOver | Denial::ClientLeft => {
                 context.counters.withheld.count(denial);
-                logging::debug!(event = "attempt.withheld", id = &*id, attempt, denial = denial.name());
+                logging::debug!(
+                    event = "attempt.withheld",
+                    id = for_log(&id),
+                    attempt,
+                    denial = denial.name()
+                );
             }
             _ => report_violation(&id, denial, context),
         }
--- a/crates/daemon/src/net/pooler/process_lifecycle.rs
+++ b/crates/daemon/src/net/pooler/process_lifecycle.rs
@@ -11,6 +11,7 @@
 use lifecycle::{notify, Action, Input, Limits, Pending, Stage, StateMachine};
 use routing::interface::{self, RequestId};
 
+use super::names::for_log;
 use super::{Pooler, ReplyTarget};
 use crate::net::event_loop::TimerKind;
 use crate::net::sessions::Sessions;
@@ -237,7 +238,7 @@
                     let unanswered =
                         self.requests.iter().filter(|(_, request)| request.reply_target.is_some());
                     let unanswered: Vec<String> =
-                        unanswered.map(|(id, _)| id.to_string()).take(MAX_NAMED_REQUESTS).collect();
+                        unanswered.map(|(id, _)| for_log(id).to_string()).take(MAX_NAMED_REQUESTS).collect();
                     if code != lifecycle::EXIT_CLEAN {
                         let (pending, first) = (self.pending_replies(), unanswered.join(" "));
                         logging::error!(
--- a/crates/daemon/src/net/pooler/trace.rs
+++ b/crates/daemon/src/net/pooler/trace.rs
@@ -4,6 +4,7 @@
 
 use routing::interface::{AttemptSummary, Conclusion, Explanation, MemberId, Outcome, RequestId};
 
+use super::names::for_log;
 use crate::numbers::Numbers;
 
 const MILLIS: f64 = 1000.0;
@@ -11,7 +12,7 @@
 /// Logs that an attempt is sent to a member.
 pub(super) fn attempt_sent(id: &RequestId, attempt: usize, member: &MemberId, timeout: f64) {
     let timeout_ms = timeout * MILLIS;
-    logging::debug!(event = "attempt.sent", id = &**id, attempt, member = &**member, timeout_ms);
+    logging::debug!(event = "attempt.sent", id = for_log(id), attempt, member = &**member, timeout_ms);
 }
 
 /// Logs the end of an attempt: the outcome received, and the conclusion about its freshness.
@@ -24,7 +25,7 @@
 ) {
     logging::debug!(
         event = "attempt.ended",
-        id = &**id,
+        id = for_log(id),
         attempt,
         member = &**member,
         received = %received.log_name(),
@@ -37,7 +38,12 @@
 
 /// Logs that a request is refused before any attempt was sent.
 pub(super) fn refused_unsent(id: &RequestId, reason: &str) {
-    logging::info!(event = "request.turned_away", id = &**id, reason, "refused before any attempt was sent");
+    logging::info!(
+        event = "request.turned_away",
+        id = for_log(id),
+        reason,
+        "refused before any attempt was sent"
+    );
 }
 
 /// Logs that the policy has refused or failed a request, with the reason.
@@ -45,7 +51,7 @@
     let Explanation { id, class, waited, reason, attempts } = explanation;
     let attempts: Vec<String> = attempts.iter().map(describe_attempt).collect();
     let (class, waited_ms, attempts) = (numbers.class_name(*class), waited * MILLIS, attempts.join("; "));
-    logging::info!(event = "request.given_up", id = &**id, reason = ?reason, class, waited_ms, attempts);
+    logging::info!(event = "request.given_up", id = for_log(id), reason = ?reason, class, waited_ms, attempts);
 }
 
 /// Describes an attempt for a log line.
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -16,6 +16,8 @@
 use crate::net::event_loop::{Slot, Source};
 use crate::net::Context;
 
+/// Maximum number of characters of a user's name in the log.
+const MAX_LOGGED_CHARS: usize = 64;
 /// Maximum number of connections accepted in a turn.
 const MAX_ACCEPTS_PER_TURN: usize = 16;
 
@@ -194,6 +196,7 @@
             Err(fault) => {
                 context.counters.malformed += 1;
                 let wait = self.failed_logins.record_failure(now, conn.peer_ip);
+                let user: String = user.chars().take(MAX_LOGGED_CHARS).collect();
                 logging::warn!(event = "pool.login", user, "{fault}");
                 (conn.stage, conn.reject_at) = (Stage::Rejected, now + wait);
                 Step::Waiting
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -66,6 +66,15 @@
     pub statement: Statement,
 }
 
+impl Query {
+    /// Returns the memory for the names that the client has chosen, which are kept beside the statement (bytes). A
+    /// session's key is kept twice.
+    pub fn name_bytes(&self) -> usize {
+        let session_key = self.session_key.as_ref().map_or(0, String::len);
+        self.id.len() + self.class.len() + self.tenant.len() + 2 * session_key
+    }
+}
+
 /// The final answer to a query.
 #[derive(Debug)]
 pub enum Answer {
