net: discovery, registry, peers and control instances are read in shares, too

Cause: a watch, a registry's connection and a stream between instances were read until the socket would block, so that a party that sends as fast as it is read holds up the loop; datagrams beyond a batch set a timer each time; a control instance read datagrams until there were none, with no look at its timers and signals; each of many empty lines of a watch was handled. Change: four buffers (discovery, registry), eight pieces each way (streams), 64 datagrams, 16 accepts in a turn, then the source goes behind the others; a control instance looks at timers and signals after each batch; empty lines in a row count once.

--- a/crates/daemon/src/net/control_instance.rs
+++ b/crates/daemon/src/net/control_instance.rs
@@ -74,14 +74,17 @@
 impl ControlInstance {
     fn run(&mut self, poll: &mut Poll, signals: &mut Signals) -> io::Result<()> {
         let mut events = Events::with_capacity(MAX_EVENTS_PER_POLL);
+        // Timers and signals are handled after each batch of datagrams, however many wait.
+        let mut more_datagrams = false;
         loop {
             let now = millis(self.reactor.now());
-            let wait = self.replica.next_due().saturating_sub(now).clamp(1, MAX_POLL_WAIT_MS);
+            let due_in = self.replica.next_due().saturating_sub(now).clamp(1, MAX_POLL_WAIT_MS);
+            let wait = if more_datagrams { 0 } else { due_in };
             match poll.poll(&mut events, Some(std::time::Duration::from_millis(wait))) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 result => result?,
             }
-            while self.read() {}
+            more_datagrams = self.read();
             self.tick();
             if signals.pending().any(|signal| self.handle_signal(signal)) {
                 logging::info!(
--- a/crates/daemon/src/net/datagrams.rs
+++ b/crates/daemon/src/net/datagrams.rs
@@ -9,7 +9,7 @@
 /// then rejected.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 2_048;
 /// Maximum number of datagrams read in one call, so that other event sources are handled in between.
-const MAX_DATAGRAMS_PER_CALL: usize = 512;
+const MAX_DATAGRAMS_PER_CALL: usize = 64;
 
 /// Passes each received datagram with its sender to `take`. Returns true if more datagrams may be waiting.
 pub(crate) fn receive(socket: &UdpSocket, mut take: impl FnMut(SocketAddr, &[u8])) -> bool {
--- a/crates/daemon/src/net/directory.rs
+++ b/crates/daemon/src/net/directory.rs
@@ -94,8 +94,7 @@
             let _ = client.receive(now(), from, bytes);
         };
         if datagrams::receive(&self.socket, &mut take) {
-            // The rest is read after other events have been handled.
-            context.reactor.set_timer(context.reactor.now(), TimerKind::Peers);
+            context.reactor.continue_later(Source::PeerDatagrams);
         }
         self.send_pending(context);
     }
--- a/crates/daemon/src/net/discovery.rs
+++ b/crates/daemon/src/net/discovery.rs
@@ -30,7 +30,7 @@
 }
 
 impl Watch {
-    /// Reads and writes until the socket would block; appends the complete pieces of the response to
+    /// Reads and writes until the socket would block, or a share of what it has is read; appends the complete pieces of the response to
     /// `pieces`.
     fn transfer(&mut self, pieces: &mut Vec<json::Piece>) -> Result<(), ConnectionError> {
         // A connection that was reset has no peer address any more, though data received before is still
@@ -183,11 +183,16 @@
         let Some(watch) = self.watches.get_mut(slot) else { return };
         let (id, mut pieces) = (watch.id, Vec::new());
         let mut result = watch.transfer(&mut pieces);
+        if watch.connection.has_unread() {
+            context.reactor.continue_later(Source::Discovery(slot));
+        }
         let in_document = watch.connection.in_document();
         if !pieces.is_empty() && !std::mem::replace(&mut watch.answered, true) {
             let after_s = context.reactor.now() - watch.opened_at;
             logging::info!(event = "discovery.answered", line = id, after_s);
         }
+        // Empty lines in a row say the same, however many there are.
+        pieces.dedup_by(|next, piece| !is_document(next) && !is_document(piece));
         for piece in pieces {
             if let Err(reason) = self.handle_piece(id, piece, context) {
                 result = Err(reason);
@@ -245,3 +250,7 @@
         self.call_follower(context, |follower, now, out| follower.on_timer(now, out));
     }
 }
+
+fn is_document(piece: &json::Piece) -> bool {
+    matches!(piece, json::Piece::Document(_))
+}
--- a/crates/daemon/src/net/peers.rs
+++ b/crates/daemon/src/net/peers.rs
@@ -125,8 +125,7 @@
         let node = &mut self.node;
         let now = || context.reactor.now();
         if datagrams::receive(&self.socket, |_, bytes| node.receive(now(), bytes)) {
-            // The rest is read after other events have been handled.
-            context.reactor.set_timer(context.reactor.now(), TimerKind::Peers);
+            context.reactor.continue_later(Source::PeerDatagrams);
         }
         self.send_pending(context);
     }
--- a/crates/daemon/src/net/peers/streams.rs
+++ b/crates/daemon/src/net/peers/streams.rs
@@ -17,6 +17,9 @@
 /// Maximum number of streams per direction; further incoming ones are closed, further outgoing ones are
 /// opened later.
 const MAX_STREAMS: usize = 16;
+/// Maximum number of connections accepted, and of reads and of writes on a stream, in a turn.
+const MAX_ACCEPTS_PER_TURN: usize = 16;
+const MAX_TRANSFERS_PER_TURN: usize = 8;
 /// A stream without any transfer for this time (seconds) is closed.
 const IDLE_TIMEOUT: f64 = 5.0;
 /// Bytes in the outbox above which no further piece is added.
@@ -48,7 +51,7 @@
     }
 
     pub fn accept(&mut self, context: &mut Context) {
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
             match self.listener.accept() {
                 Ok((socket, _)) if self.streams.len() < 2 * MAX_STREAMS => {
                     self.add(socket, Role::Writer(None), Vec::new(), context);
@@ -58,6 +61,7 @@
                 Err(_) => return,
             }
         }
+        context.reactor.continue_later(Source::PeerListener);
     }
 
     /// Opens a stream to read a peer's log.
@@ -97,8 +101,10 @@
 
     pub fn on_ready(&mut self, slot: Slot, node: &mut Node, context: &mut Context) {
         let Some(stream) = self.streams.get_mut(slot) else { return };
-        if stream.transfer(context.reactor.now(), node).is_err() {
-            self.end(slot, node);
+        match stream.transfer(context.reactor.now(), node) {
+            Ok(Progress::Complete) => {}
+            Ok(Progress::More) => context.reactor.continue_later(Source::PeerStream(slot)),
+            Err(_) => self.end(slot, node),
         }
     }
 
@@ -120,11 +126,20 @@
     }
 }
 
+/// How far a turn of a stream has come.
+enum Progress {
+    /// The socket would block.
+    Complete,
+    /// The turn is over, and no event announces what is left.
+    More,
+}
+
 impl Stream {
-    /// Reads and writes as far as possible; returns an error if the stream has ended.
-    fn transfer(&mut self, now: f64, node: &mut Node) -> io::Result<()> {
+    /// Reads and writes as far as a turn allows; returns an error if the stream has ended.
+    fn transfer(&mut self, now: f64, node: &mut Node) -> io::Result<Progress> {
         let mut piece = [0; 16 * 1024];
-        loop {
+        let mut progress = Progress::More;
+        for _ in 0..MAX_TRANSFERS_PER_TURN {
             match self.socket.read(&mut piece) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(count) => {
@@ -132,14 +147,21 @@
                     self.inbox.extend_from_slice(&piece[..count]);
                     self.handle_messages(now, node)?;
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected) => {
+                    progress = Progress::Complete;
+                    break;
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::NotConnected => break,
                 Err(error) => return Err(error),
             }
         }
         self.fill_outbox(now, node);
+        let mut writes_left = MAX_TRANSFERS_PER_TURN;
         while !self.outbox.is_empty() {
+            if writes_left == 0 {
+                return Ok(Progress::More);
+            }
+            writes_left -= 1;
             match self.socket.write(self.outbox.as_slices().0) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(count) => {
@@ -158,7 +180,7 @@
             Role::Writer(Some((_, from))) if self.outbox.is_empty() && *from >= node.upto() => {
                 Err(ErrorKind::ConnectionAborted.into())
             }
-            _ => Ok(()),
+            _ => Ok(progress),
         }
     }
 
--- a/crates/daemon/src/net/registry.rs
+++ b/crates/daemon/src/net/registry.rs
@@ -56,8 +56,13 @@
     connected: bool,
     /// True if any data has been received that the endpoint itself must have sent.
     data_received: bool,
+    /// The socket may have more data, which no event announces.
+    has_unread: bool,
 }
 
+/// Maximum number of full buffers that are read from a connection in a turn.
+const MAX_BUFFERS_PER_TURN: usize = 4;
+
 /// The pooler's own key in the registry.
 struct Registration {
     lease: Lease,
@@ -384,6 +389,7 @@
             address,
             connected: false,
             data_received: false,
+            has_unread: false,
         });
         match &mut self.registration {
             Some(registration) if is_lease => registration.current = Some((call, slot)),
@@ -413,7 +419,11 @@
         let Some(connection) = self.connections.get_mut(slot) else { return };
         let mut received = Vec::new();
         let call = connection.call;
-        if let Err(fault) = connection.process(&mut received) {
+        let result = connection.process(&mut received);
+        if connection.has_unread {
+            context.reactor.continue_later(Source::Registry(slot));
+        }
+        if let Err(fault) = result {
             // A connection that was reset has no peer address any more; that it was established is
             // remembered.
             if connection.transport.has_tls() && connection.connected && !connection.data_received {
@@ -533,7 +543,8 @@
 }
 
 impl Connection {
-    /// Reads and writes until the socket would block; appends the input for the state machines.
+    /// Reads and writes until the socket would block, or a share of what it has is read; appends the input for the
+    /// state machines.
     fn process(&mut self, received: &mut Vec<Received>) -> Result<(), String> {
         // A connection that was reset has no peer address any more, though data received before is still
         // readable.
@@ -544,7 +555,8 @@
             };
         }
         self.connected = true;
-        loop {
+        self.has_unread = false;
+        for _ in 0..MAX_BUFFERS_PER_TURN {
             let fill = self.transport.process_io(&mut self.stream).map_err(|fault| fault.to_string());
             let before = self.transport.inbox.len();
             self.data_received |= before > 0;
@@ -558,6 +570,8 @@
                 Fill::Full => {}
             }
         }
+        self.has_unread = true;
+        Ok(())
     }
 
     /// Takes the complete responses; returns true if no more are expected. The body of an error is processed
--- a/crates/listing/src/connection.rs
+++ b/crates/listing/src/connection.rs
@@ -31,8 +31,13 @@
     response: ResponseReader,
     documents: Documents,
     byte_counts: ByteCounts,
+    /// The stream may have more data.
+    has_unread: bool,
 }
 
+/// Maximum number of full buffers that are read in a transfer.
+const MAX_BUFFERS_PER_TRANSFER: usize = 4;
+
 impl Connection {
     /// Prepares a request for the changes since version `since` of the list.
     pub fn new(address: SocketAddr, since: u64, budget: &Budget) -> Result<Connection, ConnectionError> {
@@ -42,7 +47,7 @@
         outbox.push(&request.to_bytes()).map_err(|_| "no memory for the list request")?;
         let (inbox, documents) = (Ring::new(budget), Documents::new(MAX_DOCUMENT_BYTES));
         let (response, byte_counts) = (ResponseReader::default(), ByteCounts::default());
-        Ok(Connection { inbox, outbox, response, documents, byte_counts })
+        Ok(Connection { inbox, outbox, response, documents, byte_counts, has_unread: false })
     }
 
     /// Returns true if a document has begun and not ended.
@@ -50,13 +55,18 @@
         self.documents.in_document()
     }
 
+    /// Returns true if the last transfer stopped before the stream would block: no event announces what is left.
+    pub fn has_unread(&self) -> bool {
+        self.has_unread
+    }
+
     /// Returns the bytes transferred since the previous call.
     pub fn take_byte_counts(&mut self) -> ByteCounts {
         std::mem::take(&mut self.byte_counts)
     }
 
-    /// Writes and reads until the stream would block; appends the complete pieces of the response to
-    /// `pieces`.
+    /// Writes and reads until the stream would block, or a share of what it has is read; appends the complete
+    /// pieces of the response to `pieces`.
     pub fn transfer(
         &mut self,
         stream: &mut (impl Read + Write),
@@ -66,7 +76,8 @@
         let drained = self.outbox.drain(stream);
         self.byte_counts.sent += unsent - self.outbox.len();
         drained.map_err(|_| "connection lost")?;
-        loop {
+        self.has_unread = false;
+        for _ in 0..MAX_BUFFERS_PER_TRANSFER {
             let buffered = self.inbox.len();
             let fill = self.inbox.fill(stream);
             self.byte_counts.received += self.inbox.len() - buffered;
@@ -80,6 +91,8 @@
                 Fill::Full => {}
             }
         }
+        self.has_unread = true;
+        Ok(())
     }
 
     /// Parses the buffered part of the response.
--- a/crates/scale/src/hollow/watch.rs
+++ b/crates/scale/src/hollow/watch.rs
@@ -44,6 +44,10 @@
                 _ => Err("no connection"),
             };
         }
-        self.connection.transfer(&mut self.stream, pieces)
+        self.connection.transfer(&mut self.stream, pieces)?;
+        while self.connection.has_unread() {
+            self.connection.transfer(&mut self.stream, pieces)?;
+        }
+        Ok(())
     }
 }
