sessions: a shutdown does not wait for clients that do not read; floods in all modes and over TLS

Cause: a session whose client does not read is never at rest, and kept the process until the drain's time limit. Change: once the process shuts down, a client that has not read what it was sent for 1 s has its connection closed. Tests: floods in session and statement mode, over TLS (answers read or not, new connections), a drain and a reload told amid floods, shutdown with unread answers and with a batch without end; the most pending timers are bounded.

--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -60,6 +60,8 @@
     /// When the present state began: started, busy, or idle.
     pub(super) state_since: f64,
     pub(super) busy: bool,
+    /// Since when the process shuts down and the client has not read what it was sent.
+    pub(super) unread_since: Option<f64>,
 }
 
 /// The result of a step.
--- a/crates/daemon/src/net/sessions/limits.rs
+++ b/crates/daemon/src/net/sessions/limits.rs
@@ -12,6 +12,8 @@
 
 /// Interval of the checks of time limits (seconds).
 pub(super) const SWEEP_INTERVAL: f64 = 0.1;
+/// Time limit of a client for reading what it was sent, once the process shuts down (seconds).
+const UNREAD_TIMEOUT: f64 = 1.0;
 /// Time limit of a client for its login, and for reading the error that ends its connection (seconds).
 pub(super) const LOGIN_TIMEOUT: f64 = 2.0;
 
@@ -56,6 +58,9 @@
                 conn.transport.outbox.push(&error_response("FATAL", sqlstate::INVALID_PASSWORD, text, None));
             self.on_ready(slot, context);
         }
+        if self.ending {
+            self.end_clients_that_do_not_read(now, context);
+        }
         for (slot, detach) in timed_out {
             match detach {
                 Some((reason, outcome)) => self.revoke_connection(slot, reason, outcome, context),
@@ -91,4 +96,17 @@
         self.probe_for_primary(context);
         self.accept(context);
     }
+
+    /// Closes the connections of clients that have not read for a time. Guards the shutdown.
+    fn end_clients_that_do_not_read(&mut self, now: f64, context: &mut Context) {
+        let slots: Vec<Slot> = self.clients.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            let Some(conn) = self.clients.get_mut(slot) else { continue };
+            if conn.transport.is_flushed() {
+                conn.unread_since = None;
+            } else if now - *conn.unread_since.get_or_insert(now) > UNREAD_TIMEOUT {
+                self.remove_client(slot, context);
+            }
+        }
+    }
 }
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -55,6 +55,7 @@
                 assignment: None,
                 state_since: context.reactor.now(),
                 busy: false,
+                unread_since: None,
             });
             let Some(conn) = self.clients.get_mut(slot) else { return };
             let (token, both) = (Source::SessionClient(slot).into(), Interest::READABLE | Interest::WRITABLE);
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -3,10 +3,13 @@
 
 mod pool_fixture;
 
-use std::sync::{Mutex, MutexGuard};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use flood::{Flood, Form, Probes, Summary, Target};
+use openssl::ssl::{SslConnector, SslMethod, SslVerifyMode};
 use peers::*;
 use pool_fixture::{Fixture, PROGRAM};
 use rstest::rstest;
@@ -26,6 +29,10 @@
 /// The pooler goes on for 0.75 s after SIGTERM; the last request may take its time, and its client has a second to
 /// read the end.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
+/// Timers that may be pending at once: the policy's limit with all connections at their bound of requests.
+const MAX_TIMERS: u64 = 8_000;
+/// How long new requests may still go to a member that is told to drain.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// How long a slow member takes for a request.
 const MEMBER_WORK_TIME: Duration = Duration::from_millis(2);
 /// The limit in the configuration of the tests (megabytes).
@@ -123,7 +130,8 @@
     std::thread::sleep(Duration::from_millis(300));
     let flood = Flood::start(pooler.address, form, clients, reads, &target());
     assert_shielded(form, &play(&pooler, probes, flood, FLOOD_TIME));
-    println!("{}", pooler.counters());
+    let timers = pooler.counter("timers_most");
+    assert!(timers <= MAX_TIMERS, "{timers} timers were pending at once");
 }
 
 /// Guards issue 55: a process that was asked to end did so only when the flood ended.
@@ -193,6 +201,39 @@
     println!("{}", pooler.counters());
 }
 
+/// Guards issue 55: a list or a reload that came while clients flooded was acted on late.
+#[rstest]
+#[case::new_classes(Form::NewClasses)]
+#[case::new_tenants(Form::NewTenants)]
+#[case::empty_queries_unread(Form::EmptyQueries)]
+fn a_drain_and_a_reload_are_acted_on_in_time_amid_a_flood(#[case] form: Form) {
+    let _exclusive = exclusive();
+    let discovery = Discovery::listen();
+    let members = [(); 2].map(|()| AnsweringMember::new(|_| answer_with_role(b"\x9f\x00\x03", "reader")));
+    let entry = |n: usize| members[n].list_entry(&format!("s-{n}"), "here");
+    let pooler = Pooler::start(PROGRAM, &list(41, true, &[entry(0), entry(1)]), &discovery, &[]);
+    let mut watch = discovery.accept_watch();
+    let probes = platform_probes(&pooler);
+    let reads = form != Form::EmptyQueries;
+    let flood = Flood::start(pooler.address, form, 6, reads, &target());
+    std::thread::sleep(FLOOD_TIME_BEFORE_SIGTERM);
+    assert!(members[0].count() > 0);
+    let draining = entry(0).replace("SERVING", "DRAINING");
+    write_chunk(&mut watch, &(list(42, false, &[draining]) + "\n"));
+    std::thread::sleep(DRAIN_GRACE);
+    let count = members[0].count();
+    let reloaded_at = Instant::now();
+    pooler.reload("\"seed\":\"8c1f", "\"seed\":\"8c1e");
+    while pooler.counter("reloads") == 0 {
+        assert!(reloaded_at.elapsed() < Duration::from_secs(1), "not reloaded");
+    }
+    std::thread::sleep(FLOOD_TIME_BEFORE_SIGTERM);
+    assert_eq!(members[0].count(), count, "a draining member got new requests");
+    let summary = probes.stop();
+    flood.stop();
+    assert_shielded(form, &(summary, resident_mb(&pooler)));
+}
+
 fn start_sessions(name: &str) -> Fixture {
     Fixture::with_known_primary(name, "mode = \"transaction\"\n")
 }
@@ -221,16 +262,74 @@
     println!("{}", fixture.pooler.counters());
 }
 
+/// Guards issue 55 in the other modes.
+#[rstest]
+#[case::session("session", Form::Reads)]
+#[case::session_settings("session", Form::SetNew)]
+#[case::session_statements("session", Form::NewStatements)]
+#[case::statement("statement", Form::Reads)]
+#[case::statement_empty("statement", Form::EmptyQueries)]
+fn a_flood_delays_no_other_client_in_any_mode(#[case] mode: &str, #[case] form: Form) {
+    let _exclusive = exclusive();
+    let fixture =
+        Fixture::new("flood-mode", &format!("mode = \"{mode}\"\nservers = 40\nservers_each = 20\n"));
+    let probes = session_probes(&fixture);
+    std::thread::sleep(Duration::from_millis(300));
+    let flood = Flood::start(fixture.address, form, 4, true, &target());
+    assert_shielded(form, &play(&fixture.pooler, probes, flood, FLOOD_TIME));
+}
+
+/// Opens a connection over TLS that does not block, before the startup message.
+fn connect_over_tls(address: SocketAddr) -> std::io::Result<Box<dyn flood::Stream>> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.write_all(&[8, 80_877_103].map(u32::to_be_bytes).concat())?;
+    stream.read_exact(&mut [0])?;
+    let mut builder = SslConnector::builder(SslMethod::tls())?;
+    builder.set_verify(SslVerifyMode::NONE);
+    let stream = builder.build().connect("127.0.0.1", stream).map_err(std::io::Error::other)?;
+    stream.get_ref().set_nonblocking(true)?;
+    Ok(Box::new(stream))
+}
+
+/// Guards issue 55 over TLS.
+#[rstest]
+#[case::empty_queries(Form::EmptyQueries, true)]
+#[case::reads(Form::Reads, true)]
+#[case::reads_unread(Form::Reads, false)]
+#[case::new_statements(Form::NewStatements, true)]
+#[case::new_connections(Form::NewUsers, true)]
+fn a_flood_over_tls_delays_no_other_client(#[case] form: Form, #[case] reads: bool) {
+    let _exclusive = exclusive();
+    let authority = CertificateAuthority::default();
+    let folder = OperatorFolder::new("flood-tls-files", "");
+    let (cert, key) = authority.issue("127.0.0.1", 2040);
+    let (cert, key) =
+        (write_private_file(&folder.0, "cert.pem", &cert), write_private_file(&folder.0, "key.pem", &key));
+    let fixture = Fixture::with_known_primary("flood-tls", &format!("tls_cert = {cert}\ntls_key = {key}\n"));
+    let probes = session_probes(&fixture);
+    std::thread::sleep(Duration::from_millis(300));
+    let address = fixture.address;
+    let connect: flood::Connect = Arc::new(move || connect_over_tls(address));
+    let flood = Flood::start_over(connect, form, 4, reads, &target());
+    assert_shielded(form, &play(&fixture.pooler, probes, flood, FLOOD_TIME));
+}
+
 /// Guards issue 55: a process with flooding ordinary clients did not end when it was asked to.
 #[rstest]
-#[case::empty_queries(Form::EmptyQueries)]
-#[case::reads(Form::Reads)]
-#[case::one_setting(Form::SetOne)]
-#[case::new_statements(Form::NewStatements)]
-fn sigterm_ends_the_pooler_in_its_usual_time_amid_a_flood_of_ordinary_clients(#[case] form: Form) {
+#[case::empty_queries(Form::EmptyQueries, true)]
+#[case::reads(Form::Reads, true)]
+#[case::reads_unread(Form::Reads, false)]
+#[case::one_setting(Form::SetOne, true)]
+#[case::new_statements(Form::NewStatements, true)]
+#[case::endless_batch(Form::EndlessBatch, true)]
+fn sigterm_ends_the_pooler_in_its_usual_time_amid_a_flood_of_ordinary_clients(
+    #[case] form: Form,
+    #[case] reads: bool,
+) {
     let _exclusive = exclusive();
     let mut fixture = start_sessions("flood-end");
-    let flood = Flood::start(fixture.address, form, 4, true, &target());
+    let flood = Flood::start(fixture.address, form, 4, reads, &target());
     std::thread::sleep(FLOOD_TIME_BEFORE_SIGTERM);
     let started_at = Instant::now();
     fixture.pooler.signal("TERM");
