in_flight, clients: read behind full pipelines; a hand-over amid a flood has a test

InFlight::insert returns whether the request is carried out. A test holds a hand-over amid a flood of new classes: the old process ends, others are answered in time. Measured (debug build): units, disconnects, pipelining and upgrade pass.

--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -188,7 +188,9 @@
         context: &mut Context,
     ) -> Result<(), CloseReason> {
         let refills = self.stage != Stage::Ending && self.drain_until.is_none();
-        if refills && self.unread_data && self.inbox.len() < REFILL_BYTES {
+        // With all its commands under way the client's end is looked for behind what it has sent.
+        let short = self.inbox.len() < REFILL_BYTES || !self.pipeline.takes_commands();
+        if refills && self.unread_data && short {
             self.fill()?;
         }
         self.process_messages(slot, serving, context)?;
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -583,8 +583,8 @@
         };
         self.requests.insert(id, request);
         match self.in_flight.insert((client, command), access, arrival, now) {
-            Ok(arrival) => self.begin_request(arrival, consistency, context),
-            Err(_expires_at) => self.in_flight.set_timer(client, &mut context.reactor),
+            Some(arrival) => self.begin_request(arrival, consistency, context),
+            None => self.in_flight.set_timer(client, &mut context.reactor),
         }
     }
 
--- a/crates/daemon/src/net/pooler/in_flight.rs
+++ b/crates/daemon/src/net/pooler/in_flight.rs
@@ -78,27 +78,27 @@
         self.by_client.contains_key(&client)
     }
 
-    /// Adds a request. Returns its arrival if it may be carried out at once, otherwise the time at which it
-    /// expires ([`InFlight::expired`]).
+    /// Adds a request. Returns its arrival if it may be carried out at once; otherwise it waits until it is
+    /// released or expires ([`InFlight::expired`]).
     pub fn insert(
         &mut self,
         (client, command): (Slot, CommandNumber),
         access: Access,
         arrival: Arrival,
         now: f64,
-    ) -> Result<Arrival, f64> {
+    ) -> Option<Arrival> {
         let entries = self.by_client.entry(client).or_default();
         let preceded = entries.iter().any(|earlier| earlier.access.precedes(&access));
         let id = arrival.id.clone();
         if !preceded && has_share(self.running, running_of(entries)) {
             self.running += 1;
             entries.push(Entry { command, id, access, waiting: None });
-            return Ok(arrival);
+            return Some(arrival);
         }
         let expires_at = now + arrival.time_left * WAIT_SHARE;
         let waiting = Some(Box::new(Waiting { arrival, expires_at }));
         entries.push(Entry { command, id, access, waiting });
-        Err(expires_at)
+        None
     }
 
     /// Removes a request that is answered. Returns its command, and the requests that no longer have to wait.
--- a/crates/daemon/src/net/pooler/in_flight/tests.rs
+++ b/crates/daemon/src/net/pooler/in_flight/tests.rs
@@ -29,7 +29,7 @@
     for (index, access) in requests.iter().enumerate() {
         let command = CommandNumber::from(index as u64);
         let result = in_flight.insert((client, command), access.clone(), arrival(&index.to_string()), NOW);
-        must_wait.push(result.is_err());
+        must_wait.push(result.is_none());
     }
     (in_flight, client, must_wait)
 }
@@ -90,7 +90,7 @@
     let read = || access(Consistency::Any, None);
     let mut insert = |client: u64, n: u64| {
         let key = (Slot::from_number(client), CommandNumber::from(n));
-        in_flight.insert(key, read(), arrival(&format!("{client}-{n}")), NOW).is_ok()
+        in_flight.insert(key, read(), arrival(&format!("{client}-{n}")), NOW).is_some()
     };
     assert!((0..CROWDED_RUNNING as u64).all(|n| insert(7, n)), "nobody else is there");
     assert!(!insert(7, 100), "its share is spent");
--- a/crates/daemon/tests/upgrade.rs
+++ b/crates/daemon/tests/upgrade.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use flood::{Flood, Form, Probes, Target};
 use peers::*;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
@@ -283,3 +284,27 @@
         .unwrap();
     assert_eq!(output.status.code(), Some(2));
 }
+
+/// Guards issue 55: while clients flooded, a hand-over took as long as they did, and others waited.
+#[test]
+fn a_flood_delays_neither_the_handover_nor_other_clients() {
+    let fixture = Fixture::new("upgrade-flood");
+    let mut old = fixture.start();
+    let probes = Probes::start(old.address, 4, |n| {
+        flood::query(&format!(
+            "/* id=a{n:x},c=reports,t=acme,d=250,cluster=2 */ SELECT doc FROM items WHERE id = 'p'"
+        ))
+    });
+    let target = Target { class: "reports".into(), group: 2, id_prefix: "x".into() };
+    let flood = Flood::start(old.address, Form::NewClasses, 6, true, &target);
+    std::thread::sleep(Duration::from_millis(500));
+    let started_at = Instant::now();
+    let new = fixture.start_successor(&old);
+    assert_eq!(old.wait_for_exit().code(), Some(0));
+    assert!(started_at.elapsed() < Duration::from_secs(4), "{:?}", started_at.elapsed());
+    std::thread::sleep(Duration::from_secs(1));
+    let summary = probes.stop();
+    flood.stop();
+    assert_eq!(fixture.pid(), new.pid());
+    assert!(summary.worst() <= 0.75, "an answer after {:.3} s", summary.worst());
+}
