slow start: a client with very many requests adds few of them to a cold member's load

Cause: each request draws a sample, and a cold member gets those in a range as wide as the part of its group's requests that it can take. That bounds its load where all requests together are about what the group can carry; a flood multiplies it. Change: the sample of a request is drawn from a range that is wider by its connection's rate over 20 requests a second (as that of repeats is), so that a connection adds at most what one with 20 a second would.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -140,6 +140,7 @@
                     tenant: fields.integer(5, "realm")? as usize,
                     predicted_work: fields.at(7).as_f64().filter(|_| options & 1 != 0),
                     repeat: options & 2 != 0,
+                    client_rate: 0.0,
                     class: fields.integer(8, "tierClass")? as usize,
                     group: fields.integer(9, "clusterNo")? as u32,
                     session_position: None,
--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod pipeline;
+mod request_rate;
 
 use std::io;
 
@@ -326,6 +327,11 @@
             .is_none_or(|connection| !connection.was_read_after(since) && connection.has_left())
     }
 
+    /// Returns the requests per second of a connection of late.
+    pub fn request_rate(&self, slot: Slot, now: f64) -> f64 {
+        self.connections.get(slot).map_or(0.0, |connection| connection.request_rate(now))
+    }
+
     /// Returns the connection to which this cancel key was given.
     pub fn find_by_key(&self, (number, secret): (u32, u32)) -> Option<Slot> {
         let has_key = |(slot, connection): &(Slot, &Connection)| {
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -9,6 +9,7 @@
 use pgwire::{sqlstate, ClientQuery, FrameError, Message, Startup};
 
 use super::pipeline::{AfterReply, CommandNumber, Pipeline};
+use super::request_rate::RequestRate;
 use crate::net::event_loop::{EarliestTimer, Slot, Source, TimerKind};
 use crate::net::{Context, Event};
 
@@ -70,6 +71,8 @@
     stage: Stage,
     /// Commands that have been read and have a pending reply.
     pipeline: Pipeline,
+    /// How many requests the client sends.
+    request_rate: RequestRate,
     /// After an error in the extended protocol all messages up to Sync are skipped.
     skipping: bool,
     /// True once the client has sent a query that could be carried out.
@@ -109,6 +112,7 @@
             outbox: Ring::new(budget),
             stage: Stage::Startup,
             pipeline: Pipeline::default(),
+            request_rate: RequestRate::default(),
             skipping: false,
             has_queried: false,
             unread_data: true,
@@ -408,6 +412,11 @@
         self.is_quiet() && (self.stage == Stage::Startup || self.inbox.is_empty())
     }
 
+    /// Returns the requests per second of late.
+    pub fn request_rate(&self, now: f64) -> f64 {
+        self.request_rate.per_second(now)
+    }
+
     /// Returns true if the client has sent a query that could be carried out.
     pub fn has_queried(&self) -> bool {
         self.has_queried
@@ -582,6 +591,7 @@
                 };
                 query.statement.set_charge(charge);
                 self.has_queried = true;
+                self.request_rate.record(self.active);
                 context.counters.pipelined += u64::from(!self.pipeline.is_empty());
                 context.events.push_back(Event::QueryReceived(slot, self.pipeline.begin(), query));
             }
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -564,6 +564,7 @@
             tenant,
             predicted_work: None,
             repeat: query.repeat,
+            client_rate: self.clients.request_rate(client, now),
             session_position: None,
         };
         let attempt_rules = self.policy.attempt_rules(class, now + arrival.time_left);
@@ -642,6 +643,7 @@
             tenant,
             predicted_work: None,
             repeat: false,
+            client_rate: 0.0,
             session_position: None,
         };
         let request = Request {
--- a/crates/daemon/src/net/pooler/in_flight/tests.rs
+++ b/crates/daemon/src/net/pooler/in_flight/tests.rs
@@ -18,6 +18,7 @@
         tenant: 0,
         predicted_work: None,
         repeat: false,
+        client_rate: 0.0,
         session_position: None,
     }
 }
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -284,6 +284,8 @@
     pub predicted_work: Option<f64>,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Requests per second on the client's connection of late; 0 if unknown.
+    pub client_rate: f64,
     /// With state exchange: position required by the session's own writes, as known to all instances.
     /// Infinite if unknown, so that only the primary can serve the request.
     pub session_position: Option<f64>,
@@ -379,6 +381,7 @@
             tenant: 0,
             predicted_work: None,
             repeat: false,
+            client_rate: 0.0,
             session_position: None,
         })
     }
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -44,6 +44,8 @@
 const MAX_RELEASE_IN_FLIGHT: u32 = 6;
 /// The sample of a client's repeat is drawn from a range this many times as wide.
 const REPEAT_SAMPLE_FACTOR: f64 = 2.0;
+/// Requests per second of one client up to which a cold member may get its full part of them.
+const MAX_COLD_CLIENT_RATE: f64 = 20.0;
 /// Share of the trial writes that a cold member may get, in multiples of its present capacity.
 const COLD_TRIAL_FACTOR: f64 = 0.5;
 /// Share of its time for which a request may wait unsent; its client then has as long to try elsewhere.
@@ -344,6 +346,7 @@
             tenant,
             predicted_work,
             repeat,
+            client_rate,
             session_position,
         } = arrival;
         let now = self.now;
@@ -363,7 +366,9 @@
         let times = (now, now + aim, now + time_left);
         let backoff = if self.settings.retry_after { self.settings.max_retry_after } else { 0.0 };
         // Each repeat draws anew, from a wider range: otherwise many repeats would all reach a cold member.
-        let sample = self.rng.f64() * if repeat { REPEAT_SAMPLE_FACTOR } else { 1.0 };
+        // So do those of a client with very many: what it sends must not overload a cold member either.
+        let repeat_factor = if repeat { REPEAT_SAMPLE_FACTOR } else { 1.0 };
+        let sample = self.rng.f64() * repeat_factor * (client_rate / MAX_COLD_CLIENT_RATE).max(1.0);
         let history = History::new(self.attempt_rules(class, now + time_left));
         let request =
             Request { sample, session, backoff, history, ..Request::new(id, (class, group), times) };
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -76,6 +76,26 @@
     assert!((first / 4..=first * 3 / 4).contains(&again), "{again} repeats beside {first}");
 }
 
+/// Guards issue 55: a client that sent sound requests at full speed overloaded a cold member, which got the same part
+/// of them as of other clients' few.
+#[test]
+fn a_cold_member_gets_few_requests_of_a_client_with_very_many() {
+    let mut d = Drive::new(one_of_hundred());
+    let cold = Entry { started_at: d.now, ..entry("r", 0, false) };
+    d.list(ListKind::Full, vec![entry("p", 1, true), cold]);
+    d.report_fresh("r");
+    let (mut few, mut many) = (0, 0);
+    for i in 0..1_000 {
+        let Event::Arrival(arrival) = Event::arrival(&format!("a{i}"), 1, 0, 2.0) else { unreachable!() };
+        few += usize::from(sent(&d.handle(Event::Arrival(arrival.clone()))) == ["r"]);
+        let id = format!("b{i}").as_str().into();
+        let busy = Arrival { id, client_rate: 1_000.0, ..arrival };
+        many += usize::from(sent(&d.handle(Event::Arrival(busy))) == ["r"]);
+    }
+    assert!((150..=350).contains(&few), "{few} of 1,000 at a quarter of its capacity");
+    assert!(many <= few / 10, "{many} of a busy client beside {few}");
+}
+
 /// Number of reads, each sent by another pooler, that each member gets.
 fn reads_per_member(entries: &[Entry], reads: usize) -> std::collections::BTreeMap<String, usize> {
     let mut got = std::collections::BTreeMap::new();
