--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use flood::{Flood, Form, Probes, Summary, Target};
 use openssl::ssl::{SslConnector, SslMethod, SslVerifyMode};
@@ -33,6 +33,8 @@
 const MAX_TIMERS: u64 = 8_000;
 /// How long new requests may still go to a member that is told to drain.
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// Requests that a member that has just started may get from one client in a second.
+const MAX_COLD_REQUESTS: usize = 100;
 /// How long a slow member takes for a request.
 const MEMBER_WORK_TIME: Duration = Duration::from_millis(2);
 /// The limit in the configuration of the tests (megabytes).
@@ -182,6 +184,27 @@
     assert!(served > 19 * errors, "{served} served, {errors} refused or failed");
 }
 
+/// Guards issue 55: a client that sent sound requests at full speed overloaded a member that had just started.
+#[rstest]
+#[case::answers_read(true)]
+#[case::answers_unread(false)]
+fn a_flood_of_sound_requests_does_not_overload_a_cold_member(#[case] reads: bool) {
+    let _exclusive = exclusive();
+    let discovery = Discovery::listen();
+    let members = [(); 3].map(|()| AnsweringMember::new(|_| answer_with_role(b"\x9f\x00\x03", "reader")));
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let entry = |n: usize| members[n].list_entry(&format!("s-{n}"), "here");
+    let cold = entry(2).replace("\"since_ms\":0", &format!("\"since_ms\":{now_ms}"));
+    let edits = [(r#""warmUp":1"#, r#""warmUp":60"#)];
+    let pooler = Pooler::start(PROGRAM, &list(41, true, &[entry(0), entry(1), cold]), &discovery, &edits);
+    let flood = Flood::start(pooler.address, Form::NewTenants, 1, reads, &target());
+    std::thread::sleep(Duration::from_secs(1));
+    let (cold_count, warm_count) = (members[2].count(), members[0].count() + members[1].count());
+    flood.stop();
+    println!("{cold_count} to the cold member beside {warm_count}");
+    assert!(cold_count <= MAX_COLD_REQUESTS, "{cold_count} in a second, {warm_count} to the others");
+}
+
 /// Guards issue 55, picture (b): with hundreds of clients that stop half way through a large request, no memory and
 /// no connection was left for the others.
 #[rstest]
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -13,6 +13,9 @@
 /// with more requests than others, and for chance.
 const COLD_LOAD_SHARE: f64 = 0.5;
 
+/// Samples of ordinary requests, repeats included, are at most this; those of a client with very many exceed it.
+const MAX_ORDINARY_SAMPLE: f64 = 2.0;
+
 impl Policy {
     /// Load that a cold member may get, in multiples of its present capacity, if it were alone in its zone.
     pub(crate) fn cold_load_factor(&self) -> f64 {
@@ -54,12 +57,19 @@
     /// turning it away is work too.
     pub(crate) fn cold_admits(&self, request: &Request, m: usize, multiple: f64) -> bool {
         if self.capacity_share(m) >= 1.0 {
-            return true;
+            return self.warm_admits(request, m);
         }
         let (from, to) = self.sample_range(request.group, m, multiple);
         (from..to).contains(&request.sample) && !request.was_sent_to(m)
     }
 
+    /// Returns true if a member that is warm may get this request. What arrives within an overload window that
+    /// began while the member was cold still counts in full, so a client with very many requests waits for its end.
+    fn warm_admits(&self, request: &Request, m: usize) -> bool {
+        let settled_at = self.members[m].cold_since + self.settings.warm_up + self.settings.overload_window;
+        request.sample <= MAX_ORDINARY_SAMPLE || self.now >= settled_at
+    }
+
     /// Returns true if a read goes to a cold home replica before any warm one. The reads chosen this way are
     /// the replica's share of the capacity of all home replicas.
     pub(crate) fn cold_preferred(&self, request: &Request, m: usize) -> bool {
@@ -81,6 +91,7 @@
     /// Returns true if a primary may get this write although it is cold: no other member can take it.
     pub(crate) fn cold_admits_write(&self, request: &Request, m: usize, multiple: f64) -> bool {
         let capacity_share = self.capacity_share(m);
-        capacity_share >= 1.0 || request.sample < multiple * capacity_share && !request.was_sent_to(m)
+        capacity_share >= 1.0 && self.warm_admits(request, m)
+            || request.sample < multiple * capacity_share && !request.was_sent_to(m)
     }
 }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -526,8 +526,8 @@
                 attempts.map(|attempt| (attempt.arrived_at, request.pooler))
             });
             let of_floods = self.flood_arrivals.iter().filter(|(at, to, _)| *to == n && *at >= start);
-            let of_floods = of_floods.map(|(at, _, pooler)| (*at, *pooler));
-            let arrivals: Vec<(f64, usize)> = arrivals.chain(of_floods).collect();
+            let of_floods: Vec<(f64, usize)> = of_floods.map(|(at, _, pooler)| (*at, *pooler)).collect();
+            let arrivals: Vec<(f64, usize)> = arrivals.chain(of_floods.iter().copied()).collect();
             for (from, _) in &arrivals {
                 let within = arrivals.iter().filter(|(at, _)| (*from..from + OVERLOAD_WINDOW).contains(at));
                 let within: Vec<&(f64, usize)> = within.collect();
@@ -535,8 +535,16 @@
                     within.iter().filter(|(at, pooler)| self.knows_start(*pooler, n, start, *at)).count();
                 let over = within.len() as f64 > member.cold_budget(*from, OVERLOAD_WINDOW);
                 if member.capacity_share(*from) < 1.0 && over && from_informed * 3 > within.len() * 2 {
-                    let description =
-                        format!("s-{n}: {} requests from {from:.3} on, {from_informed} told", within.len());
+                    let flooding = of_floods
+                        .iter()
+                        .filter(|(at, _)| (*from..from + OVERLOAD_WINDOW).contains(at))
+                        .count();
+                    let budget = member.cold_budget(*from, OVERLOAD_WINDOW);
+                    let description = format!(
+                        "s-{n} (started at {start:.3}): {} requests from {from:.3} on, {budget:.0} allowed, \
+                         {from_informed} told, {flooding} of floods",
+                        within.len()
+                    );
                     self.verdict.record_violation("failback", description);
                     break;
                 }
