slow start: a client's rate counts within a quarter of a second

Cause: the rate of a connection was smoothed over a second, so that a new connection's first hundreds of requests counted as few, and 20 requests a second of each of eight clients are much for one cold member. Change: half-life 0.25 s, and the part of a cold member shrinks from 10 requests a second on.

--- a/crates/daemon/src/net/clients/request_rate.rs
+++ b/crates/daemon/src/net/clients/request_rate.rs
@@ -1,7 +1,7 @@
 //! The rate of a connection's requests.
 
 /// Half-life of the rate (seconds).
-const HALF_LIFE: f64 = 1.0;
+const HALF_LIFE: f64 = 0.25;
 
 /// An exponentially decaying count of requests.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -45,7 +45,7 @@
 /// The sample of a client's repeat is drawn from a range this many times as wide.
 const REPEAT_SAMPLE_FACTOR: f64 = 2.0;
 /// Requests per second of one client up to which a cold member may get its full part of them.
-const MAX_COLD_CLIENT_RATE: f64 = 20.0;
+const MAX_COLD_CLIENT_RATE: f64 = 10.0;
 /// Share of the trial writes that a cold member may get, in multiples of its present capacity.
 const COLD_TRIAL_FACTOR: f64 = 0.5;
 /// Share of its time for which a request may wait unsent; its client then has as long to try elsewhere.
