--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -153,7 +153,7 @@
                         oldest.map(|slot| self.connections.remove(slot));
                     }
                     if let Some(slot) = idlest.filter(|_| at_limit && lingering <= MAX_LINGERING) {
-                        self.make_room(slot, context);
+                        self.linger(slot, context);
                     }
                     self.admit(stream, context);
                 }
@@ -177,31 +177,32 @@
         self.connections.iter().filter(|(_, connection)| connection.is_ending()).count()
     }
 
-    /// Returns the connection that makes room for a new one: one that is idle, or, where those that have sent no
-    /// request yet hold more than half of all places, one of these. Neither clients that have sent requests nor
-    /// new ones wait behind clients that send none, or half of one.
+    /// Returns the idle connection that makes room for a new one: one that has sent no request yet, else the one that
+    /// has been idle for longest. Clients that have sent requests make no room for ever more that have not: beyond
+    /// half of all places these wait, until the time limit of a first request ends some of them.
     fn replaceable(&mut self, context: &mut Context) -> Option<Slot> {
         let unproven = |connection: &Connection| !connection.is_ending() && !connection.has_queried();
         let unproven_count = self.connections.iter().filter(|(_, connection)| unproven(connection)).count();
         if unproven_count > self.limit / 2 {
-            return self.longest_inactive(unproven, context);
+            return self.longest_idle(|connection| !connection.has_queried(), context);
         }
-        self.longest_inactive(Connection::is_idle, context)
+        self.longest_idle(|_| true, context)
     }
 
-    /// Returns the connection that has been inactive for longest among those that `eligible` accepts. Reads what has
-    /// arrived on it meanwhile, so that a request is carried out instead.
-    fn longest_inactive(
+    /// Returns the connection that has been idle for longest among those that `eligible` accepts. Reads what has arrived on it meanwhile, so that
+    /// a request is carried out instead.
+    fn longest_idle(
         &mut self,
         eligible: impl Fn(&Connection) -> bool,
         context: &mut Context,
     ) -> Option<Slot> {
-        while let Some(slot) = least_recently_active(&self.connections, &eligible) {
+        let idle = |connection: &Connection| connection.is_idle() && eligible(connection);
+        while let Some(slot) = least_recently_active(&self.connections, idle) {
             let connection = self.connections.get_mut(slot)?;
             let active = connection.active;
             connection.note_readable();
             let result = connection.process(slot, self.serving, context);
-            if result.is_ok() && eligible(connection) {
+            if result.is_ok() && connection.is_idle() {
                 connection.active = active;
                 return Some(slot);
             }
@@ -210,16 +211,6 @@
         None
     }
 
-    /// Closes a connection that makes room for another; with an error if its client has begun a message.
-    fn make_room(&mut self, slot: Slot, context: &mut Context) {
-        let Some(connection) = self.connections.get_mut(slot) else { return };
-        if connection.is_idle() {
-            return self.linger(slot, context);
-        }
-        let result = connection.end_overdue(slot, self.serving, context);
-        self.finish_step(slot, result, context);
-    }
-
     /// Starts the lingering close of a connection that has no pending reply.
     fn linger(&mut self, slot: Slot, context: &mut Context) {
         let Some(connection) = self.connections.get_mut(slot) else { return };
@@ -258,7 +249,7 @@
     pub fn set_limit(&mut self, limit: usize, context: &mut Context) {
         self.limit = limit;
         while self.connections.len() > self.limit + self.lingering() {
-            let Some(slot) = self.longest_inactive(Connection::is_idle, context) else { break };
+            let Some(slot) = self.longest_idle(|_| true, context) else { break };
             self.linger(slot, context);
             context.counters.idle_clients_closed += 1;
         }
