--- a/crates/daemon/src/net/clients.rs
+++ b/crates/daemon/src/net/clients.rs
@@ -27,9 +27,9 @@
 /// Maximum number of lingering connections beyond the connection limit; each uses one of the reserved
 /// descriptors.
 const MAX_LINGERING: usize = 4;
-/// Idle timeouts while more than a quarter and more than half of the permitted connections are open on which requests
-/// were sent, and the interval of the check (seconds). Guards against clients that send one request and keep the connection open
-/// for good: if a client application keeps all the connections that it may open in this way, it has none left
+/// Idle timeouts while connections on which requests were sent are more than a quarter and more than half of those
+/// permitted, and the interval of the check (seconds). Guards against clients that send one request and keep the
+/// connection open for good: if a client application keeps all the connections that it may open in this way, it has none left
 /// for further requests.
 const IDLE_TIMEOUT: f64 = 2.0;
 const IDLE_TIMEOUT_CROWDED: f64 = 0.2;
@@ -189,8 +189,8 @@
         self.longest_idle(|_| true, context)
     }
 
-    /// Returns the connection that has been idle for longest among those that `eligible` accepts. Reads what has arrived on it meanwhile, so that
-    /// a request is carried out instead.
+    /// Returns the connection that has been idle for longest among those that `eligible` accepts. Reads what has
+    /// arrived on it meanwhile, so that a request is carried out instead.
     fn longest_idle(
         &mut self,
         eligible: impl Fn(&Connection) -> bool,
