timers: those of connections that have ended are dropped

What callers saw: nothing yet; a process kept a timer for each connection of the last two seconds. Change: the timer of an owner (EarliestTimer) ends with it; the queue removes such timers many at a time. A timer that is replaced by an earlier one ends as well.

--- a/crates/daemon/src/net/event_loop/tests.rs
+++ b/crates/daemon/src/net/event_loop/tests.rs
@@ -17,3 +17,33 @@
     assert_eq!(slots.remove(old), None);
     assert_eq!(slots.get_mut(new), Some(&mut "new"));
 }
+
+fn reactor() -> Reactor {
+    Reactor::new(&Poll::new().unwrap()).unwrap()
+}
+
+/// Guards issue 55: clients that connected and left at full speed each left a timer behind until their time limit.
+#[test]
+fn timers_of_owners_that_have_ended_do_not_add_up() {
+    let mut reactor = reactor();
+    for _ in 0..100_000 {
+        EarliestTimer::default().set(1.0, TimerKind::ClientSweep, &mut reactor);
+        assert!(reactor.timers.len() <= 512);
+    }
+    assert_eq!(reactor.timers.pop_expired(2.0), None);
+}
+
+#[test]
+fn only_the_earliest_timer_of_an_owner_fires() {
+    let (mut reactor, mut timer) = (reactor(), EarliestTimer::default());
+    for at in [3.0, 1.0, 2.0] {
+        timer.set(at, TimerKind::ClientSweep, &mut reactor);
+    }
+    reactor.set_timer(2.5, TimerKind::Accept);
+    assert_eq!(reactor.timers.pop_expired(2.5), Some(TimerKind::ClientSweep));
+    timer.fired(2.5);
+    assert_eq!(reactor.timers.pop_expired(4.0), Some(TimerKind::Accept));
+    assert_eq!(reactor.timers.pop_expired(4.0), None);
+    timer.set(5.0, TimerKind::ClientSweep, &mut reactor);
+    assert_eq!(reactor.timers.pop_expired(5.0), Some(TimerKind::ClientSweep));
+}
--- a/crates/daemon/src/net/event_loop/timers.rs
+++ b/crates/daemon/src/net/event_loop/timers.rs
@@ -2,12 +2,16 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::rc::{Rc, Weak};
 
 use super::source::Slot;
 use super::Reactor;
 
-/// Owner of a timer. Timers cannot be cancelled: the owner checks, when the timer fires, whether it is still
-/// relevant.
+/// Timers whose owners have ended are first removed once this many timers are pending.
+const MIN_TIMERS_BEFORE_REMOVAL: usize = 512;
+
+/// Owner of a timer. It checks, when the timer fires, whether that is still relevant. Only the timers of an
+/// [`EarliestTimer`] are cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum TimerKind {
     Policy(u64),
@@ -37,6 +41,15 @@
     /// Sequence number: timers that fire at the same time do so in the order in which they were set.
     number: u64,
     kind: TimerKind,
+    /// Ends with the owner, if the timer is one of an [`EarliestTimer`].
+    owner: Option<Weak<()>>,
+}
+
+impl Timer {
+    /// Returns true if the owner has ended or has set an earlier timer.
+    fn is_cancelled(&self) -> bool {
+        self.owner.as_ref().is_some_and(|owner| owner.strong_count() == 0)
+    }
 }
 
 impl Ord for Timer {
@@ -60,19 +73,46 @@
 impl Eq for Timer {}
 
 /// All pending timers.
-#[derive(Default)]
 pub(super) struct TimerQueue {
     timers: BinaryHeap<Reverse<Timer>>,
     timers_set: u64,
+    /// Cancelled timers are removed when the queue reaches this length.
+    remove_cancelled_at: usize,
     /// Number of pending timers of the policy.
     policy_timers: usize,
 }
 
+impl Default for TimerQueue {
+    fn default() -> TimerQueue {
+        TimerQueue {
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+            remove_cancelled_at: MIN_TIMERS_BEFORE_REMOVAL,
+            policy_timers: 0,
+        }
+    }
+}
+
 impl TimerQueue {
+    /// Sets a timer that stays until it fires.
     pub fn set(&mut self, at: f64, kind: TimerKind) {
-        self.timers_set += 1;
         self.policy_timers += usize::from(matches!(kind, TimerKind::Policy(_)));
-        self.timers.push(Reverse(Timer { at, number: self.timers_set, kind }));
+        self.push(at, kind, None);
+    }
+
+    /// Sets a timer that is cancelled when its owner ends.
+    fn set_owned(&mut self, at: f64, kind: TimerKind, owner: Weak<()>) {
+        self.push(at, kind, Some(owner));
+    }
+
+    fn push(&mut self, at: f64, kind: TimerKind, owner: Option<Weak<()>>) {
+        self.timers_set += 1;
+        self.timers.push(Reverse(Timer { at, number: self.timers_set, kind, owner }));
+        if self.timers.len() >= self.remove_cancelled_at {
+            self.timers.retain(|Reverse(timer)| !timer.is_cancelled());
+            // Cancelled timers are removed many at a time, so that each costs little.
+            self.remove_cancelled_at = MIN_TIMERS_BEFORE_REMOVAL.max(2 * self.timers.len());
+        }
     }
 
     /// Returns the number of pending timers of the policy.
@@ -102,36 +142,41 @@
 
     /// Removes the next timer that is due by `now`.
     pub fn pop_expired(&mut self, now: f64) -> Option<TimerKind> {
-        self.next_at().filter(|at| *at <= now)?;
-        let Reverse(timer) = self.timers.pop()?;
-        self.policy_timers -= usize::from(matches!(timer.kind, TimerKind::Policy(_)));
-        Some(timer.kind)
+        while self.next_at().is_some_and(|at| at <= now) {
+            let Reverse(timer) = self.timers.pop()?;
+            self.policy_timers -= usize::from(matches!(timer.kind, TimerKind::Policy(_)));
+            if !timer.is_cancelled() {
+                return Some(timer.kind);
+            }
+        }
+        None
     }
 }
 
-/// The earliest pending timer of an owner. Guards against one timer per event: a timer is set only if none
-/// that is pending fires before it.
-pub(crate) struct EarliestTimer(f64);
+/// The pending timer of an owner, which ends with it. Guards against one timer per event, and against timers of
+/// many connections that have ended.
+#[derive(Default)]
+pub(crate) struct EarliestTimer(Option<PendingTimer>);
 
-impl Default for EarliestTimer {
-    fn default() -> EarliestTimer {
-        EarliestTimer(f64::INFINITY)
-    }
+struct PendingTimer {
+    at: f64,
+    /// The timer in the queue is cancelled when this is dropped.
+    _owner: Rc<()>,
 }
 
 impl EarliestTimer {
     /// Records that a timer of the owner has fired.
     pub fn fired(&mut self, now: f64) {
-        if self.0 <= now {
-            self.0 = f64::INFINITY;
-        }
+        self.0.take_if(|pending| pending.at <= now);
     }
 
     /// Ensures that a timer of the owner fires at the time `at` or earlier.
     pub fn set(&mut self, at: f64, kind: TimerKind, reactor: &mut Reactor) {
-        if at < self.0 {
-            self.0 = at;
-            reactor.set_timer(at, kind);
+        let pending_at = self.0.as_ref().map_or(f64::INFINITY, |pending| pending.at);
+        if at < pending_at {
+            let owner = Rc::new(());
+            reactor.timers.set_owned(at, kind, Rc::downgrade(&owner));
+            self.0 = Some(PendingTimer { at, _owner: owner });
         }
     }
 }
--- a/crates/daemon/src/net/pooler/in_flight.rs
+++ b/crates/daemon/src/net/pooler/in_flight.rs
@@ -148,6 +148,7 @@
 
     /// Removes all requests of a connection and returns their ids, oldest first.
     pub fn take_all(&mut self, client: Slot) -> Vec<RequestId> {
+        self.timers.remove(&client);
         let entries = self.by_client.remove(&client).unwrap_or_default();
         self.running -= running_of(&entries);
         entries.into_iter().map(|entry| entry.id).collect()
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -575,7 +575,7 @@
         let connect_timeout = self.connect_timeout;
         let Some(connection) = self.connections.get_mut(slot) else { return };
         connection.timer.fired(now);
-        // Timers cannot be cancelled: this one may belong to an earlier stage.
+        // The timer may belong to an earlier stage.
         if connection.deadline > now {
             return connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
         }
