control socket: a call is read in its connection's turn, not by the answer to the one before

Ruled out: the size of the answers; the flood reads them. Change: an answer is written and asks for a turn; a step is one call or four reads; 16 connections are accepted in a turn; a connection has one timer.

--- a/crates/daemon/src/net/control.rs
+++ b/crates/daemon/src/net/control.rs
@@ -10,7 +10,7 @@
 use mio::net::{UnixListener, UnixStream};
 use mio::Interest;
 
-use super::event_loop::{Slot, Slots, Source, TimerKind};
+use super::event_loop::{EarliestTimer, Slot, Slots, Source, TimerKind};
 use super::outbox::Outbox;
 use super::{Context, Event};
 
@@ -20,6 +20,10 @@
 const LONG_CALL_BYTES: usize = 64 * 1024;
 /// Bytes per read call.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of read calls in a step; a connection that has sent more goes on in its next turn.
+const MAX_READS_PER_STEP: usize = 4;
+/// Maximum number of connections accepted in a turn.
+const MAX_ACCEPTS_PER_TURN: usize = 16;
 
 struct Conn {
     stream: UnixStream,
@@ -31,6 +35,7 @@
     close_after_write: bool,
     /// When the connection last sent or accepted bytes, or was given an answer (Unix seconds).
     last_active_at: f64,
+    timer: EarliestTimer,
 }
 
 /// The listening socket and its connections.
@@ -67,8 +72,9 @@
         self.idle_timeout = idle_timeout;
     }
 
+    /// Accepts waiting connections; those beyond a turn's share wait for the next turn.
     pub fn accept(&mut self, context: &mut Context) {
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
             let mut stream = match self.bound.listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error)
@@ -94,6 +100,7 @@
                 awaits_answer: false,
                 close_after_write: false,
                 last_active_at: now,
+                timer: EarliestTimer::default(),
             };
             let slot = self.conns.insert(conn);
             let Some(conn) = self.conns.get_mut(slot) else { return };
@@ -103,12 +110,14 @@
                 self.conns.remove(slot);
                 continue;
             }
-            context.reactor.set_timer(now + self.idle_timeout, TimerKind::ControlConnection(slot));
+            let close_at = now + self.idle_timeout;
+            conn.timer.set(close_at, TimerKind::ControlConnection(slot), &mut context.reactor);
             self.on_ready(slot, context);
         }
+        context.reactor.continue_later(Source::ControlListener);
     }
 
-    /// Handles a connection that may be readable or writable.
+    /// Handles a connection that may be readable or writable, or has its next turn.
     pub fn on_ready(&mut self, slot: Slot, context: &mut Context) {
         if self.process(slot, context).is_err() {
             self.conns.remove(slot);
@@ -123,7 +132,7 @@
             .count();
         let Some(conn) = self.conns.get_mut(slot) else { return Ok(()) };
         conn.flush(context.reactor.now())?;
-        let mut chunk = [0; READ_CHUNK_BYTES];
+        let (mut chunk, mut reads) = ([0; READ_CHUNK_BYTES], 0);
         while !conn.awaits_answer && !conn.close_after_write && conn.outbox.is_empty() {
             if let Some(line) = conn.lines.take() {
                 match Request::parse(&line) {
@@ -135,6 +144,11 @@
                 }
                 continue;
             }
+            if reads == MAX_READS_PER_STEP {
+                context.reactor.continue_later(Source::ControlConnection(slot));
+                return Ok(());
+            }
+            reads += 1;
             match conn.stream.read(&mut chunk) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(count) => {
@@ -162,27 +176,35 @@
         Ok(())
     }
 
-    /// Answers the pending call of a connection; does nothing if the connection has been closed meanwhile.
+    /// Answers the pending call of a connection; does nothing if the connection has been closed meanwhile. The next
+    /// call is read in the connection's next turn: an answer must not lead straight to it.
     pub fn answer(&mut self, slot: Slot, response: &Response, context: &mut Context) {
         let now = context.reactor.now();
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.awaits_answer) else { return };
         (conn.awaits_answer, conn.last_active_at) = (false, now);
         conn.outbox.push(&response.to_line());
-        context.reactor.set_timer(now + self.idle_timeout, TimerKind::ControlConnection(slot));
-        self.on_ready(slot, context);
+        let close_at = now + self.idle_timeout;
+        conn.timer.set(close_at, TimerKind::ControlConnection(slot), &mut context.reactor);
+        if conn.flush(now).is_err() {
+            self.conns.remove(slot);
+            return;
+        }
+        context.reactor.continue_later(Source::ControlConnection(slot));
     }
 
     /// Closes a connection whose idle timeout has passed.
     pub fn on_timer(&mut self, slot: Slot, context: &mut Context) {
         let now = context.reactor.now();
-        let close_at = match self.conns.get_mut(slot) {
-            Some(conn) if !conn.awaits_answer => conn.last_active_at + self.idle_timeout,
-            _ => return,
-        };
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        conn.timer.fired(now);
+        if conn.awaits_answer {
+            return;
+        }
+        let close_at = conn.last_active_at + self.idle_timeout;
         if now >= close_at {
             self.conns.remove(slot);
         } else {
-            context.reactor.set_timer(close_at, TimerKind::ControlConnection(slot));
+            conn.timer.set(close_at, TimerKind::ControlConnection(slot), &mut context.reactor);
         }
     }
 }
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -5,6 +5,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -302,6 +305,37 @@
     assert_shielded(form, &play(&fixture.pooler, probes, flood, FLOOD_TIME));
 }
 
+/// Sends calls on a control connection without a pause, and reads the answers, until it is told to stop.
+fn flood_control(path: &Path, stopping: &AtomicBool) {
+    let calls = "{\"v\":1,\"do\":\"status\"}\n".repeat(1_000);
+    let mut stream = UnixStream::connect(path).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let (mut written, mut chunk) = (0, [0; 64 * 1024]);
+    while !stopping.load(Ordering::Relaxed) {
+        written = (written + stream.write(&calls.as_bytes()[written..]).unwrap_or_default()) % calls.len();
+        let _ = stream.read(&mut chunk);
+    }
+}
+
+/// Guards issue 55 for the control socket: each answer led straight to the next call, so that a client that sent
+/// calls without a pause held up all others.
+#[test]
+fn a_flood_of_control_calls_delays_no_client() {
+    let _exclusive = exclusive();
+    let fixture = start_sessions("flood-control");
+    let stopping = Arc::new(AtomicBool::new(false));
+    let (path, stopped) = (fixture.operator.0.join("control"), stopping.clone());
+    let flooding = std::thread::spawn(move || flood_control(&path, &stopped));
+    let probes = session_probes(&fixture);
+    std::thread::sleep(FLOOD_TIME);
+    let played = (probes.stop(), resident_mb(&fixture.pooler));
+    stopping.store(true, Ordering::Relaxed);
+    flooding.join().unwrap();
+    assert_shielded(Form::Mixture, &played);
+    let timers = fixture.pooler.counter("timers_most");
+    assert!(timers <= MAX_TIMERS, "{timers} timers were pending at once");
+}
+
 /// Opens a connection over TLS that does not block, before the startup message.
 fn connect_over_tls(address: SocketAddr) -> std::io::Result<Box<dyn flood::Stream>> {
     let mut stream = TcpStream::connect(address)?;
