shutdown: a client whose first empty query waits for the list no longer keeps the process

Cause: such a query has a pending reply, which nothing gave once the process closed. Ruled out: the list of pending requests; the query is none of the policy's. Change: where the process closes, such queries are answered with 57P03, and those that come later too. Measured: the new test fails without the change (no answer within its limit) and passes with it; process_lifecycle passes whole.

--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -145,6 +145,7 @@
             self.fill()?;
         }
         self.drain_until = Some(finish_by);
+        self.pipeline.finish_unready(&ending());
         self.process(slot, serving, context)
     }
 
@@ -601,6 +602,7 @@
                 self.has_queried = true;
                 self.pipeline.reply(empty());
             }
+            Ok(ClientQuery::Empty) if self.drain_until.is_some() => self.pipeline.reply(ending()),
             Ok(ClientQuery::Empty) => self.pipeline.begin_unready(),
             Ok(ClientQuery::Query(mut query)) => {
                 // Guards against many statements that are each within the limit and together exceed the
@@ -699,6 +701,11 @@
     [pgwire::empty_response(), pgwire::ready_for_query()].concat()
 }
 
+/// The reply to an empty query of a process that ends before it could serve.
+fn ending() -> Vec<u8> {
+    error(sqlstate::CANNOT_CONNECT_NOW, "the pooler ends", None)
+}
+
 /// The reply to a failed command.
 fn error(code: &str, text: &str, detail: Option<&str>) -> Vec<u8> {
     [pgwire::error_response("ERROR", code, text, detail), pgwire::ready_for_query()].concat()
--- a/crates/daemon/tests/process_lifecycle.rs
+++ b/crates/daemon/tests/process_lifecycle.rs
@@ -1,5 +1,6 @@
 //! Start and shutdown of the pooler: notifications to the service manager, pending replies and the PID file.
 
+use std::net::TcpStream;
 use std::os::unix::net::UnixDatagram;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,22 @@
     assert!(pooler.wait_for_log(" ends: ").contains("refused=300"));
 }
 
+/// Guards issue 55: a client whose first empty query waited for the list kept the process after SIGTERM, for good.
+#[test]
+fn sigterm_ends_a_process_that_was_never_ready_beside_clients_that_wait_for_it() {
+    let discovery = Discovery::listen();
+    let mut pooler = Pooler::start(PROGRAM, &list(0, true, &[]), &discovery, &[]);
+    let mut waiting = Wire::from_stream(TcpStream::connect(pooler.address).unwrap());
+    waiting.send(&[startup(), query("")].concat());
+    waiting.answer();
+    let started_at = Instant::now();
+    pooler.signal("TERM");
+    assert_eq!(waiting.error().0, "57P03");
+    waiting.expect_closed();
+    assert_eq!(pooler.wait_for_exit().code(), Some(0));
+    assert!(started_at.elapsed() < Duration::from_millis(2_500), "{:?}", started_at.elapsed());
+}
+
 /// During shutdown, a request that waits to be repeated must not get the error that calls a further try
 /// harmless.
 #[test]
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -49,6 +49,7 @@
     pub const IDLE_IN_TRANSACTION_TIMEOUT: &str = "25P03";
     pub const QUERY_CANCELED: &str = "57014";
     pub const ADMIN_SHUTDOWN: &str = "57P01";
+    pub const CANNOT_CONNECT_NOW: &str = "57P03";
     pub const CONFIGURATION_LIMIT_EXCEEDED: &str = "53400";
     pub const INVALID_PASSWORD: &str = "28P01";
     pub const INVALID_AUTHORIZATION: &str = "28000";
