sessions: unfinished logins and statements make room for new clients, and have a time limit

Cause: at pool.clients nobody made room, and only a login had a time limit. Ruled out: memory, which is charged for what a client has sent. Change: where clients hold all places, the one whose startup, statement or login has been unfinished for longest is refused with 53300, after what has arrived is read. A message that is begun between two requests has 2 s for its rest; in transactions, batches and copies clients may send parts as their buffers fill. A client's end no longer leads straight to accepting. The soak draws four kinds of crowds; requests sent ahead by clients that leave have a test.

--- a/crates/daemon/src/net/sessions.rs
+++ b/crates/daemon/src/net/sessions.rs
@@ -11,6 +11,7 @@
 mod report;
 mod reset;
 mod server;
+mod unfinished;
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -60,6 +60,8 @@
     /// When the present state began: started, busy, or idle.
     pub(super) state_since: f64,
     pub(super) busy: bool,
+    /// Since when a message that the client has begun between two requests has been incomplete.
+    pub(super) unfinished_since: Option<f64>,
     /// Since when the process shuts down and the client has not read what it was sent.
     pub(super) unread_since: Option<f64>,
 }
@@ -78,8 +80,13 @@
         if let Step::Closed = step {
             return self.remove_client(slot, context);
         }
-        self.update_busy_time(slot, context.reactor.now());
-        if let Step::Progress = step {
+        let now = context.reactor.now();
+        self.update_busy_time(slot, now);
+        let progressed = matches!(step, Step::Progress);
+        if let Some(conn) = self.clients.get_mut(slot) {
+            conn.update_unfinished(progressed, now);
+        }
+        if progressed {
             self.charge_session(slot, context);
             context.reactor.continue_later(Source::SessionClient(slot));
         }
@@ -302,7 +309,8 @@
             None => self.abandon_attempt(slot, context),
         }
         self.clients.remove(slot);
-        self.accept(context);
+        // New clients may wait for its place.
+        context.reactor.continue_later(Source::SessionListener);
     }
 }
 
--- a/crates/daemon/src/net/sessions/limits.rs
+++ b/crates/daemon/src/net/sessions/limits.rs
@@ -22,8 +22,12 @@
     pub fn enforce_limits(&mut self, context: &mut Context) {
         let now = context.reactor.now();
         context.reactor.set_timer(now + SWEEP_INTERVAL, TimerKind::SessionSweep);
-        let (mut timed_out, mut rejected) = (Vec::new(), Vec::new());
+        let (mut timed_out, mut rejected, mut unfinished) = (Vec::new(), Vec::new(), Vec::new());
         for (slot, conn) in self.clients.iter() {
+            if conn.message_timed_out(now) {
+                unfinished.push(slot);
+                continue;
+            }
             let lasted = now - conn.state_since;
             let session = conn.session.as_ref().filter(|session| session.is_attached());
             match (conn.stage, session) {
@@ -50,6 +54,7 @@
                 _ => {}
             }
         }
+        unfinished.into_iter().for_each(|slot| self.end_unfinished(slot, context));
         for slot in rejected {
             let Some(conn) = self.clients.get_mut(slot) else { continue };
             (conn.stage, conn.state_since) = (Stage::Ending, now);
--- a/crates/daemon/src/net/sessions/login.rs
+++ b/crates/daemon/src/net/sessions/login.rs
@@ -22,18 +22,21 @@
 const MAX_ACCEPTS_PER_TURN: usize = 16;
 
 impl Sessions {
-    /// Accepts waiting connections up to the limit; those beyond a turn's share wait for the next turn.
+    /// Accepts waiting connections up to the limit; those beyond a turn's share wait for the next turn. At the limit, a
+    /// new connection replaces one whose client has not finished its login or a message.
     pub fn accept(&mut self, context: &mut Context) {
         if self.paused {
             return;
         }
         for _ in 0..MAX_ACCEPTS_PER_TURN {
-            if self.clients.len() >= self.pool.clients as usize {
+            let replaceable = if self.is_full() { self.replaceable(context) } else { None };
+            if replaceable.is_none() && self.is_full() {
                 return;
             }
             let Some(listener) = &self.listener else { return };
             // After an error, waiting connections are accepted by the next check of time limits.
             let Ok((stream, address)) = listener.accept() else { return };
+            replaceable.into_iter().for_each(|slot| self.refuse_unfinished(slot, context));
             let _ = stream.set_nodelay(true);
             let transport = Transport::new(None, &self.budget);
             let unset: Rc<str> = "".into();
@@ -55,6 +58,7 @@
                 assignment: None,
                 state_since: context.reactor.now(),
                 busy: false,
+                unfinished_since: None,
                 unread_since: None,
             });
             let Some(conn) = self.clients.get_mut(slot) else { return };
@@ -66,6 +70,11 @@
         context.reactor.continue_later(Source::SessionListener);
     }
 
+    /// Returns true if clients hold all places.
+    fn is_full(&self) -> bool {
+        self.clients.len() >= self.pool.clients as usize
+    }
+
     pub(super) fn handle_startup(&mut self, slot: Slot, first: FirstMessage, context: &mut Context) -> Step {
         let Some(conn) = self.clients.get_mut(slot) else { return Step::Waiting };
         let pushed = match first {
--- a/crates/daemon/tests/crowds.rs
+++ b/crates/daemon/tests/crowds.rs
@@ -1,17 +1,18 @@
 //! Crowds of clients that hold connections and do not ask: they connect and say nothing, stop half way through a
 //! message, or write slowly. New clients that ask are still answered in time.
 
+mod pool_fixture;
+
 use std::io::Write as _;
 use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use flood::{open_crowd, Flood, Form, Probes, Summary, Target};
+use flood::{Crowd, Flood, Form, Probes, Summary, Target};
 use peers::*;
+use pool_fixture::{Fixture, PROGRAM};
 use rstest::rstest;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
-
 /// One crowd at a time: crowds side by side would measure how the machine shares its cores.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -28,6 +29,8 @@
 const CROWD_CONNECTIONS: usize = 150;
 /// Pause between two bytes of a client that writes slowly.
 const SLOW_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// A client that stops in the middle of a message gets its error or the end of its connection within this time.
+const BAD_CLIENT_LIMIT: Duration = Duration::from_secs(3);
 
 fn exclusive() -> MutexGuard<'static, ()> {
     ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -61,28 +64,6 @@
     assert!(*served > 10 * errors, "{seen}");
 }
 
-/// What each connection of a crowd sends.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Crowd {
-    HalfQueries,
-    HalfQueriesAfterAnEmptyOne,
-    HalfStartups,
-    Silent,
-}
-
-impl Crowd {
-    fn bytes(self) -> Vec<u8> {
-        let half = |bytes: Vec<u8>| bytes[..bytes.len() / 2].to_vec();
-        let half_query = || half(query(&"x".repeat(60 * 1024)));
-        match self {
-            Crowd::HalfQueries => [startup(), half_query()].concat(),
-            Crowd::HalfQueriesAfterAnEmptyOne => [startup(), query(""), half_query()].concat(),
-            Crowd::HalfStartups => half(startup()),
-            Crowd::Silent => startup(),
-        }
-    }
-}
-
 /// Guards issue 55, picture (b): new connections waited behind a crowd that held all places, and their requests
 /// were answered late.
 #[rstest]
@@ -93,7 +74,7 @@
 fn new_clients_are_answered_in_time_beside_a_crowd_at_rest(#[case] crowd: Crowd) {
     let _exclusive = exclusive();
     let (pooler, _discovery, _member) = start_pooler();
-    let crowd_connections = open_crowd(pooler.address, CROWD_CONNECTIONS, &crowd.bytes());
+    let crowd_connections = crowd.open(pooler.address, CROWD_CONNECTIONS);
     let probes = connecting_probes(&pooler);
     std::thread::sleep(CROWD_TIME);
     let summary = probes.stop();
@@ -121,7 +102,7 @@
     let _exclusive = exclusive();
     let (pooler, _discovery, _member) = start_pooler();
     let statement = query(&"x".repeat(1024));
-    let mut crowd: Vec<TcpStream> = open_crowd(pooler.address, CROWD_CONNECTIONS, &startup());
+    let mut crowd = Crowd::Silent.open(pooler.address, CROWD_CONNECTIONS);
     let probes = connecting_probes(&pooler);
     let started_at = Instant::now();
     for byte in statement.iter().take_while(|_| started_at.elapsed() < CROWD_TIME) {
@@ -131,3 +112,57 @@
     }
     assert_answered("slow writers", &probes.stop());
 }
+
+/// Guards issue 55, picture (b), for ordinary clients: a crowd that had not finished its logins held all places for 2 s,
+/// one that had not finished a statement for good.
+#[rstest]
+#[case::half_startups(Crowd::HalfStartups)]
+#[case::half_statements(Crowd::HalfQueries)]
+fn new_ordinary_clients_are_answered_in_time_beside_a_crowd_at_rest(#[case] crowd: Crowd) {
+    let _exclusive = exclusive();
+    let fixture = Fixture::with_known_primary("crowd", "");
+    let crowd_connections = crowd.open(fixture.address, CROWD_CONNECTIONS);
+    let probes = Probes::start_connecting(fixture.address, PROBES, |_| query("SELECT who"));
+    std::thread::sleep(CROWD_TIME);
+    let summary = probes.stop();
+    drop(crowd_connections);
+    assert_answered(&format!("ordinary clients, {crowd:?}"), &summary);
+}
+
+/// Guards issue 55, picture (b): a client that stopped half way through a statement kept its place and the memory of
+/// what it had sent.
+#[test]
+fn an_ordinary_client_that_does_not_finish_a_statement_gets_an_error() {
+    let fixture = Fixture::with_known_primary("unfinished", "");
+    let mut client = Wire::from_stream(TcpStream::connect(fixture.address).unwrap());
+    client.send(&startup());
+    client.answer();
+    let statement = query("SELECT who");
+    // A statement that comes in two parts is carried out.
+    client.send(&statement[..8]);
+    std::thread::sleep(Duration::from_millis(1_200));
+    client.send(&statement[8..]);
+    client.answer();
+    let started_at = Instant::now();
+    client.send(&statement[..8]);
+    assert_eq!(client.error().0, "08P01");
+    client.expect_closed();
+    assert!(started_at.elapsed() < BAD_CLIENT_LIMIT, "{:?}", started_at.elapsed());
+}
+
+/// Clients send parts of messages as their buffers fill: in a transaction, where a statement may take its time, they are
+/// not held to the time limit.
+#[test]
+fn an_ordinary_client_in_a_transaction_may_take_its_time() {
+    let fixture = Fixture::with_known_primary("slow-transaction", "");
+    let mut client = Wire::from_stream(TcpStream::connect(fixture.address).unwrap());
+    client.send(&startup());
+    client.answer();
+    client.send(&query("BEGIN"));
+    client.answer();
+    let statement = query("SELECT who");
+    client.send(&statement[..8]);
+    std::thread::sleep(BAD_CLIENT_LIMIT);
+    client.send(&statement[8..]);
+    assert!(client.answer().iter().any(|(kind, _)| *kind == b'D'));
+}
--- a/crates/daemon/tests/disconnects.rs
+++ b/crates/daemon/tests/disconnects.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -11,6 +12,8 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dewferry");
 
+/// An attempt may still begin this long after its client has left.
+const BEGUN_AFTER_LEAVING: Duration = Duration::from_millis(100);
 const VALUE: &[u8] = b"\x9f\x00\x03";
 /// Enough descriptors for 3 clients beside the reserve.
 const THREE_CLIENTS: (&str, &str) = (r#""sockets":1024"#, r#""sockets":22"#);
@@ -42,6 +45,58 @@
     assert!(taken <= 2, "{taken}");
 }
 
+/// The id in a request's comment.
+fn id_of(sql: &str) -> &str {
+    sql.split_once("id=").and_then(|(_, rest)| rest.split(',').next()).unwrap_or_default()
+}
+
+/// Guards issue 55, picture (c): a client closed its connection with much still unread, and its requests were sent on
+/// afterwards.
+#[rstest]
+#[case::answers_unread(false)]
+#[case::answers_read(true)]
+fn requests_sent_ahead_are_not_begun_after_their_client_has_left(#[case] reads: bool) {
+    const ROUNDS: usize = 20;
+    const REQUESTS_PER_ROUND: usize = 300;
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    let recorded = arrivals.clone();
+    let member = AnsweringMember::new(move |sql| {
+        recorded.lock().unwrap().push((id_of(sql).to_string(), Instant::now()));
+        std::thread::sleep(Duration::from_millis(2));
+        answer_with_role(VALUE, "reader")
+    });
+    let discovery = Discovery::listen();
+    let pooler =
+        Pooler::start(PROGRAM, &list(41, true, &[member.list_entry("s-1", "here")]), &discovery, &[]);
+    let mut left_at = Vec::new();
+    for round in 0..ROUNDS {
+        let mut leaving = client(&pooler);
+        let request = |n| query(&request_sql(&format!("{round}-{n}"), "reports"));
+        leaving.send(&(0..REQUESTS_PER_ROUND).flat_map(request).collect::<Vec<u8>>());
+        std::thread::sleep(Duration::from_millis(30));
+        if reads {
+            // The end of the connection is then no reset.
+            leaving.0.set_nonblocking(true).unwrap();
+            while leaving.0.read(&mut [0; 64 * 1024]).is_ok_and(|count| count > 0) {}
+        }
+        drop(leaving);
+        left_at.push(Instant::now());
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    let arrivals = arrivals.lock().unwrap();
+    let mut ids: Vec<&str> = arrivals.iter().map(|(id, _)| id.as_str()).collect();
+    ids.sort_unstable();
+    let count = ids.len();
+    ids.dedup();
+    assert_eq!(ids.len(), count, "ids arrived more than once");
+    assert!(count > ROUNDS, "{count} requests arrived");
+    for (id, at) in arrivals.iter() {
+        let round: usize = id.split('-').next().unwrap().parse().unwrap();
+        let late = at.saturating_duration_since(left_at[round]);
+        assert!(late <= BEGUN_AFTER_LEAVING, "{id} arrived {late:?} after its client had left");
+    }
+}
+
 /// Guards issue 55, picture (c): an id ran twice when it came again after its client had left.
 #[rstest]
 #[case::never_repeated(r#""effect":"non_idempotent""#)]
--- a/crates/flood/src/lib.rs
+++ b/crates/flood/src/lib.rs
@@ -2,12 +2,14 @@
 //! other clients of the same pooler wait meanwhile. For tests only.
 #![warn(missing_docs)]
 
+mod crowd;
 mod form;
 mod probe;
 mod sender;
 mod wire;
 
+pub use crowd::Crowd;
 pub use form::{Form, Target};
 pub use probe::{Probes, Summary};
-pub use sender::{open_crowd, open_unfinished, Connect, Flood, Stream};
+pub use sender::{Connect, Flood, Stream};
 pub use wire::{query, startup};
--- a/crates/flood/src/sender.rs
+++ b/crates/flood/src/sender.rs
@@ -82,25 +82,6 @@
     }
 }
 
-/// Opens connections on each of which half of a large query is sent. They stay open until they are dropped.
-pub fn open_unfinished(address: SocketAddr, connections: usize) -> Vec<TcpStream> {
-    let mut bytes = Form::HalfQueries.opening(next_number());
-    Form::HalfQueries.push(&mut bytes, next_number(), &Target::default());
-    open_crowd(address, connections, &bytes)
-}
-
-/// Opens connections on each of which `bytes` are sent. They stay open until they are dropped.
-pub fn open_crowd(address: SocketAddr, connections: usize, bytes: &[u8]) -> Vec<TcpStream> {
-    let open = |_| {
-        let mut stream = TcpStream::connect(address).ok()?;
-        stream.set_nonblocking(true).ok()?;
-        // What the system does not take at once is missing anyway.
-        let _ = stream.write(bytes);
-        Some(stream)
-    };
-    (0..connections).filter_map(open).collect()
-}
-
 /// One flooding client.
 struct Sender {
     connect: Connect,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -92,8 +92,8 @@
                 pause(lasts);
                 flood.stop();
             }
-            Fault::Crowd { pooler, connections, lasts } => {
-                let opened = flood::open_unfinished(clients::address(pooler), connections);
+            Fault::Crowd { pooler, kind, connections, lasts } => {
+                let opened = kind.open(clients::address(pooler), connections);
                 pause(lasts);
                 drop(opened);
             }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -58,7 +58,7 @@
     /// set of loopback addresses to use; runs at the same time need different sets (0 to 39, default 0)
     #[argh(option, default = "0")]
     place: u8,
-    /// draw no floods, crowds of unfinished queries and series of signals
+    /// draw no floods, crowds and series of signals
     #[argh(switch)]
     without_floods: bool,
     /// also print the plan of each run
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,7 +2,7 @@
 //! here are printed with the plan.
 
 use fastrand::Rng;
-use flood::Form;
+use flood::{Crowd, Form};
 use serde_json::{json, Value};
 
 /// Whether and how far a request of a class may be repeated.
@@ -126,9 +126,10 @@
         group: usize,
         lasts: f64,
     },
-    /// Clients connect, send half of a large query each, and stay.
+    /// Clients connect, send nothing or half of a message each, and stay.
     Crowd {
         pooler: usize,
+        kind: Crowd,
         connections: usize,
         lasts: f64,
     },
@@ -280,7 +281,7 @@
         self.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
     }
 
-    /// Draws floods, crowds of unfinished queries and series of signals beside the other faults.
+    /// Draws floods, crowds and series of signals beside the other faults.
     pub fn draw_floods(&mut self) {
         let mut rng = Rng::with_seed(self.seed ^ FLOOD_SEED);
         let end = self.seconds - FAULT_FREE_END;
@@ -302,7 +303,9 @@
         if rng.usize(..3) == 0 {
             let (at, pooler) = (uniform(&mut rng, FAULT_FREE_START, end), rng.usize(..self.poolers));
             let (connections, lasts) = (rng.usize(100..400), uniform(&mut rng, 2.0, 5.0));
-            self.faults.push((at, Fault::Crowd { pooler, connections, lasts }));
+            // No random number of its own: seeds draw the other faults as they did before there were kinds.
+            let kind = Crowd::ALL[connections % Crowd::ALL.len()];
+            self.faults.push((at, Fault::Crowd { pooler, kind, connections, lasts }));
         }
         for _ in 0..rng.usize(0..=2) {
             let (at, pooler) = (uniform(&mut rng, FAULT_FREE_START, end), rng.usize(..self.poolers));
