routing: queued requests do not wait behind answers that are streamed for long

Cause: the queue is released to a primary with fewer than 6 requests in flight. A session counts as one for as long as it holds its server; new requests do not pass the queue, so they went ahead. Ruled out: the primary's role, which was known after the first login; the pool of connections (no attempt was made). Change: attempts whose requests need no decision any more (streamed, withdrawn) do not count there. The queue is a module of its own; policy.rs is shorter by that.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod permission;
 mod policy;
 mod probing;
+mod queue;
 mod reconfigure;
 mod relative_latency;
 mod share;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -12,7 +12,6 @@
 pub use crate::state::Policy;
 use crate::state::{Attempt, Choice, Member, Request, HOUSEKEEPING_COOKIE};
 use crate::thresholds::*;
-use std::collections::VecDeque;
 
 /// Housekeeping interval as a share of the shortest aim, so that late work can be retried within its aim.
 const HOUSEKEEPING_AIM_SHARE: f64 = 0.1;
@@ -40,8 +39,6 @@
 const LIST_DELAY_SHARE: f64 = 0.5;
 /// Connections that every member accepts: idle ones of a fleet of fewer poolers cannot use them all up.
 const MIN_MEMBER_CONNECTIONS: u32 = 200;
-/// Queued requests are released to a primary that has fewer requests in flight, as fast as it takes them.
-const MAX_RELEASE_IN_FLIGHT: u32 = 6;
 /// The sample of a client's repeat is drawn from a range this many times as wide.
 const REPEAT_SAMPLE_FACTOR: f64 = 2.0;
 /// Requests per second of one client up to which a cold member may get its full part of them.
@@ -416,7 +413,7 @@
     }
 
     /// Takes the next step of a request that has no attempt in flight.
-    fn advance(&mut self, n: u64, out: &mut Vec<Action>) {
+    pub(crate) fn advance(&mut self, n: u64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&n) else { return };
         if request.attempts.iter().any(|a| a.open) {
             return;
@@ -486,13 +483,6 @@
         }
     }
 
-    fn enqueue(&mut self, n: u64, group: u32) {
-        let (Some(r), Some(g)) = (self.requests.get_mut(&n), self.groups.get_mut(&group)) else { return };
-        if !std::mem::replace(&mut r.queued, true) {
-            g.queue.push_back(n);
-        }
-    }
-
     /// Chooses a member for a request that needs the primary.
     fn pick_primary(&mut self, n: u64) -> Choice {
         let Some(request) = self.requests.get(&n) else { return Choice::Refuse };
@@ -857,30 +847,6 @@
         self.advance(n, out);
     }
 
-    /// Re-evaluates queued requests: releases those that can be sent, paced, and ends those out of time.
-    fn release_queue(&mut self, group: u32, out: &mut Vec<Action>) {
-        let Some(state) = self.groups.get_mut(&group) else { return };
-        let queue = std::mem::take(&mut state.queue);
-        let primary = state.primary;
-        let mut waiting = VecDeque::new();
-        for n in queue {
-            let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
-            let consistency = self.settings.classes[request.class].consistency;
-            let needs_primary = request.needs_primary(consistency);
-            let busy = primary.is_some_and(|m| self.members[m].in_flight >= MAX_RELEASE_IN_FLIGHT);
-            if needs_primary && busy && request.aim_at > self.now {
-                waiting.push_back(n);
-                continue;
-            }
-            request.queued = false;
-            self.advance(n, out);
-        }
-        if let Some(state) = self.groups.get_mut(&group) {
-            waiting.append(&mut state.queue);
-            state.queue = waiting;
-        }
-    }
-
     /// Periodic work: unresponsive members, overdue attempts, queued requests, probes and list requests.
     fn housekeep(&mut self, out: &mut Vec<Action>) {
         self.housekeeping_scheduled = false;
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -175,3 +175,31 @@
     d.report_fresh("far");
     assert_eq!(sent(&d.request("later", 1)), ["r"], "an old observation of slowness has decayed");
 }
+
+/// Guards issue 55: requests that had waited for a primary went on waiting until their time to wait was over, behind
+/// sessions that streamed their answers for long, while later requests were sent at once.
+#[test]
+fn queued_requests_do_not_wait_for_streamed_answers_to_end() {
+    const SESSIONS: usize = 10;
+    let mut d = Drive::new(one_of_hundred());
+    d.list(ListKind::Full, vec![entry("p", 0, false)]);
+    for i in 0..SESSIONS {
+        d.request(&format!("session-{i}"), 0);
+    }
+    d.request("waiting", 0);
+    let report = Report { primary: Some(true), ..Report::default() };
+    d.handle(Event::ProbeEnded { member: "p".into(), outcome: Outcome::Ok, report });
+    let mut sent_ids: Vec<RequestId> = Vec::new();
+    for _ in 0..SESSIONS {
+        let sent = d.actions.iter().filter_map(|action| match action {
+            Action::Send { id, .. } => Some(id.clone()),
+            _ => None,
+        });
+        sent_ids = sent.collect();
+        for id in &sent_ids {
+            d.handle(Event::ResponseStarted { id: id.clone() });
+        }
+        d.advance(0.02);
+    }
+    assert!(sent_ids.contains(&"waiting".into()), "only {sent_ids:?} were sent");
+}
