--- a/crates/daemon/src/net/event_loop/tests.rs
+++ b/crates/daemon/src/net/event_loop/tests.rs
@@ -47,3 +47,18 @@
     timer.set(5.0, TimerKind::ClientSweep, &mut reactor);
     assert_eq!(reactor.timers.pop_expired(5.0), Some(TimerKind::ClientSweep));
 }
+
+/// Guards issue 55: the decisions' timers of requests that had been answered stayed until the requests' deadlines.
+#[test]
+fn timers_of_the_policy_that_are_not_needed_are_dropped_beyond_the_limit() {
+    const LIMIT: usize = 100;
+    let mut reactor = reactor();
+    for cookie in 0..10_000 {
+        reactor.set_timer(1.0, TimerKind::Policy(cookie));
+        reactor.limit_policy_timers(LIMIT, |cookie| cookie < 10);
+        assert!(reactor.timers.len() <= LIMIT);
+    }
+    let mut needed: Vec<TimerKind> = std::iter::from_fn(|| reactor.timers.pop_expired(2.0)).collect();
+    needed.truncate(10);
+    assert_eq!(needed, (0..10).map(TimerKind::Policy).collect::<Vec<_>>());
+}
