--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -1,17 +1,22 @@
 //! A client's connection: reads commands, keeps the pending replies in order, and writes them.
 
+mod commands;
+mod replies;
+mod time_limits;
+
 use std::io::ErrorKind;
 use std::net::Shutdown;
 
 use buffer::{Budget, Fill, Overflow, Ring};
 use exchange::Answer;
 use mio::net::TcpStream;
-use pgwire::{sqlstate, ClientQuery, FrameError, Message, Startup};
+use pgwire::{sqlstate, FrameError};
 
 use super::pipeline::{AfterReply, CommandNumber, Pipeline};
 use super::request_rate::RequestRate;
-use crate::net::event_loop::{EarliestTimer, Slot, Source, TimerKind};
-use crate::net::{Context, Event};
+use crate::net::event_loop::{EarliestTimer, Slot, Source};
+use crate::net::Context;
+use replies::{empty, ending, error, reply};
 
 /// How long a connection that the pooler closes is still read from, discarding the data (seconds): a
 /// lingering close, for a client that is sent a message.
@@ -21,9 +26,6 @@
 const IDLE_LINGER_TIMEOUT: f64 = 0.3;
 /// Delay between two buffers that are discarded on a lingering connection (seconds): some 8 MiB a second.
 const DISCARD_INTERVAL: f64 = 0.02;
-/// How long a client may take to send its first query, to complete a message that it has begun, and to read
-/// what it was sent (seconds). Guards against clients that connect only to occupy a connection.
-const CLIENT_TIMEOUT: f64 = 2.0;
 /// Maximum number of messages taken off a connection before the requests among them are carried out. A client
 /// that has sent more goes on in its next turn.
 const MAX_MESSAGES_PER_STEP: usize = 8;
@@ -33,9 +35,6 @@
 const REFILL_BYTES: usize = 16 * 1024;
 /// Short replies are collected up to this size, and written together (bytes). A buffer has this size anyway.
 const COLLECTED_REPLY_BYTES: usize = 1024;
-/// The memory charged for a command beside its statement, for the state that is stored until its end (bytes).
-/// Guards against many small pipelined commands on many connections.
-const COMMAND_MEMORY: usize = 1024;
 
 /// The stage of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -461,75 +460,6 @@
         self.secret == secret
     }
 
-    /// Returns true if the client has to act within a time limit.
-    fn must_act(&self) -> bool {
-        match self.stage {
-            Stage::Startup => true,
-            Stage::Open => {
-                let unasked = !self.has_queried && self.pipeline.is_empty();
-                let incomplete = !self.inbox.is_empty() && !self.unprocessed;
-                let unfinished = incomplete && self.pipeline.takes_commands();
-                unasked || unfinished || !self.outbox.is_empty()
-            }
-            Stage::Ending => false,
-        }
-    }
-
-    /// Starts the client's time limit and its timer, or stops it if the client does not have to act.
-    pub fn update_timeout(&mut self, slot: Slot, context: &mut Context) {
-        if !self.must_act() {
-            self.waiting_since = None;
-        } else if self.waiting_since.is_none() {
-            self.waiting_since = Some(self.active);
-        }
-        self.timer.set(self.next_deadline(), TimerKind::Client(slot), &mut context.reactor);
-    }
-
-    /// Returns the time at which the connection is to be looked at without an event; infinite if there is none.
-    fn next_deadline(&self) -> f64 {
-        match (self.stage, self.waiting_since) {
-            (Stage::Ending, _) if self.unread_data => self.ends_at.min(self.discard_at),
-            (Stage::Ending, _) => self.ends_at,
-            (_, Some(since)) => self.overdue_at(since),
-            (_, None) => f64::INFINITY,
-        }
-    }
-
-    /// Returns when a client that has had to act since `since` has exceeded its time limit.
-    fn overdue_at(&self, since: f64) -> f64 {
-        (since + CLIENT_TIMEOUT).min(self.drain_until.unwrap_or(f64::INFINITY))
-    }
-
-    /// Notes that the connection's timer has fired.
-    pub fn timer_fired(&mut self, now: f64) {
-        self.timer.fired(now);
-    }
-
-    /// Returns true if the client has exceeded its time limit.
-    pub fn is_overdue(&self, now: f64) -> bool {
-        self.waiting_since.is_some_and(|since| now >= self.overdue_at(since))
-    }
-
-    /// Closes a connection whose client has not sent or read in time. An incomplete message is answered with
-    /// an error. A client that began none gets no error, since that could be taken for the answer to a
-    /// request that crosses it.
-    pub fn end_overdue(
-        &mut self,
-        slot: Slot,
-        serving: bool,
-        context: &mut Context,
-    ) -> Result<(), CloseReason> {
-        context.counters.clients_timed_out += 1;
-        if !self.outbox.is_empty() {
-            return Err(CloseReason::Peer);
-        }
-        if self.inbox.is_empty() {
-            return self.linger(slot, serving, context);
-        }
-        self.fatal(sqlstate::PROTOCOL_VIOLATION, "message not completed in time", context)?;
-        self.process(slot, serving, context)
-    }
-
     /// Closes a connection whose client has not finished a message, with an error that permits a repeat.
     pub fn refuse_unfinished(
         &mut self,
@@ -541,90 +471,6 @@
         self.process(slot, serving, context)
     }
 
-    fn startup(&mut self, first: Startup, slot: Slot, context: &mut Context) -> Result<(), CloseReason> {
-        match first {
-            Startup::Encryption => self.outbox.push(b"N")?,
-            Startup::Session => {
-                self.outbox
-                    .push_over_budget(&pgwire::startup_response((slot.number() as u32, self.secret)))?;
-                self.stage = Stage::Open;
-            }
-            Startup::Cancel(key) => {
-                context.events.push_back(Event::CancelRequested(key));
-                return Err(CloseReason::Peer);
-            }
-            Startup::Unknown => self.fatal(sqlstate::FEATURE_NOT_SUPPORTED, "unknown protocol", context)?,
-        }
-        Ok(())
-    }
-
-    fn message(
-        &mut self,
-        message: Message,
-        slot: Slot,
-        serving: bool,
-        context: &mut Context,
-    ) -> Result<(), CloseReason> {
-        match message.kind {
-            b'X' => self.pipeline.reply_last(Vec::new(), AfterReply::Close),
-            b'S' => {
-                self.skipping = false;
-                self.pipeline.reply(pgwire::ready_for_query());
-            }
-            _ if self.skipping => {}
-            b'Q' => self.query(&message.body, slot, serving, context),
-            b'P' | b'B' | b'D' | b'E' | b'C' => {
-                self.skipping = true;
-                let text = "only simple queries are served";
-                self.pipeline.reply(pgwire::error_response(
-                    "ERROR",
-                    sqlstate::FEATURE_NOT_SUPPORTED,
-                    text,
-                    None,
-                ));
-            }
-            b'F' => self.pipeline.reply(error(
-                sqlstate::FEATURE_NOT_SUPPORTED,
-                "function calls are not served",
-                None,
-            )),
-            // Flush needs no reply here; the other messages belong to exchanges that have ended or were never
-            // begun.
-            b'H' | b'p' | b'd' | b'c' | b'f' => {}
-            _ => self.fatal(sqlstate::PROTOCOL_VIOLATION, "unknown message", context)?,
-        }
-        Ok(())
-    }
-
-    fn query(&mut self, body: &[u8], slot: Slot, serving: bool, context: &mut Context) {
-        match pgwire::parse_client_query(body) {
-            Ok(ClientQuery::Empty) if serving => {
-                self.has_queried = true;
-                self.pipeline.reply(empty());
-            }
-            Ok(ClientQuery::Empty) if self.drain_until.is_some() => self.pipeline.reply(ending()),
-            Ok(ClientQuery::Empty) => self.pipeline.begin_unready(),
-            Ok(ClientQuery::Query(mut query)) => {
-                // Guards against many statements that are each within the limit and together exceed the
-                // memory.
-                let memory = query.statement.len() + query.name_bytes() + COMMAND_MEMORY;
-                let Ok(charge) = self.inbox.charge(memory) else {
-                    context.counters.refused += 1;
-                    return self.pipeline.reply(error(sqlstate::TOO_MANY_CONNECTIONS, "no memory", None));
-                };
-                query.statement.set_charge(charge);
-                self.has_queried = true;
-                self.request_rate.record(self.active);
-                context.counters.pipelined += u64::from(!self.pipeline.is_empty());
-                context.events.push_back(Event::QueryReceived(slot, self.pipeline.begin(), query));
-            }
-            Err(text) => {
-                context.counters.malformed += 1;
-                self.pipeline.reply(error(sqlstate::SYNTAX_ERROR, text, None));
-            }
-        }
-    }
-
     /// Sends a fatal error after the pending replies, and closes the connection once the client has read it.
     fn fatal(&mut self, code: &str, text: &str, context: &mut Context) -> Result<(), CloseReason> {
         context.counters.malformed += 1;
@@ -695,35 +541,3 @@
         self.pipeline.finish_unready(&empty());
     }
 }
-
-/// The reply to an empty query.
-fn empty() -> Vec<u8> {
-    [pgwire::empty_response(), pgwire::ready_for_query()].concat()
-}
-
-/// The reply to an empty query of a process that ends before it could serve.
-fn ending() -> Vec<u8> {
-    error(sqlstate::CANNOT_CONNECT_NOW, "the pooler ends", None)
-}
-
-/// The reply to a failed command.
-fn error(code: &str, text: &str, detail: Option<&str>) -> Vec<u8> {
-    [pgwire::error_response("ERROR", code, text, detail), pgwire::ready_for_query()].concat()
-}
-
-/// Serializes a final answer as a reply.
-fn reply(answer: Answer) -> Vec<u8> {
-    match answer {
-        Answer::Served(mut value) => {
-            value.extend(pgwire::ready_for_query());
-            value
-        }
-        Answer::Refused(backoff) => {
-            let millis = Some((backoff * 1000.0).ceil()).filter(|millis| *millis > 0.0);
-            let detail = millis.map(|millis| (millis as u64).to_string());
-            error(sqlstate::TOO_MANY_CONNECTIONS, "refused: try again later", detail.as_deref())
-        }
-        Answer::Failed => error(sqlstate::SYSTEM_ERROR, "failed: it may have run", None),
-        Answer::Invalid(text) => error(sqlstate::INVALID_PARAMETER_VALUE, text, None),
-    }
-}
