--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -113,7 +113,13 @@
                 }
                 self.reconcile_primary(self.members[m].group, out);
             }
-            Event::ResponseStarted { id } | Event::ClientLeft { id } => {
+            Event::ResponseStarted { id } => {
+                if let Some(&n) = self.request_numbers.get(&id) {
+                    self.requests.get_mut(&n).into_iter().for_each(|request| request.streaming = true);
+                    self.finish(n, out);
+                }
+            }
+            Event::ClientLeft { id } => {
                 if let Some(&n) = self.request_numbers.get(&id) {
                     self.finish(n, out);
                 }
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -26,7 +26,7 @@
             return;
         }
         // Streamed answers may go on for long, and are no sign that the primary has too much to do.
-        let streaming = primary.map_or(0, |m| self.finished_in_flight(m));
+        let streaming = primary.map_or(0, |m| self.streaming_from(m));
         let mut waiting = VecDeque::new();
         for n in queue {
             let Some(request) = self.requests.get_mut(&n).filter(|r| !r.done) else { continue };
@@ -47,10 +47,9 @@
         }
     }
 
-    /// Returns the number of attempts in flight at a member whose requests need no further decision: their answers
-    /// are being streamed, or nobody waits for them.
-    fn finished_in_flight(&self, m: usize) -> u32 {
-        let finished = self.requests.values().filter(|request| request.done);
-        finished.flat_map(|request| &request.attempts).filter(|a| a.open && a.member == m).count() as u32
+    /// Returns the number of attempts in flight at a member whose answers are being streamed.
+    fn streaming_from(&self, m: usize) -> u32 {
+        let streaming = self.requests.values().filter(|request| request.streaming);
+        streaming.flat_map(|request| &request.attempts).filter(|a| a.open && a.member == m).count() as u32
     }
 }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -169,6 +169,8 @@
     /// What is certain about the attempts, and what may still be done.
     pub history: History,
     pub queued: bool,
+    /// The answer is being streamed, by a session that holds its server.
+    pub streaming: bool,
     pub done: bool,
     /// Maximum back-off to send with a refusal (seconds); later changes of the settings do not affect it.
     pub backoff: f64,
@@ -196,6 +198,7 @@
             attempts: Vec::new(),
             history: History::new(AttemptRules::default()),
             queued: false,
+            streaming: false,
             done: false,
             backoff: 0.0,
         }
