process: signals are received from the first moment on, and wait until they can be handled

Cause: signals were taken over only when the configuration, the operator's file and its history had been read; until then SIGHUP and SIGUSR1 end a process. Ruled out: a fault of the process (its log ends before 'listens on'). Change: the signals are taken over before anything is read. Until its handler runs a process handles none: what comes within its first moments, before main, still ends it.

--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -106,7 +106,9 @@
     let Args { command } = argh::from_env();
     let result = match command {
         Command::Serve(Serve { config, operator, state, take_over }) => {
-            match load(config).and_then(|(path, config)| {
+            // Before anything is read, which may take its time.
+            let signals = crate::net::receive_signals().map_err(|error| format!("cannot serve: {error}"));
+            match signals.and_then(|signals| Ok((load(config)?, signals))).and_then(|((path, config), signals)| {
                 if operator.is_none() && state.is_some() {
                     return Err("--state without --operator: there would be no changes to store".into());
                 }
@@ -116,7 +118,7 @@
                     );
                 }
                 let operator = operator.map(|file| OperatorOptions { file, state, take_over });
-                crate::net::serve(&config, &path, operator).map_err(|error| format!("cannot serve: {error}"))
+                crate::net::serve(&config, &path, operator, signals).map_err(|error| format!("cannot serve: {error}"))
             }) {
                 Ok(code) => return ExitCode::from(code),
                 Err(message) => Err(message),
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -32,7 +32,7 @@
 pub(crate) use change::describe_conflicts;
 pub(crate) use control::OwnedListener;
 pub(crate) use control_instance::serve as serve_control;
-pub(crate) use pooler::{serve, OperatorOptions};
+pub(crate) use pooler::{receive_signals, serve, OperatorOptions};
 
 /// A write waits for at most this share of the shortest latency aim of any write class until enough other
 /// instances know of it and it may be sent.
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -178,12 +178,22 @@
     pub take_over: bool,
 }
 
+/// Receives the signals that the pooler handles from now on: until it handles them they wait, and end nothing.
+pub(crate) fn receive_signals() -> io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])
+}
+
 /// Runs the pooler until it has shut down. Returns the exit code.
-pub(crate) fn serve(config: &Config, path: &Path, operator: Option<OperatorOptions>) -> io::Result<u8> {
+pub(crate) fn serve(
+    config: &Config,
+    path: &Path,
+    operator: Option<OperatorOptions>,
+    signals: Signals,
+) -> io::Result<u8> {
     let mut poll = Poll::new()?;
     let reactor = Reactor::new(&poll)?;
     let mut context = Context { reactor, events: Default::default(), counters: Counters::default() };
-    let mut pooler = Pooler::new(config, path, operator, &mut context)?;
+    let mut pooler = Pooler::new(config, path, operator, signals, &mut context)?;
     event_loop::run(&mut poll, &mut pooler, &mut context)?;
     pooler.announce_shutdown(&context);
     logging::info!(event = "ended", "{} ends: {}", config.name, context.counters);
@@ -199,6 +209,7 @@
         config: &Config,
         path: &Path,
         operator: Option<OperatorOptions>,
+        mut signals: Signals,
         context: &mut Context,
     ) -> io::Result<Pooler> {
         let invalid = |fault: String| io::Error::new(io::ErrorKind::InvalidInput, fault);
@@ -241,7 +252,6 @@
         let pid_file = pid_file.transpose()?;
         let lifecycle_limits =
             process_lifecycle::lifecycle_limits(startup.as_ref().map(|_| &effective.document.daemon));
-        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // Most clients have one attempt in flight, so that half the sockets are enough for server
         // connections. They may be too few if clients pipeline requests or hedging is allowed; then an
--- a/crates/daemon/tests/process_lifecycle.rs
+++ b/crates/daemon/tests/process_lifecycle.rs
@@ -1,7 +1,10 @@
 //! Start and shutdown of the pooler: notifications to the service manager, pending replies and the PID file.
 
+use std::fs::File;
+use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
 use std::os::unix::net::UnixDatagram;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -70,6 +73,37 @@
     assert!(started_at.elapsed() < Duration::from_millis(2_500), "{:?}", started_at.elapsed());
 }
 
+/// Guards issue 55, signals in series: one that came before a new process had read its configuration ended it.
+#[test]
+fn signals_that_come_while_the_configuration_is_read_end_nothing() {
+    let discovery = Discovery::listen();
+    let path = std::env::temp_dir().join(format!("dewferry-starting-{}.json", std::process::id()));
+    let later_path = path.with_extension("later");
+    let text = platform_config(&list(41, true, &[]), &discovery);
+    std::fs::write(&later_path, &text).unwrap();
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut child =
+        Command::new(PROGRAM).args(["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().unwrap();
+    let signal = |name: &str| {
+        let pid = child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    };
+    // This returns once the process reads its configuration, which then lasts until the writer closes it.
+    let mut pipe = File::options().write(true).open(&path).unwrap();
+    signal("HUP");
+    signal("USR1");
+    std::fs::rename(&later_path, &path).unwrap();
+    pipe.write_all(text.as_bytes()).unwrap();
+    drop(pipe);
+    std::thread::sleep(Duration::from_millis(300));
+    signal("TERM");
+    let mut log = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    assert_eq!(child.wait().unwrap().code(), Some(0), "{log}");
+    assert!(log.contains("reloads=1"), "{log}");
+    std::fs::remove_file(&path).unwrap();
+}
+
 /// During shutdown, a request that waits to be repeated must not get the error that calls a further try
 /// harmless.
 #[test]
