--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -178,9 +178,9 @@
     pub take_over: bool,
 }
 
-/// Receives the signals that the pooler handles from now on: until it handles them they wait, and end nothing.
+/// Receives the signals that end no pooler from now on: until it handles them they wait.
 pub(crate) fn receive_signals() -> io::Result<Signals> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])
+    Signals::new([SIGHUP, SIGUSR1])
 }
 
 /// Runs the pooler until it has shut down. Returns the exit code.
@@ -252,6 +252,9 @@
         let pid_file = pid_file.transpose()?;
         let lifecycle_limits =
             process_lifecycle::lifecycle_limits(startup.as_ref().map(|_| &effective.document.daemon));
+        // Until here these end the process at once: it has taken nothing over yet.
+        signals.add_signal(SIGTERM)?;
+        signals.add_signal(SIGINT)?;
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // Most clients have one attempt in flight, so that half the sockets are enough for server
         // connections. They may be too few if clients pipeline requests or hedging is allowed; then an
