--- a/review/standins-2/src/db.rs
+++ b/review/standins-2/src/db.rs
@@ -59,6 +59,9 @@
     state: Mutex<State>,
     connections: Mutex<HashMap<u64, TcpStream>>,
     next_connection: AtomicU64,
+    /// One in so many connections comes up late; 0 for none.
+    late_one_in: AtomicU64,
+    late_ms: AtomicU64,
     work: Work,
 }
 
@@ -88,6 +91,8 @@
             state: Mutex::new(state),
             connections: Mutex::default(),
             next_connection: AtomicU64::new(1),
+            late_one_in: AtomicU64::new(0),
+            late_ms: AtomicU64::new(0),
             work: Arc::new(work),
         }));
         let listening = machine.clone();
@@ -146,6 +151,13 @@
         self.0.record.line(format!("{} applies the log {delay_ms} ms late", self.0.name));
     }
 
+    /// From now on one in so many connections comes up this much later.
+    pub fn set_late(&self, one_in: u64, ms: u64) {
+        self.0.late_one_in.store(one_in, Ordering::SeqCst);
+        self.0.late_ms.store(ms, Ordering::SeqCst);
+        self.0.record.line(format!("{}: one in {one_in} connections comes up {ms} ms late", self.0.name));
+    }
+
     /// The machine dies: its connections end and new ones are refused.
     pub fn die(&self) {
         self.state().up = false;
@@ -245,6 +257,12 @@
     }
 
     fn run(&mut self) -> Result<()> {
+        let one_in = self.machine.0.late_one_in.load(Ordering::SeqCst);
+        if one_in > 0 && self.number % one_in == 0 {
+            let ms = self.machine.0.late_ms.load(Ordering::SeqCst);
+            self.line(&format!("comes up {ms} ms late"));
+            sleep_ms(ms);
+        }
         self.output.extend(wire::frame(b'R', &[0; 4]));
         if !self.machine.0.platform {
             for (name, value) in
--- a/review/standins-2/src/pooler.rs
+++ b/review/standins-2/src/pooler.rs
@@ -27,6 +27,20 @@
     )
 }
 
+/// Settings of the second deployment, as its page gives them: second copies are allowed.
+pub fn bergen_settings() -> String {
+    r#"{"classes":[
+{"name":"tile-read","aim":0.75,"deadline":3.0,"effect":"read_like","group":"all","dedupWindow":5.0,"lateWorth":0,"streamed":false,"value":1},
+{"name":"export-order","aim":1.2,"deadline":5.0,"effect":"non_idempotent","group":"cell","dedupWindow":0,"lateWorth":0.3,"streamed":false,"value":6}],
+"clients":{"marksRetry":true},"customers":[],"domainType":"replicas","flavors":["std4"],"fleetSize":1,"worthBy":"request",
+"registryMode":"automatic","weights":"silent",
+"invariants":{"answerSlack":0.02,"askWithin":10.0,"coldFrom":0.26,"drainGrace":1.0,"fall":1.5,"tipMultiple":2.5,"warmUp":16.0},
+"limits":{"cancel":true,"connectTimeout":0.25,"keepalive":30.0,"maxAttempts":6,"maxOpen":22170,"maxRetryAfter":0.5,"maxStreams":1,"mayDuplicate":true,"mayTell":false,"probes":true,"retryAfter":true},
+"loadInfo":{"fields":["x0","x1"],"how":"piggyback"},"myNumber":0,"tick":0.005,"tier":0,"tiers":["tile-db"],"zone":0,"zones":["hall-a","hall-b","hall-c"],
+"specifics":{"consistency":["bounded","write"],"listRole":"silent","stalenessBound":[1.5,0],"synchronous":false,"tellsPosition":true,"wait":0.0,"whenBehind":"silent","writeMarks":"carried"}}"#
+        .to_string()
+}
+
 /// Returns a free port on the loopback address.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| not_run(&error.to_string()));
