sessions: an answer that waits behind a lost server's is still given in its place

Cause: an answer of the session itself, ExpectedReply::Local with ReadyForQuery, waits in the queue of expected replies. Session::server_detached counted the entries that end with ReadyForQuery, left this kind out, and cleared the queue.

Change: ExpectedReplies::take_owed_answers empties the queue and returns what is owed in order: the server's answers are told as lost, the session's own are given. That a lost transaction's reason is told by the next statement depends on whether it was told, no longer on a count.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// An answer that a client is owed when its server is lost.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum OwedAnswer {
+    /// The answer to a query or a batch that the server has not answered completely.
+    FromServer,
+    /// The session's own answer to a query, without its ReadyForQuery.
+    Local(Vec<u8>),
+}
+
 /// A reply, and the memory that is counted for it until it is removed (bytes).
 type Entry = (ExpectedReply, usize);
 
@@ -124,6 +133,18 @@
         *self = ExpectedReplies::default();
     }
 
+    /// Removes all replies. Returns the answers, each of which ends with ReadyForQuery, that the client is owed in
+    /// their place, in order.
+    pub fn take_owed_answers(&mut self) -> Vec<OwedAnswer> {
+        let replies = std::mem::take(self);
+        let owed = replies.entries.into_iter().filter_map(|(reply, _)| match reply {
+            ExpectedReply::Query(_) | ExpectedReply::Sync => Some(OwedAnswer::FromServer),
+            ExpectedReply::Local(answer, true) => Some(OwedAnswer::Local(answer)),
+            _ => None,
+        });
+        owed.collect()
+    }
+
     /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of the
     /// data. Returns true if that end has not been sent yet.
     pub fn remove_ignored_syncs(&mut self) -> bool {
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -7,7 +7,7 @@
 use pgwire::{error_code, error_response, sqlstate, Message};
 use sql::{Change, Control, Kind, Pin, Scan};
 
-use crate::expected::{ExpectedReplies, ExpectedReply, PendingStatement};
+use crate::expected::{ExpectedReplies, ExpectedReply, OwedAnswer, PendingStatement};
 use crate::server_state::{self, PreparedStatement, ServerSessionState};
 use crate::settings::{Effect, Settings, SettingsTracker};
 use crate::stateless::StatelessFunctions;
@@ -987,19 +987,12 @@
         }
         let in_transaction = self.in_transaction();
         let commits = |statement: &PendingStatement| statement.effect == Effect::Commit;
-        let (mut ready_count, mut unknown) = (0, false);
-        for expect in self.expected.iter() {
-            match expect {
-                ExpectedReply::Query(statements) => {
-                    ready_count += 1;
-                    // A statement outside of a transaction commits by itself.
-                    unknown |= !in_transaction || statements.iter().any(commits);
-                }
-                ExpectedReply::Execute(statement) => unknown |= !in_transaction || commits(statement),
-                ExpectedReply::Sync => ready_count += 1,
-                _ => {}
-            }
-        }
+        // A statement outside of a transaction commits by itself.
+        let unknown = self.expected.iter().any(|reply| match reply {
+            ExpectedReply::Query(statements) => !in_transaction || statements.iter().any(commits),
+            ExpectedReply::Execute(statement) => !in_transaction || commits(statement),
+            _ => false,
+        });
         let (mut code, mut text) = reason.sqlstate_and_message();
         if unknown && reason != DetachReason::StatementTimeout {
             (code, text) = (
@@ -1010,6 +1003,7 @@
         let in_batch = self.in_batch && !self.skipping;
         let pinned = !self.pins().is_empty();
         let aborted = in_transaction && !unknown;
+        let owed = self.expected.take_owed_answers();
         self.detach();
         if pinned || self.within_message {
             // Without the rest of its message the client's stream cannot go on; and the state that bound the
@@ -1019,14 +1013,19 @@
         if aborted {
             (self.stage, self.status, self.ending_aborted) = (Stage::Aborted, b'E', false);
         }
-        for _ in 0..ready_count {
-            out.push(Action::SendToClient(error_response("ERROR", code, text, None)));
+        let told = owed.contains(&OwedAnswer::FromServer);
+        for answer in owed {
+            let bytes = match answer {
+                OwedAnswer::FromServer => error_response("ERROR", code, text, None),
+                OwedAnswer::Local(bytes) => bytes,
+            };
+            out.push(Action::SendToClient(bytes));
             out.push(Action::SendToClient(wire::ready_for_query(self.status)));
         }
         if in_batch {
             self.skipping = true;
             out.push(Action::SendToClient(error_response("ERROR", code, text, None)));
-        } else if ready_count == 0 && aborted {
+        } else if aborted && !told {
             self.detach_reason = Some(reason);
         }
     }
--- a/crates/pooling/tests/machine.rs
+++ b/crates/pooling/tests/machine.rs
@@ -1,7 +1,8 @@
 //! Single cases of sessions and pools, and arbitrary messages that must not break a session.
 
-use std::collections::BTreeMap;
+mod messages;
 
+use messages::*;
 use pgwire::session::{self as wire, Piece};
 use pgwire::Message;
 use pooling::{
@@ -11,83 +12,6 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-fn session(mode: Mode) -> Session {
-    Session::new(mode, BTreeMap::new(), BTreeMap::new())
-}
-
-fn message(kind: u8, body: &[u8]) -> Message {
-    Message { kind, body: body.to_vec() }
-}
-
-fn text(kind: u8, text: &str) -> Message {
-    message(kind, &[text.as_bytes(), b"\0"].concat())
-}
-
-fn from_client(session: &mut Session, messages: Vec<Message>) -> Vec<Action> {
-    let mut out = Vec::new();
-    messages.into_iter().for_each(|message| session.handle_client_message(message, &mut out));
-    out
-}
-
-fn from_server(session: &mut Session, messages: Vec<Message>) -> Vec<Action> {
-    let mut out = Vec::new();
-    messages.into_iter().for_each(|message| session.handle_server_piece(Piece::Message(message), &mut out));
-    out
-}
-
-fn attach(session: &mut Session) -> Vec<Action> {
-    let mut out = Vec::new();
-    session.attach(ServerSessionState::new(10), &mut out);
-    out
-}
-
-/// Returns the kinds of the messages to the client, and of those to the server.
-fn kinds(actions: &[Action]) -> (String, String) {
-    let (mut client, mut server) = (String::new(), String::new());
-    for action in actions {
-        let (bytes, into) = match action {
-            Action::SendToClient(bytes) => (bytes, &mut client),
-            Action::SendToServer(bytes) => (bytes, &mut server),
-            _ => continue,
-        };
-        let mut rest = &bytes[..];
-        while let Some((kind, after)) = rest.split_first() {
-            into.push(*kind as char);
-            rest = &after[u32::from_be_bytes(after[..4].try_into().unwrap()) as usize..];
-        }
-    }
-    (client, server)
-}
-
-/// Returns the SQLSTATEs of the errors sent to the client.
-fn sqlstates(actions: &[Action]) -> Vec<String> {
-    let codes = actions.iter().filter_map(|action| match action {
-        Action::SendToClient(bytes) if bytes[0] == b'E' => Some(pgwire::error_code(&bytes[5..]).0),
-        _ => None,
-    });
-    codes.collect()
-}
-
-fn parse(name: &str, sql: &str) -> Message {
-    message(b'P', &[name.as_bytes(), b"\0", sql.as_bytes(), b"\0\0\0"].concat())
-}
-
-fn bind(name: &str) -> Message {
-    message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat())
-}
-
-fn execute() -> Message {
-    message(b'E', b"\0\0\0\0\0")
-}
-
-fn sync() -> Message {
-    message(b'S', b"")
-}
-
-fn ready(status: u8) -> Message {
-    message(b'Z', &[status])
-}
-
 #[test]
 fn an_error_in_a_pipeline_of_500_skips_the_rest_up_to_sync() {
     let mut session = session(Mode::Transaction);
