sessions: statements behind the ROLLBACK of a lost transaction are run

Cause: Session::handle_aborted looked at the first statement of a query only; was that COMMIT or ROLLBACK, it answered the whole query.

Change: the statement that ends the transaction is answered, and the rest of the query goes the way of any other query, to a server that routing names. sql::blank_first_statement puts spaces in the place of the statement that has been answered, so that the rest keeps its comment, by which it is routed, and its positions, which errors name. What is refused is told as refused. The handling of lost transactions is a module of its own (session/lost_transaction.rs); a query that the client sends while its batch is being skipped is skipped there, too, as PostgreSQL does and as every other state of a session did.

--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -1,5 +1,7 @@
 //! The state machine of one client's session.
 
+mod lost_transaction;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -311,7 +313,7 @@
                 self.handle_attached(message, out);
                 self.flush_long_batch(out);
             }
-            Stage::Aborted => self.handle_aborted(message, out),
+            Stage::Aborted => self.handle_in_lost_transaction(message, out),
         }
     }
 
@@ -1029,61 +1031,6 @@
             self.detach_reason = Some(reason);
         }
     }
-
-    /// Handles a client message in a transaction whose server connection is lost and which the client must end.
-    fn handle_aborted(&mut self, message: Message, out: &mut Vec<Action>) {
-        let ends = |scan: &Scan| {
-            let first = scan.statements.first().map(|statement| &statement.kind);
-            matches!(first, Some(Kind::Control(Control::Commit | Control::Rollback)))
-        };
-        match message.kind {
-            b'Q' if wire::read_query(&message.body).is_some_and(|text| ends(&sql::scan(text))) => {
-                out.push(Action::SendToClient(
-                    [wire::message_of_strings(b'C', &["ROLLBACK"], &[]), wire::ready_for_query(b'I')]
-                        .concat(),
-                ));
-                self.end_aborted_transaction();
-            }
-            b'S' => {
-                self.skipping = false;
-                if std::mem::take(&mut self.ending_aborted) {
-                    self.end_aborted_transaction();
-                }
-                out.push(Action::SendToClient(wire::ready_for_query(self.status)));
-            }
-            _ if self.skipping => {}
-            b'P' if wire::read_parse(&message.body).is_some_and(|(_, text, _)| ends(&sql::scan(text))) => {
-                self.ending_aborted = true;
-                out.push(Action::SendToClient(wire::empty_message(b'1')));
-            }
-            b'B' if self.ending_aborted => out.push(Action::SendToClient(wire::empty_message(b'2'))),
-            b'D' if self.ending_aborted => out.push(Action::SendToClient(wire::empty_message(b'n'))),
-            b'E' if self.ending_aborted => {
-                out.push(Action::SendToClient(wire::message_of_strings(b'C', &["ROLLBACK"], &[])))
-            }
-            // Drivers close statements at any time; that does not use the transaction.
-            b'C' => out.push(Action::SendToClient(wire::empty_message(b'3'))),
-            b'H' | b'd' | b'c' | b'f' => {}
-            kind => {
-                let aborted = (
-                    sqlstate::IN_FAILED_TRANSACTION,
-                    "the transaction was lost with its server: ROLLBACK ends it",
-                );
-                let (code, text) =
-                    self.detach_reason.take().map_or(aborted, DetachReason::sqlstate_and_message);
-                out.push(Action::SendToClient(error_response("ERROR", code, text, None)));
-                if kind == b'Q' || kind == b'F' {
-                    out.push(Action::SendToClient(wire::ready_for_query(b'E')));
-                } else {
-                    self.skipping = true;
-                }
-            }
-        }
-    }
-
-    fn end_aborted_transaction(&mut self) {
-        (self.stage, self.status, self.detach_reason) = (Stage::Idle, b'I', None);
-    }
 }
 
 /// Returns the memory that a statement takes under this name, as a statement or as a portal (bytes).
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -5,7 +5,7 @@
 
 use messages::*;
 use pgwire::Message;
-use pooling::{DetachReason, Mode, Session};
+use pooling::{Action, DetachReason, Mode, Session};
 use rstest::rstest;
 
 /// Returns an attached session that has been passed these messages, the first of which requests its server.
@@ -42,3 +42,60 @@
     let (kinds, sqlstates) = lose(&mut session, DetachReason::Lost);
     assert_eq!((kinds.as_str(), sqlstates), (replies, errors.iter().map(|code| code.to_string()).collect()));
 }
+
+/// Returns a session whose transaction was lost while it was idle.
+fn session_in_lost_transaction() -> Session {
+    let mut session = session_after(Mode::Transaction, vec![text(b'Q', "BEGIN")]);
+    from_server(&mut session, vec![text(b'C', "BEGIN"), ready(b'T')]);
+    assert_eq!(lose(&mut session, DetachReason::Lost), (String::new(), Vec::new()));
+    session
+}
+
+/// Returns the text of a query to the server among the actions.
+fn query_sent(actions: &[Action]) -> Option<&str> {
+    actions.iter().find_map(|action| match action {
+        Action::SendToServer(bytes) if bytes[0] == b'Q' => pgwire::session::read_query(&bytes[5..]),
+        _ => None,
+    })
+}
+
+/// Guards against statements behind ROLLBACK that are answered as if they had been run.
+#[rstest]
+#[case::new_transaction("ROLLBACK; BEGIN; INSERT INTO a VALUES (1); COMMIT")]
+#[case::commit("COMMIT ; INSERT INTO a VALUES (1)")]
+#[case::commented("/* class=b */ ROLLBACK; SELECT 1")]
+fn statements_behind_a_rollback_of_a_lost_transaction_are_run(#[case] sql: &str) {
+    let mut session = session_in_lost_transaction();
+    let actions = from_client(&mut session, vec![text(b'Q', sql)]);
+    assert_eq!(kinds(&actions), ("C".into(), String::new()));
+    assert!(matches!(actions.last(), Some(Action::RequestServer(_))), "{actions:?}");
+    let sent = attach(&mut session);
+    let first = sql.find(';').unwrap();
+    let rest = query_sent(&sent).unwrap();
+    assert_eq!((rest.len(), &rest[first..]), (sql.len(), &sql[first..]));
+    assert_eq!(kinds(&from_server(&mut session, vec![text(b'C', "DONE"), ready(b'I')])).0, "CZ");
+}
+
+/// Guards against an answer without an error to statements for which there is no server.
+#[test]
+fn statements_behind_a_rollback_of_a_lost_transaction_may_be_refused() {
+    let mut session = session_in_lost_transaction();
+    let actions = from_client(&mut session, vec![text(b'Q', "ROLLBACK; INSERT INTO a VALUES (1)")]);
+    assert_eq!(kinds(&actions).0, "C");
+    let mut out = Vec::new();
+    session.server_refused("53300", "later", None, &mut out);
+    assert_eq!((kinds(&out).0, sqlstates(&out)), ("EZ".into(), vec!["53300".to_string()]));
+}
+
+/// Guards against a server that is requested for nothing.
+#[rstest]
+#[case("ROLLBACK", "CZ")]
+#[case("COMMIT;", "CZ")]
+#[case("abort; /* nothing */ ;", "CZ")]
+#[case("ROLLBACK; SET dewferry.class = 'reports'", "CCZ")]
+#[case("SELECT 1; ROLLBACK", "EZ")]
+fn a_rollback_of_a_lost_transaction_needs_no_server(#[case] sql: &str, #[case] replies: &str) {
+    let actions = from_client(&mut session_in_lost_transaction(), vec![text(b'Q', sql)]);
+    assert_eq!(kinds(&actions), (replies.into(), String::new()));
+    assert!(!actions.iter().any(|action| matches!(action, Action::RequestServer(_))));
+}
--- a/crates/sql/src/lexer.rs
+++ b/crates/sql/src/lexer.rs
@@ -51,7 +51,7 @@
     }
 
     /// Skips white space and comments.
-    fn skip_blank(&mut self) {
+    pub(crate) fn skip_blank(&mut self) {
         loop {
             let rest = self.rest();
             let trimmed = rest.trim_start();
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -7,6 +7,8 @@
 mod functions;
 mod kind;
 mod lexer;
+mod split;
 
 pub use kind::{scan, Change, Control, Kind, Pin, Scan, Statement};
 pub use lexer::{Lexer, Token};
+pub use split::blank_first_statement;
--- a/crates/sql/tests/kinds.rs
+++ b/crates/sql/tests/kinds.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use sql::{scan, Change, Control, Kind, Lexer, Pin};
+use sql::{blank_first_statement, scan, Change, Control, Kind, Lexer, Pin};
 
 fn kind(text: &str) -> Kind {
     let scan = scan(text);
@@ -47,6 +47,22 @@
     assert!(matches!(kind(text), Kind::Write | Kind::Unknown(_)), "{:?}", kind(text));
 }
 
+/// Guards against statements that are dropped, or moved, with the one that is answered without a server.
+#[rstest]
+#[case::one("ROLLBACK", None)]
+#[case::two("ROLLBACK; SELECT 1", Some("        ; SELECT 1"))]
+#[case::first_is_empty(";;ABORT WORK ;SELECT 1", Some(";;           ;SELECT 1"))]
+#[case::comments(
+    "/* a; */ ROLLBACK /* b; */ --;\n; SELECT 1",
+    Some("/* a; */                       ; SELECT 1")
+)]
+#[case::characters("ROLLBACK /* \u{e9} */; SELECT 1", Some("                ; SELECT 1"))]
+#[case::brackets("SELECT (';', \";\", 1;2); SELECT 1", Some("                      ; SELECT 1"))]
+#[case::ends_with_semicolon("ROLLBACK;", Some("        ;"))]
+fn the_first_statement_is_replaced_by_spaces(#[case] text: &str, #[case] expected: Option<&str>) {
+    assert_eq!(blank_first_statement(text).as_deref(), expected);
+}
+
 #[rstest]
 #[case("begin", Control::Begin { read_only: None })]
 #[case("START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY", Control::Begin { read_only: Some(true) })]
