sessions: COPY data that a client sends ahead in a batch reaches the server

Cause: data and its end were passed on only while the first expected reply was a query's or an Execute's, and dropped while it was ParseComplete, the settings of the session, or anything ahead of the COPY; where the batch waited for a server they were always dropped. The server then asks for data that never comes, and ignores each Sync meanwhile.

Evidence: found by drawn pipelines against a stand-in of the server; the trace shows PBESS at the server for a client that sent PBESdcS, and PBES for PBEdcS.

Change: data goes to the server as long as any reply is expected, in the order of the client's messages; a server that is not copying ignores it, by the protocol. Data that comes while its batch waits for a server waits with it, within the same bound. Data behind a COPY that has ended is dropped as before.

--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -348,7 +348,7 @@
             _ if self.skipping => {}
             b'H' if self.queued.is_empty() => {}
             // Data of a COPY that has already ended.
-            b'd' | b'c' | b'f' => {}
+            b'd' | b'c' | b'f' if self.queued.is_empty() => {}
             b'Q' if self.queued.is_empty() => {
                 let Some(text) = wire::read_query(&message.body) else { return self.protocol_violation(out) };
                 let scan = sql::scan(text);
@@ -363,7 +363,7 @@
                 self.enqueue(message);
                 self.request_server(out);
             }
-            b'P' | b'B' | b'D' | b'E' | b'C' => {
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'd' | b'c' | b'f' => {
                 self.enqueue(message);
                 if self.queued_bytes > MAX_QUEUED_BYTES {
                     self.request_server(out);
@@ -568,13 +568,9 @@
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
             b'H' => out.push(Action::SendToServer(wire::empty_message(b'H'))),
-            // Data of a COPY, as long as one may be in progress.
-            b'd' | b'c' | b'f'
-                if matches!(
-                    self.expected.front(),
-                    Some(ExpectedReply::Query(_) | ExpectedReply::Execute(_))
-                ) =>
-            {
+            // Data of a COPY that is in progress, or may be begun by what the client has sent ahead of it. Data of none
+            // is ignored by the server.
+            b'd' | b'c' | b'f' if !self.expected.is_empty() => {
                 if message.kind != b'd' {
                     self.copying = false;
                     self.expected.push_back(ExpectedReply::DataEnd);
--- /dev/null
+++ b/crates/pooling/tests/copies.rs
@@ -0,0 +1,62 @@
+//! COPY from the client, whose data may be sent before the server has asked for it.
+
+mod messages;
+
+use messages::*;
+use pgwire::Message;
+use pooling::{Mode, Session};
+use rstest::rstest;
+
+const COPY: &str = "COPY a FROM STDIN";
+
+fn data() -> Vec<Message> {
+    vec![message(b'd', b"data"), message(b'c', b"")]
+}
+
+/// Returns a session that has been passed these messages, and the kinds of those that its server got.
+fn pass_on(before: Vec<Message>, after: Vec<Message>) -> (Session, String) {
+    let mut session = session(Mode::Transaction);
+    from_client(&mut session, before);
+    let mut sent = kinds(&attach(&mut session)).1;
+    sent.extend(kinds(&from_client(&mut session, after)).1.chars());
+    (session, sent)
+}
+
+fn batch() -> Vec<Message> {
+    vec![parse("", COPY), bind(""), execute()]
+}
+
+/// Guards against data that is dropped because the COPY is not the first of what the client has sent: the server
+/// would wait for it for ever.
+#[rstest]
+#[case::behind_a_query(vec![text(b'Q', "SELECT 1")], [vec![text(b'Q', COPY)], data()].concat_all(), "QQdc")]
+#[case::in_a_batch(vec![text(b'Q', "SELECT 1")], [batch(), data(), vec![sync()]].concat_all(), "QPBEdcS")]
+#[case::before_there_is_a_server([batch(), data(), vec![sync()]].concat_all(), vec![], "PBEdcS")]
+#[case::with_a_sync_ahead([batch(), vec![sync()]].concat_all(), [data(), vec![sync()]].concat_all(), "PBESdcS")]
+fn data_that_is_sent_ahead_reaches_the_server(
+    #[case] before: Vec<Message>,
+    #[case] after: Vec<Message>,
+    #[case] expected: &str,
+) {
+    assert_eq!(pass_on(before, after).1, expected);
+}
+
+/// Guards against data that waits for a COPY which has failed.
+#[test]
+fn data_behind_a_copy_that_has_ended_is_dropped() {
+    let (mut session, _) = pass_on(vec![text(b'Q', "BEGIN")], vec![text(b'Q', COPY)]);
+    from_server(&mut session, vec![text(b'C', "BEGIN"), ready(b'T')]);
+    from_server(&mut session, vec![text(b'E', "SERROR\0C42P01\0Mno\0"), ready(b'E')]);
+    assert_eq!(from_client(&mut session, data()), []);
+}
+
+/// Joins lists of messages, which cannot be cloned.
+trait ConcatAll {
+    fn concat_all(self) -> Vec<Message>;
+}
+
+impl<const N: usize> ConcatAll for [Vec<Message>; N] {
+    fn concat_all(self) -> Vec<Message> {
+        self.into_iter().flatten().collect()
+    }
+}
