sessions: a COPY in a batch whose server is lost is told as failed

What callers see: a driver that copies by the extended protocol sends Sync with its Execute, as libpq does. If the server is lost while it sends data, it gets no error: its last Sync is answered with ReadyForQuery alone, as if there had been nothing to run.

Cause: that first Sync ended the batch for the session (in_batch), and at CopyInResponse it was taken out of the expected replies, since the server ignores it. What was left, the Execute, ends with no ReadyForQuery: at a loss neither an open batch nor an answer was owed. A Sync within the COPY ended the batch in the same way.

Change: a batch whose Sync the server ignores is open again, and a Sync within a COPY doesn't end it. At a loss an open batch gets its error, and its next Sync ReadyForQuery, as before.

Result: 2 of the 4 new cases failed before (no reply in place of E, 08007): those with the Sync sent ahead.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -116,6 +116,11 @@
         self.entries.iter().map(|(reply, _)| reply)
     }
 
+    /// Returns true if the reply to a Sync is expected.
+    pub fn contains_sync(&self) -> bool {
+        self.iter().any(|reply| matches!(reply, ExpectedReply::Sync))
+    }
+
     pub fn push_back(&mut self, reply: ExpectedReply) {
         let bytes = reply.memory();
         self.entries.push_back((reply, bytes));
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -540,8 +540,10 @@
         let body = &message.body;
         match message.kind {
             b'S' => {
-                (self.in_batch, self.skipping) = (false, false);
+                self.skipping = false;
+                // The server ignores it within a COPY, and the batch goes on.
                 if !self.copying {
+                    self.in_batch = false;
                     self.expected.push_back(ExpectedReply::Sync);
                 }
                 out.push(Action::SendToServer(wire::empty_message(b'S')));
@@ -851,9 +853,10 @@
     }
 
     /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of
-    /// the data.
+    /// the data, so that the batch may be open again.
     fn copy_started(&mut self) {
         self.copying = self.expected.remove_ignored_syncs();
+        self.in_batch |= !self.expected.contains_sync();
     }
 
     /// Applies the effect of a completed statement.
--- a/crates/pooling/tests/copies.rs
+++ b/crates/pooling/tests/copies.rs
@@ -4,7 +4,7 @@
 
 use messages::*;
 use pgwire::Message;
-use pooling::{Mode, Session};
+use pooling::{DetachReason, Mode, Session};
 use rstest::rstest;
 
 const COPY: &str = "COPY a FROM STDIN";
@@ -18,7 +18,7 @@
     let mut session = session(Mode::Transaction);
     from_client(&mut session, before);
     let mut sent = kinds(&attach(&mut session)).1;
-    sent.extend(kinds(&from_client(&mut session, after)).1.chars());
+    sent.push_str(&kinds(&from_client(&mut session, after)).1);
     (session, sent)
 }
 
@@ -50,6 +50,27 @@
     assert_eq!(from_client(&mut session, data()), []);
 }
 
+/// Guards against a COPY that is answered without an error, though its server was lost before the end of its data.
+#[rstest]
+#[case::before_the_end_of_the_data(vec![message(b'd', b"data")])]
+#[case::after_the_end_of_the_data(data())]
+fn a_copy_in_a_batch_whose_server_is_lost_fails(
+    #[case] sent_before: Vec<Message>,
+    #[values(false, true)] sync_ahead: bool,
+) {
+    let mut before = batch();
+    before.push(if sync_ahead { sync() } else { message(b'H', b"") });
+    let (mut session, _) = pass_on(before, Vec::new());
+    let replies = vec![message(b'1', b""), message(b'2', b""), message(b'G', b"\0\0\0")];
+    assert_eq!(kinds(&from_server(&mut session, replies)).0, "12G");
+    from_client(&mut session, sent_before);
+    let mut out = Vec::new();
+    session.server_detached(DetachReason::Lost, &mut out);
+    assert_eq!((kinds(&out).0, sqlstates(&out)), ("E".into(), vec!["08007".to_string()]));
+    let rest = [data(), vec![sync()]].concat_all();
+    assert_eq!(kinds(&from_client(&mut session, rest)), ("Z".into(), String::new()));
+}
+
 /// Joins lists of messages, which cannot be cloned.
 trait ConcatAll {
     fn concat_all(self) -> Vec<Message>;
