sessions: a Sync that a COPY does not ignore is answered

What callers see: COPY FROM STDIN in a batch, with Sync sent ahead as libpq does, into what can't be copied to (a view), or where a trigger of the statement fails: the server says CopyInResponse, then an error, and answers the Sync. The client got the error and never ReadyForQuery, and the server's connection was closed; in a transaction that was told as lost.

Cause: at CopyInResponse the session took the Sync out of the expected replies for good, but the server ignores it only if it reads it as a part of the data. An answer to it was one that nobody expects.

Evidence: by reading of the protocol ("discard messages until Sync" after an error); the new cases show no reply in place of Z.

Change: the Syncs that are expected to be ignored are counted until the COPY has succeeded. After one that fails, an answer to nothing that is expected belongs to such a Sync. Before the connection is released it is asked, by an empty query, whether such an answer is still to come: otherwise it would be taken for the next session's. A COPY that succeeds costs nothing more. Where the client has sent further queries behind the end of its data before the error arrives, the two answers can't be told apart; that is left as it was.

Result: both cases of the new test failed before ("" for Z, Z for ZZ); all pass.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -33,6 +33,8 @@
 pub(crate) enum ExpectedReply {
     /// All replies to the SQL that synchronizes the settings.
     Setup,
+    /// EmptyQueryResponse, and what follows it, to a query that the session has sent by itself.
+    EmptyQuery,
     /// ParseComplete; `forward` if the client receives it, `named` unless it is the unnamed statement.
     Parse {
         digest: StatementDigest,
@@ -112,6 +114,18 @@
         self.entries.front_mut().map(|(reply, _)| reply)
     }
 
+    /// Returns true if the next reply is to a query that the session has sent by itself.
+    pub fn front_is_empty_query(&self) -> bool {
+        matches!(self.front(), Some(ExpectedReply::EmptyQuery))
+    }
+
+    /// Replaces the next reply by one that takes no more memory.
+    pub fn replace_front(&mut self, reply: ExpectedReply) {
+        if let Some(front) = self.front_mut() {
+            *front = reply;
+        }
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &ExpectedReply> {
         self.entries.iter().map(|(reply, _)| reply)
     }
@@ -150,19 +164,25 @@
         owed.collect()
     }
 
+    /// Returns true if an entry marks where the client has ended its COPY data.
+    pub fn contains_data_end(&self) -> bool {
+        self.iter().any(|reply| matches!(reply, ExpectedReply::DataEnd))
+    }
+
     /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of the
-    /// data. Returns true if that end has not been sent yet.
-    pub fn remove_ignored_syncs(&mut self) -> bool {
+    /// data. Returns the number of those that have been sent.
+    pub fn remove_ignored_syncs(&mut self) -> usize {
         let end = self.entries.iter().position(|(reply, _)| matches!(reply, ExpectedReply::DataEnd));
-        let (mut index, mut removed) = (0, 0);
+        let (mut index, mut removed, mut syncs) = (0, 0, 0);
         self.entries.retain(|(reply, bytes)| {
             index += 1;
             let keep = !matches!(reply, ExpectedReply::Sync) || end.is_some_and(|end| index > end);
             removed += if keep { 0 } else { *bytes };
+            syncs += usize::from(!keep);
             keep
         });
         self.count_removed(removed);
-        end.is_none()
+        syncs
     }
 
     fn count_removed(&mut self, bytes: usize) {
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -179,6 +179,8 @@
     /// Whether the server is receiving COPY data in a batch, during which it ignores Sync and all other
     /// messages.
     copying: bool,
+    /// Syncs of a COPY in a batch that the server ignores, unless the COPY fails before it reads them.
+    ignored_syncs: usize,
     /// Whether the client has received only a part of a server's message. Anything but the rest of that
     /// message would be taken for it.
     within_message: bool,
@@ -214,6 +216,7 @@
             reported,
             write_denied: false,
             copying: false,
+            ignored_syncs: 0,
             within_message: false,
         }
     }
@@ -542,7 +545,9 @@
             b'S' => {
                 self.skipping = false;
                 // The server ignores it within a COPY, and the batch goes on.
-                if !self.copying {
+                if self.copying {
+                    self.ignored_syncs += 1;
+                } else {
                     self.in_batch = false;
                     self.expected.push_back(ExpectedReply::Sync);
                 }
@@ -795,6 +800,10 @@
                 }
             }
             b'A' if !self.may_listen() => {}
+            b'I' if self.expected.front_is_empty_query() => {
+                self.ignored_syncs = 0;
+                self.expected.replace_front(ExpectedReply::Setup);
+            }
             b'Z' => self.handle_ready(message.body.first().copied().unwrap_or(b'I'), out),
             b'E' if setup => {
                 // The server rejects a setting of the session.
@@ -855,12 +864,14 @@
     /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of
     /// the data, so that the batch may be open again.
     fn copy_started(&mut self) {
-        self.copying = self.expected.remove_ignored_syncs();
+        self.ignored_syncs = self.expected.remove_ignored_syncs();
+        self.copying = !self.expected.contains_data_end();
         self.in_batch |= !self.expected.contains_sync();
     }
 
     /// Applies the effect of a completed statement.
     fn statement_completed(&mut self, tag: &str) {
+        self.ignored_syncs = 0;
         let PendingStatement { effect, pins } = match self.expected.front_mut() {
             Some(ExpectedReply::Execute(_)) => match self.expected.pop_front() {
                 Some(ExpectedReply::Execute(statement)) => statement,
@@ -927,7 +938,8 @@
         match self.expected.front_mut() {
             Some(ExpectedReply::Setup) => {
                 self.expected.pop_front();
-                return self.report_parameters(out);
+                self.report_parameters(out);
+                return self.release_if_done(out);
             }
             Some(ExpectedReply::Sync) => drop(self.expected.pop_front()),
             Some(ExpectedReply::Query(statements)) => {
@@ -935,6 +947,11 @@
                 self.pins.extend(statements.drain(..).flat_map(|statement| statement.pins));
                 self.expected.pop_front();
             }
+            // A COPY has failed before the server read a Sync, which so was not ignored.
+            None | Some(ExpectedReply::EmptyQuery) if self.ignored_syncs > 0 => {
+                self.ignored_syncs -= 1;
+                (self.in_batch, self.skipping) = (false, false);
+            }
             _ => return self.unexpected_reply(out),
         }
         self.status = status;
@@ -945,11 +962,22 @@
         }
         out.push(Action::SendToClient(wire::ready_for_query(status)));
         self.send_local_replies(out);
-        let releasable = self.status == b'I' && self.expected.is_empty() && !self.in_batch;
-        if releasable && self.pins.is_empty() && self.mode != Mode::Session {
-            self.detach();
-            out.push(Action::ReleaseServer(Disposition::Reuse));
+        self.release_if_done(out);
+    }
+
+    /// Releases the server connection if no state of the session depends on it.
+    fn release_if_done(&mut self, out: &mut Vec<Action>) {
+        let done = self.status == b'I' && self.expected.is_empty() && !self.in_batch;
+        if !done || !self.pins.is_empty() || self.mode == Mode::Session {
+            return;
+        }
+        if self.ignored_syncs > 0 {
+            // The server's answer to this comes behind that to a Sync which it has not ignored.
+            out.push(Action::SendToServer(pgwire::query(b"")));
+            return self.expected.push_back(ExpectedReply::EmptyQuery);
         }
+        self.detach();
+        out.push(Action::ReleaseServer(Disposition::Reuse));
     }
 
     /// Detaches the session from its server connection.
@@ -959,6 +987,7 @@
         self.clear_portals();
         self.expected.clear();
         (self.status, self.failed, self.in_batch, self.copying) = (b'I', false, false, false);
+        self.ignored_syncs = 0;
     }
 
     /// Handles that the client has disconnected. Returns what happens to the server connection, if there is
--- a/crates/pooling/tests/copies.rs
+++ b/crates/pooling/tests/copies.rs
@@ -4,7 +4,7 @@
 
 use messages::*;
 use pgwire::Message;
-use pooling::{DetachReason, Mode, Session};
+use pooling::{Action, DetachReason, Disposition, Mode, Session};
 use rstest::rstest;
 
 const COPY: &str = "COPY a FROM STDIN";
@@ -71,6 +71,42 @@
     assert_eq!(kinds(&from_client(&mut session, rest)), ("Z".into(), String::new()));
 }
 
+/// Guards against a connection that is given up, and its client's, over an answer to a Sync that the server had not
+/// ignored: a trigger may fail after the COPY has begun and before its data is read.
+#[rstest]
+#[case::the_client_sends_no_more(vec![], "Z")]
+#[case::the_client_has_ended_its_data(vec![message(b'c', b""), sync()], "ZZ")]
+fn a_sync_ahead_is_answered_when_the_copy_fails_before_its_data_is_read(
+    #[case] more: Vec<Message>,
+    #[case] replies: &str,
+) {
+    let (mut session, _) = pass_on([batch(), vec![sync()]].concat_all(), Vec::new());
+    let begun = vec![message(b'1', b""), message(b'2', b""), message(b'G', b"\0\0\0")];
+    from_server(&mut session, begun);
+    from_server(&mut session, vec![text(b'E', "SERROR\0C23514\0Mno\0")]);
+    from_client(&mut session, more);
+    let answers = replies.chars().map(|_| ready(b'I')).collect();
+    assert_eq!(kinds(&from_server(&mut session, answers)).0, replies);
+    if session.is_attached() {
+        // The server has been asked whether there is another answer.
+        assert_eq!(kinds(&from_server(&mut session, vec![message(b'I', b""), ready(b'I')])).0, "");
+    }
+    assert!(!session.is_attached());
+}
+
+/// Guards against a connection that is given up, or an answer too many, after a COPY that fails within its data.
+#[test]
+fn a_sync_ahead_gets_no_answer_when_the_copy_fails_within_its_data() {
+    let (mut session, _) = pass_on([batch(), vec![sync()]].concat_all(), data());
+    let begun = vec![message(b'1', b""), message(b'2', b""), message(b'G', b"\0\0\0")];
+    from_server(&mut session, begun);
+    from_client(&mut session, vec![sync()]);
+    let failed = vec![text(b'E', "SERROR\0C23514\0Mno\0"), ready(b'I')];
+    assert_eq!(kinds(&from_server(&mut session, failed)), ("EZ".into(), "Q".into()));
+    let actions = from_server(&mut session, vec![message(b'I', b""), ready(b'I')]);
+    assert_eq!(actions, [Action::ReleaseServer(Disposition::Reuse)]);
+}
+
 /// Joins lists of messages, which cannot be cloned.
 trait ConcatAll {
     fn concat_all(self) -> Vec<Message>;
