sessions: what was read behind a server's unexpected reply is not passed on

What callers see: a server that answers what nobody has asked is given up, and its client is told 08007 for each query. Replies that were read together with the unexpected one were still passed on behind these errors: answers to no query, each taken for that to the next.

Cause: the daemon hands the session all that it has read, unless the last action ends that; with errors behind the release it went on, and Session::handle_server_piece handled messages without a server. Each ReadyForQuery among them released a connection again.

Evidence: drawn pipelines with a stray reply ("C to a client that is owed nothing").

Change: a session without a server takes nothing from one.

--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -782,6 +782,10 @@
 
     /// Handles a message, or a part of one, from the server.
     pub fn handle_server_piece(&mut self, piece: Piece, out: &mut Vec<Action>) {
+        if self.stage != Stage::Attached {
+            // It was read together with a message that has cost the server its connection.
+            return;
+        }
         let message = match piece {
             Piece::Part { bytes, is_last } => {
                 self.within_message = !is_last;
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -99,3 +99,16 @@
     assert_eq!(kinds(&actions), (replies.into(), String::new()));
     assert!(!actions.iter().any(|action| matches!(action, Action::RequestServer(_))));
 }
+
+/// Guards against replies that reach the client behind the error for which their server was given up.
+#[test]
+fn replies_that_are_read_together_with_an_unexpected_one_are_dropped() {
+    let requests = vec![text(b'Q', "SELECT 1"), text(b'Q', "SELECT 2")];
+    let mut session = session_after(Mode::Transaction, requests);
+    let replies =
+        vec![message(b'2', b""), text(b'C', "SELECT 1"), ready(b'I'), text(b'C', "SELECT 1"), ready(b'I')];
+    let actions = from_server(&mut session, replies);
+    assert_eq!((kinds(&actions).0, sqlstates(&actions)), ("EZEZ".into(), vec!["08007".to_string(); 2]));
+    let releases = actions.iter().filter(|action| matches!(action, Action::ReleaseServer(_)));
+    assert_eq!(releases.count(), 1);
+}
