sessions: a batch that the session turns down gets its error after a loss

What callers see: a client sends a batch whose later part the session turns down by itself (a name that is not prepared, or is already; BEGIN in mode statement; over a limit), without its Sync yet, and the server is lost before it has answered what came first. No error was sent; the Sync was answered with ReadyForQuery alone, and what ran in the batch, or didn't, looked as done.

Cause: the session's own error waited in the queue of expected replies, which was cleared; that the rest of the batch is skipped was taken for a sign that the client has its error already.

Evidence: drawn pipelines; the new cases show EZ and EZEZ, with no error of the open batch behind.

Change: the entries that the session answers by itself are told apart (LocalReply, LocalError, LocalAnswer, in place of a flag), and an open batch gets its error unless the client has had it.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -54,15 +54,21 @@
     Query(VecDeque<PendingStatement>),
     /// No reply: marks where the client ended its COPY data.
     DataEnd,
-    /// No reply: these bytes are sent to the client in turn, followed by ReadyForQuery if the flag is set.
-    Local(Vec<u8>, bool),
+    /// No reply: these bytes are sent to the client in turn.
+    LocalReply(Vec<u8>),
+    /// No reply: this error is sent to the client in turn; the rest of its batch is skipped.
+    LocalError(Vec<u8>),
+    /// No reply: these bytes, followed by ReadyForQuery, are sent to the client in turn.
+    LocalAnswer(Vec<u8>),
 }
 
 impl ExpectedReply {
     /// Returns the memory that it takes (bytes).
     fn memory(&self) -> usize {
         let more = match self {
-            ExpectedReply::Local(bytes, _) => bytes.len(),
+            ExpectedReply::LocalReply(bytes)
+            | ExpectedReply::LocalError(bytes)
+            | ExpectedReply::LocalAnswer(bytes) => bytes.len(),
             ExpectedReply::Execute(statement) => statement.memory(),
             ExpectedReply::Query(statements) => statements.iter().map(PendingStatement::memory).sum(),
             _ => 0,
@@ -135,6 +141,15 @@
         self.iter().any(|reply| matches!(reply, ExpectedReply::Sync))
     }
 
+    /// Returns true if an error of the session itself waits for its turn in the batch that has no end yet.
+    pub fn last_batch_contains_error(&self) -> bool {
+        let open = |reply: &&ExpectedReply| {
+            !matches!(reply, ExpectedReply::Sync | ExpectedReply::Query(_) | ExpectedReply::LocalAnswer(_))
+        };
+        let mut last_batch = self.entries.iter().rev().map(|(reply, _)| reply).take_while(open);
+        last_batch.any(|reply| matches!(reply, ExpectedReply::LocalError(_)))
+    }
+
     pub fn push_back(&mut self, reply: ExpectedReply) {
         let bytes = reply.memory();
         self.entries.push_back((reply, bytes));
@@ -148,6 +163,20 @@
         Some(reply)
     }
 
+    /// Removes the next entry if it waits for no reply of the server.
+    pub fn pop_front_local(&mut self) -> Option<ExpectedReply> {
+        let is_local = matches!(
+            self.front(),
+            Some(
+                ExpectedReply::LocalReply(_)
+                    | ExpectedReply::LocalError(_)
+                    | ExpectedReply::LocalAnswer(_)
+                    | ExpectedReply::DataEnd
+            )
+        );
+        is_local.then(|| self.pop_front()).flatten()
+    }
+
     pub fn clear(&mut self) {
         *self = ExpectedReplies::default();
     }
@@ -158,7 +187,7 @@
         let replies = std::mem::take(self);
         let owed = replies.entries.into_iter().filter_map(|(reply, _)| match reply {
             ExpectedReply::Query(_) | ExpectedReply::Sync => Some(OwedAnswer::FromServer),
-            ExpectedReply::Local(answer, true) => Some(OwedAnswer::Local(answer)),
+            ExpectedReply::LocalAnswer(answer) => Some(OwedAnswer::Local(answer)),
             _ => None,
         });
         owed.collect()
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -513,23 +513,24 @@
     /// Answers a message of a batch with an error of the session itself, after the replies that are pending.
     fn reply_error(&mut self, code: &str, text: &str, out: &mut Vec<Action>) {
         self.skipping = true;
-        self.expected.push_back(ExpectedReply::Local(error_response("ERROR", code, text, None), false));
+        self.expected.push_back(ExpectedReply::LocalError(error_response("ERROR", code, text, None)));
         self.send_local_replies(out);
     }
 
     /// Answers a message of a batch without the server, after the replies that are pending.
     fn reply_locally(&mut self, bytes: Vec<u8>, out: &mut Vec<Action>) {
-        self.expected.push_back(ExpectedReply::Local(bytes, false));
+        self.expected.push_back(ExpectedReply::LocalReply(bytes));
         self.send_local_replies(out);
     }
 
     /// Sends the session's own replies that no server reply precedes any more.
     fn send_local_replies(&mut self, out: &mut Vec<Action>) {
-        while let Some(ExpectedReply::Local(..) | ExpectedReply::DataEnd) = self.expected.front() {
-            let Some(ExpectedReply::Local(mut bytes, ready)) = self.expected.pop_front() else { continue };
-            if ready {
-                bytes.extend(wire::ready_for_query(self.status));
-            }
+        while let Some(reply) = self.expected.pop_front_local() {
+            let bytes = match reply {
+                ExpectedReply::LocalReply(bytes) | ExpectedReply::LocalError(bytes) => bytes,
+                ExpectedReply::LocalAnswer(bytes) => [bytes, wire::ready_for_query(self.status)].concat(),
+                _ => continue,
+            };
             out.push(Action::SendToClient(bytes));
         }
     }
@@ -558,7 +559,7 @@
                 let Some(text) = wire::read_query(body) else { return self.protocol_violation(out) };
                 let scan = sql::scan(text);
                 if let Some(answer) = self.answer_locally(&scan) {
-                    self.expected.push_back(ExpectedReply::Local(answer, true));
+                    self.expected.push_back(ExpectedReply::LocalAnswer(answer));
                     return self.send_local_replies(out);
                 }
                 let statements = scan.statements.iter().map(|statement| self.pending_statement(statement));
@@ -1034,7 +1035,7 @@
                 "the server's connection was lost: what was asked may have run or not",
             );
         }
-        let in_batch = self.in_batch && !self.skipping;
+        let in_batch = self.in_batch && (!self.skipping || self.expected.last_batch_contains_error());
         let pinned = !self.pins().is_empty();
         let aborted = in_transaction && !unknown;
         let owed = self.expected.take_owed_answers();
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -112,3 +112,18 @@
     let releases = actions.iter().filter(|action| matches!(action, Action::ReleaseServer(_)));
     assert_eq!(releases.count(), 1);
 }
+
+/// Guards against a batch without an answer: an error of the session itself, by which the rest of the batch is
+/// skipped, waits behind replies of the lost server.
+#[rstest]
+#[case::unknown_statement(vec![bind("none")], "08007")]
+#[case::unknown_statement_in_a_second_batch(vec![sync(), parse("", "SELECT 2"), bind("none")], "08007")]
+fn a_batch_that_the_session_turns_down_gets_an_error(#[case] rest: Vec<Message>, #[case] sqlstate: &str) {
+    let mut requests = vec![text(b'Q', "SELECT 0"), parse("", "SELECT 1"), bind(""), execute()];
+    requests.extend(rest);
+    let mut session = session_after(Mode::Transaction, requests);
+    let (kinds_before, errors) = lose(&mut session, DetachReason::Lost);
+    assert!(kinds_before.ends_with('E'), "{kinds_before}");
+    assert_eq!(errors.last().map(String::as_str), Some(sqlstate));
+    assert_eq!(kinds(&from_client(&mut session, vec![execute(), sync()])), ("Z".into(), String::new()));
+}
