sessions: what a server says unasked is no answer to the client's next query

What callers see: a server that is shut down says why (FATAL, 57P01) on connections whose session asks nothing at the moment, in a transaction or in mode session. The client got that error unasked, and its connection went on: it was taken for the answer to the next query, which another server answered without an error. The same held for any other reply to nothing.

Cause: Session::handle_server_piece passed on what comes while no reply is expected.

Change: an error while nothing is expected is not passed on; the end of the connection, which follows it, is told as any other, to the next statement of a transaction or not at all where nothing was lost. Any other reply to nothing is an unexpected one: the connection is closed.

--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -787,6 +787,9 @@
             // It was read together with a message that has cost the server its connection.
             return;
         }
+        if self.expected.is_empty() && is_reply(&piece) {
+            return self.unexpected_reply(out);
+        }
         let message = match piece {
             Piece::Part { bytes, is_last } => {
                 self.within_message = !is_last;
@@ -817,6 +820,8 @@
                 let text = wire::read_error_text(&message.body);
                 self.end_with_error(sqlstate::INVALID_PARAMETER_VALUE, &text, out);
             }
+            // The server says why it is about to end the connection. No query of the client is answered by that.
+            b'E' if self.expected.is_empty() || self.expected.front_is_empty_query() => {}
             b'E' => self.handle_error(&message, out),
             _ if setup => {}
             kind @ (b'1' | b'2' | b'3') => {
@@ -1066,6 +1071,14 @@
     }
 }
 
+/// Returns true if a server sends this in reply to a message of the client only. ReadyForQuery is not counted.
+fn is_reply(piece: &Piece) -> bool {
+    match piece {
+        Piece::Part { .. } => true,
+        Piece::Message(message) => !matches!(message.kind, b'A' | b'E' | b'N' | b'S' | b'Z'),
+    }
+}
+
 /// Returns the memory that a statement takes under this name, as a statement or as a portal (bytes).
 fn statement_memory(name: &str, prepared: &PreparedStatement) -> usize {
     name.len() + prepared.memory
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -5,7 +5,7 @@
 
 use messages::*;
 use pgwire::Message;
-use pooling::{Action, DetachReason, Mode, Session};
+use pooling::{Action, DetachReason, Disposition, Mode, Session};
 use rstest::rstest;
 
 /// Returns an attached session that has been passed these messages, the first of which requests its server.
@@ -127,3 +127,26 @@
     assert_eq!(errors.last().map(String::as_str), Some(sqlstate));
     assert_eq!(kinds(&from_client(&mut session, vec![execute(), sync()])), ("Z".into(), String::new()));
 }
+
+/// Guards against an error that reaches a client which is owed nothing: it would be taken for the answer to the next
+/// query, which a server may answer without an error.
+#[rstest]
+fn a_server_that_says_why_it_ends_answers_no_query(#[values("BEGIN", "SELECT 1")] sql: &str) {
+    let mut session = session_after(Mode::Session, vec![text(b'Q', sql)]);
+    let status = if sql == "BEGIN" { b'T' } else { b'I' };
+    from_server(&mut session, vec![text(b'C', sql), ready(status)]);
+    let ends = text(b'E', "SFATAL\0VFATAL\0C57P01\0Mend\0");
+    assert_eq!(from_server(&mut session, vec![ends]), []);
+    assert_eq!(lose(&mut session, DetachReason::Lost), (String::new(), Vec::new()));
+}
+
+/// Guards against a reply that no query has asked for and that is passed on.
+#[rstest]
+#[case(text(b'C', "SELECT 1"))]
+#[case(message(b'T', b"\0\0"))]
+#[case(message(b'I', b""))]
+fn a_reply_to_nothing_costs_the_server_its_connection(#[case] stray: Message) {
+    let mut session = session_after(Mode::Session, vec![text(b'Q', "SELECT 1")]);
+    from_server(&mut session, vec![text(b'C', "SELECT 1"), ready(b'I')]);
+    assert_eq!(from_server(&mut session, vec![stray]), [Action::ReleaseServer(Disposition::Close)]);
+}
