sessions: batches end a lost transaction by what they execute, not by what they prepare

What callers see, in a transaction whose server is lost, by the extended protocol: with ROLLBACK parsed in the batch, each further Parse, Bind and Execute was answered as done, whatever it named: an INSERT behind it got CommandComplete ROLLBACK and was not run. A ROLLBACK that was only prepared ended the transaction; its name was unknown at the next use (26000); Describe lacked ParameterDescription. A client whose COMMIT or ROLLBACK was prepared before the loss could not leave the transaction. A statement closed there was still known afterwards (42P05).

Cause: Session::handle_aborted noted that a Parse of COMMIT or ROLLBACK had been seen, and from then on answered by the kind of message alone; the transaction ended with the Sync.

Change: Parse, Bind, Describe, Execute and Close do there what they do elsewhere, with the session's own statements and portals, for statements that end the transaction; all else is an error. Execute ends the transaction at once, so that the rest of the batch goes to a server, as PostgreSQL has it. The checks on names and limits are shared with the attached session (add_statement, add_portal).

--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -210,6 +210,11 @@
     build_message(message.kind, |out| out.extend(&message.body))
 }
 
+/// ParameterDescription of a statement without parameters.
+pub fn no_parameters() -> Vec<u8> {
+    vec![b't', 0, 0, 0, 6, 0, 0]
+}
+
 /// ReadyForQuery with the transaction status `I`, `T` or `E`.
 pub fn ready_for_query(status: u8) -> Vec<u8> {
     vec![b'Z', 0, 0, 0, 5, status]
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -135,6 +135,12 @@
     Aborted,
 }
 
+/// Why a statement or a portal is not added.
+struct StatementError {
+    code: &'static str,
+    text: String,
+}
+
 /// One client's session.
 pub struct Session {
     mode: Mode,
@@ -164,8 +170,6 @@
     in_batch: bool,
     /// After an error in a batch, all messages up to Sync are skipped.
     skipping: bool,
-    /// Whether the current batch ends the lost transaction.
-    ending_aborted: bool,
     /// Why the transaction was lost, until the client has received the error.
     detach_reason: Option<DetachReason>,
     /// Functions that leave nothing in the session, by the operator's word.
@@ -209,7 +213,6 @@
             failed: false,
             in_batch: false,
             skipping: false,
-            ending_aborted: false,
             detach_reason: None,
             stateless_functions: Rc::default(),
             pins: BTreeSet::new(),
@@ -345,7 +348,7 @@
     fn handle_idle(&mut self, message: Message, out: &mut Vec<Action>) {
         match message.kind {
             b'S' if self.skipping || self.queued.is_empty() => {
-                self.skipping = false;
+                (self.in_batch, self.skipping) = (false, false);
                 out.push(Action::SendToClient(wire::ready_for_query(b'I')));
             }
             _ if self.skipping => {}
@@ -353,6 +356,7 @@
             // Data of a COPY that has already ended.
             b'd' | b'c' | b'f' if self.queued.is_empty() => {}
             b'Q' if self.queued.is_empty() => {
+                self.in_batch = false;
                 let Some(text) = wire::read_query(&message.body) else { return self.protocol_violation(out) };
                 let scan = sql::scan(text);
                 if scan.statements.is_empty() {
@@ -504,7 +508,7 @@
         let queued = self.take_queued();
         out.push(Action::SendToClient(error_response("ERROR", code, text, detail)));
         let ended = matches!(queued.last(), Some(Message { kind: b'Q' | b'S' | b'F', .. }));
-        self.skipping = !ended;
+        (self.in_batch, self.skipping) = (!ended, !ended);
         if ended {
             out.push(Action::SendToClient(wire::ready_for_query(b'I')));
         }
@@ -650,17 +654,34 @@
 
     fn parse(&mut self, name: &str, text: &str, types: &[u8], out: &mut Vec<Action>) {
         self.in_batch = true;
+        let prepared = match self.add_statement(name, text, types) {
+            Ok(prepared) => prepared,
+            Err(StatementError { code, text }) => return self.reply_error(code, &text, out),
+        };
+        if name.is_empty() {
+            return self.send_unnamed(&prepared, true, out);
+        }
+        if self.server_state.is_prepared(&prepared.digest) {
+            return self.reply_locally(wire::empty_message(b'1'), out);
+        }
+        self.send_named(&prepared, true, out);
+    }
+
+    /// Adds a statement to those that the session has prepared.
+    fn add_statement(
+        &mut self,
+        name: &str,
+        text: &str,
+        types: &[u8],
+    ) -> Result<Rc<PreparedStatement>, StatementError> {
         if !name.is_empty() && self.statements.contains_key(name) {
-            return self.reply_error(
-                sqlstate::DUPLICATE_STATEMENT,
-                &format!("prepared statement \"{name}\" already exists"),
-                out,
-            );
+            let text = format!("prepared statement \"{name}\" already exists");
+            return Err(StatementError { code: sqlstate::DUPLICATE_STATEMENT, text });
         }
         let prepared = PreparedStatement::new(text, types);
-        let forbidden = self.begins_forbidden_transaction(&prepared.scan);
-        if forbidden {
-            return self.reply_error(sqlstate::FEATURE_NOT_SUPPORTED, NO_TRANSACTIONS, out);
+        if self.begins_forbidden_transaction(&prepared.scan) {
+            let text = NO_TRANSACTIONS.to_string();
+            return Err(StatementError { code: sqlstate::FEATURE_NOT_SUPPORTED, text });
         }
         self.remove_statement(name);
         let memory = statement_memory(name, &prepared);
@@ -670,18 +691,25 @@
         if too_many {
             let text =
                 format!("over {MAX_STATEMENTS} prepared statements, or {MAX_STATEMENT_BYTES} bytes of them");
-            return self.reply_error(sqlstate::CONFIGURATION_LIMIT_EXCEEDED, &text, out);
+            return Err(StatementError { code: sqlstate::CONFIGURATION_LIMIT_EXCEEDED, text });
         }
         self.statement_bytes += text.len();
         self.statement_memory += memory;
         self.statements.insert(name.to_string(), prepared.clone());
-        if name.is_empty() {
-            return self.send_unnamed(&prepared, true, out);
-        }
-        if self.server_state.is_prepared(&prepared.digest) {
-            return self.reply_locally(wire::empty_message(b'1'), out);
+        Ok(prepared)
+    }
+
+    /// Adds a portal to those that the session has bound.
+    fn add_portal(&mut self, portal: &str, prepared: Rc<PreparedStatement>) -> Result<(), StatementError> {
+        self.remove_portal(portal);
+        let memory = statement_memory(portal, &prepared);
+        if self.portals.len() >= MAX_STATEMENTS || self.portal_memory + memory > MAX_STATEMENT_MEMORY {
+            let text = format!("over {MAX_STATEMENTS} portals, or {MAX_STATEMENT_MEMORY} bytes of them");
+            return Err(StatementError { code: sqlstate::CONFIGURATION_LIMIT_EXCEEDED, text });
         }
-        self.send_named(&prepared, true, out);
+        self.portal_memory += memory;
+        self.portals.insert(portal.to_string(), prepared);
+        Ok(())
     }
 
     fn remove_statement(&mut self, name: &str) {
@@ -759,17 +787,9 @@
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
         self.in_batch = true;
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
-        self.remove_portal(portal);
-        let memory = statement_memory(portal, &prepared);
-        if self.portals.len() >= MAX_STATEMENTS || self.portal_memory + memory > MAX_STATEMENT_MEMORY {
-            return self.reply_error(
-                sqlstate::CONFIGURATION_LIMIT_EXCEEDED,
-                &format!("over {MAX_STATEMENTS} portals, or {MAX_STATEMENT_MEMORY} bytes of them"),
-                out,
-            );
+        if let Err(StatementError { code, text }) = self.add_portal(portal, prepared) {
+            return self.reply_error(code, &text, out);
         }
-        self.portal_memory += memory;
-        self.portals.insert(portal.to_string(), prepared);
         self.expected.push_back(ExpectedReply::Bind);
         out.push(Action::SendToServer(wire::message_of_strings(b'B', &[portal, &server_name], rest)));
     }
@@ -1051,7 +1071,7 @@
             return self.end_with_error(code, text, out);
         }
         if aborted {
-            (self.stage, self.status, self.ending_aborted) = (Stage::Aborted, b'E', false);
+            (self.stage, self.status) = (Stage::Aborted, b'E');
         }
         let told = owed.contains(&OwedAnswer::FromServer);
         for answer in owed {
--- a/crates/pooling/src/session/lost_transaction.rs
+++ b/crates/pooling/src/session/lost_transaction.rs
@@ -1,43 +1,113 @@
 //! A transaction whose server connection is lost, until its client ends it.
 
+use std::rc::Rc;
+
 use pgwire::session as wire;
 use pgwire::{error_response, sqlstate, Message};
 use sql::{Control, Kind, Scan, Statement};
 
-use super::{Action, DetachReason, Session, Stage};
+use super::{Action, DetachReason, Session, Stage, StatementError};
+use crate::server_state::PreparedStatement;
+
+/// Why a message of a batch is answered with an error.
+enum BatchError {
+    /// It needs a transaction that has not failed.
+    InLostTransaction,
+    Statement(StatementError),
+}
 
 impl Session {
     /// Handles a client message in a transaction whose server connection is lost and which the client must end.
     pub(super) fn handle_in_lost_transaction(&mut self, message: Message, out: &mut Vec<Action>) {
+        let body = &message.body;
         match message.kind {
             b'S' => {
-                self.skipping = false;
-                if std::mem::take(&mut self.ending_aborted) {
-                    self.end_lost_transaction();
-                }
+                (self.in_batch, self.skipping) = (false, false);
                 out.push(Action::SendToClient(wire::ready_for_query(self.status)));
             }
             _ if self.skipping => {}
-            b'Q' => self.query_in_lost_transaction(&message, out),
-            b'P' if wire::read_parse(&message.body)
-                .is_some_and(|(_, text, _)| ends_transaction(&sql::scan(text))) =>
-            {
-                self.ending_aborted = true;
-                out.push(Action::SendToClient(wire::empty_message(b'1')));
-            }
-            b'B' if self.ending_aborted => out.push(Action::SendToClient(wire::empty_message(b'2'))),
-            b'D' if self.ending_aborted => out.push(Action::SendToClient(wire::empty_message(b'n'))),
-            b'E' if self.ending_aborted => out.push(rolled_back()),
-            // Drivers close statements at any time; that does not use the transaction.
-            b'C' => out.push(Action::SendToClient(wire::empty_message(b'3'))),
             b'H' | b'd' | b'c' | b'f' => {}
+            b'Q' => self.query_in_lost_transaction(&message, out),
             b'F' => {
                 self.reject_in_lost_transaction(out);
                 out.push(Action::SendToClient(wire::ready_for_query(self.status)));
             }
-            _ => {
-                self.reject_in_lost_transaction(out);
-                self.skipping = true;
+            kind => {
+                self.in_batch = true;
+                let answer = match kind {
+                    b'P' => {
+                        wire::read_parse(body).map(|(name, text, types)| self.parse_end(name, text, types))
+                    }
+                    b'B' => wire::read_bind(body).map(|(portal, name, _)| self.bind_end(portal, name)),
+                    b'D' => wire::read_target(body).map(|(of, name)| self.describe_end(of, name)),
+                    b'E' => wire::read_execute(body).map(|portal| self.execute_end(portal)),
+                    b'C' => wire::read_target(body).map(|(of, name)| self.close(of, name)),
+                    _ => None,
+                };
+                match answer {
+                    Some(Ok(reply)) => out.push(Action::SendToClient(reply)),
+                    Some(Err(error)) => self.fail_batch(error, out),
+                    None => self.protocol_violation(out),
+                }
+            }
+        }
+    }
+
+    /// Prepares a statement that ends the transaction.
+    fn parse_end(&mut self, name: &str, text: &str, types: &[u8]) -> Result<Vec<u8>, BatchError> {
+        if !is_end_of_transaction(&sql::scan(text)) {
+            return Err(BatchError::InLostTransaction);
+        }
+        self.add_statement(name, text, types).map_err(BatchError::Statement)?;
+        Ok(wire::empty_message(b'1'))
+    }
+
+    fn bind_end(&mut self, portal: &str, name: &str) -> Result<Vec<u8>, BatchError> {
+        let prepared = self.prepared_end(name)?;
+        self.add_portal(portal, prepared).map_err(BatchError::Statement)?;
+        Ok(wire::empty_message(b'2'))
+    }
+
+    fn describe_end(&self, of: u8, name: &str) -> Result<Vec<u8>, BatchError> {
+        let no_data = wire::empty_message(b'n');
+        if of == b'S' {
+            self.prepared_end(name)?;
+            return Ok([wire::no_parameters(), no_data].concat());
+        }
+        self.portals.get(name).map(|_| no_data).ok_or(BatchError::InLostTransaction)
+    }
+
+    /// Ends the transaction. What follows in the batch is run by a server.
+    fn execute_end(&mut self, portal: &str) -> Result<Vec<u8>, BatchError> {
+        if !self.portals.contains_key(portal) {
+            return Err(BatchError::InLostTransaction);
+        }
+        self.end_lost_transaction();
+        Ok(rolled_back())
+    }
+
+    /// Closes a statement or a portal, which does not use the transaction.
+    fn close(&mut self, of: u8, name: &str) -> Result<Vec<u8>, BatchError> {
+        match of {
+            b'S' => self.remove_statement(name),
+            _ => self.remove_portal(name),
+        }
+        Ok(wire::empty_message(b'3'))
+    }
+
+    /// Returns a prepared statement if it ends a transaction.
+    fn prepared_end(&self, name: &str) -> Result<Rc<PreparedStatement>, BatchError> {
+        let prepared = self.statements.get(name).filter(|prepared| is_end_of_transaction(&prepared.scan));
+        prepared.cloned().ok_or(BatchError::InLostTransaction)
+    }
+
+    /// Answers a message of a batch with an error; the rest of the batch is skipped.
+    fn fail_batch(&mut self, error: BatchError, out: &mut Vec<Action>) {
+        self.skipping = true;
+        match error {
+            BatchError::InLostTransaction => self.reject_in_lost_transaction(out),
+            BatchError::Statement(StatementError { code, text }) => {
+                out.push(Action::SendToClient(error_response("ERROR", code, &text, None)))
             }
         }
     }
@@ -45,11 +115,12 @@
     /// Handles a query. If its first statement ends the transaction, that is done here, and a server runs the others.
     fn query_in_lost_transaction(&mut self, message: &Message, out: &mut Vec<Action>) {
         let Some(text) = wire::read_query(&message.body) else { return self.protocol_violation(out) };
-        if !ends_transaction(&sql::scan(text)) {
+        self.in_batch = false;
+        if !begins_with_end_of_transaction(&sql::scan(text)) {
             self.reject_in_lost_transaction(out);
             return out.push(Action::SendToClient(wire::ready_for_query(self.status)));
         }
-        out.push(rolled_back());
+        out.push(Action::SendToClient(rolled_back()));
         self.end_lost_transaction();
         match sql::blank_first_statement(text).filter(|rest| !sql::scan(rest).statements.is_empty()) {
             Some(rest) => {
@@ -69,18 +140,26 @@
     }
 
     fn end_lost_transaction(&mut self) {
+        self.clear_portals();
         (self.stage, self.status, self.detach_reason) = (Stage::Idle, b'I', None);
     }
 }
 
 /// The reply to a statement that ends the transaction.
-fn rolled_back() -> Action {
-    Action::SendToClient(wire::message_of_strings(b'C', &["ROLLBACK"], &[]))
+fn rolled_back() -> Vec<u8> {
+    wire::message_of_strings(b'C', &["ROLLBACK"], &[])
 }
 
 /// Returns true if the first statement of a text ends a transaction.
-fn ends_transaction(scan: &Scan) -> bool {
-    let ends =
-        |statement: &Statement| matches!(statement.kind, Kind::Control(Control::Commit | Control::Rollback));
-    scan.statements.first().is_some_and(ends)
+fn begins_with_end_of_transaction(scan: &Scan) -> bool {
+    scan.statements.first().is_some_and(ends_transaction)
+}
+
+/// Returns true if a text is one statement, which ends a transaction.
+fn is_end_of_transaction(scan: &Scan) -> bool {
+    matches!(&scan.statements[..], [statement] if ends_transaction(statement))
+}
+
+fn ends_transaction(statement: &Statement) -> bool {
+    matches!(statement.kind, Kind::Control(Control::Commit | Control::Rollback))
 }
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -150,3 +150,83 @@
     from_server(&mut session, vec![text(b'C', "SELECT 1"), ready(b'I')]);
     assert_eq!(from_server(&mut session, vec![stray]), [Action::ReleaseServer(Disposition::Close)]);
 }
+
+fn describe(name: &str) -> Message {
+    message(b'D', &[b"S", name.as_bytes(), b"\0"].concat())
+}
+
+fn close(name: &str) -> Message {
+    message(b'C', &[b"S", name.as_bytes(), b"\0"].concat())
+}
+
+/// Guards against a statement that is answered with ROLLBACK, and not run, since its batch has ended the transaction.
+#[test]
+fn a_batch_goes_on_at_a_server_after_its_rollback_of_a_lost_transaction() {
+    let mut session = session_in_lost_transaction();
+    let batch = vec![parse("", "ROLLBACK"), bind(""), execute()];
+    assert_eq!(kinds(&from_client(&mut session, batch)).0, "12C");
+    let rest = vec![parse("", "INSERT INTO a VALUES (1)"), bind(""), execute(), sync()];
+    let actions = from_client(&mut session, rest);
+    assert!(matches!(actions[..], [Action::RequestServer(_)]), "{actions:?}");
+    assert_eq!(kinds(&attach(&mut session)), (String::new(), "PBES".into()));
+}
+
+/// Guards against a transaction that ends though its end is only prepared, and against a statement that is prepared
+/// without an error and is not there.
+#[test]
+fn an_end_that_is_only_prepared_ends_no_lost_transaction() {
+    let mut session = session_in_lost_transaction();
+    let batch = vec![parse("end", "ROLLBACK"), describe("end"), sync()];
+    assert_eq!(kinds(&from_client(&mut session, batch)).0, "1tnZ");
+    assert!(session.in_transaction());
+    let actions = from_client(&mut session, vec![bind("end"), execute(), sync()]);
+    assert_eq!(kinds(&actions).0, "2CZ");
+    assert!(!session.in_transaction());
+}
+
+/// Guards against a client that cannot leave a lost transaction since it has prepared its ROLLBACK before.
+#[test]
+fn an_end_that_was_prepared_before_the_loss_ends_the_transaction() {
+    let mut session = session_after(Mode::Transaction, vec![parse("end", "COMMIT"), sync()]);
+    from_server(&mut session, vec![message(b'1', b""), ready(b'I')]);
+    from_client(&mut session, vec![text(b'Q', "BEGIN")]);
+    attach(&mut session);
+    from_server(&mut session, vec![text(b'C', "BEGIN"), ready(b'T')]);
+    lose(&mut session, DetachReason::Lost);
+    assert_eq!(kinds(&from_client(&mut session, vec![bind("end"), execute(), sync()])).0, "2CZ");
+    assert!(!session.in_transaction());
+}
+
+/// Guards against a statement that is closed without an error, and is still there.
+#[test]
+fn a_statement_that_is_closed_in_a_lost_transaction_can_be_prepared_anew() {
+    let mut session = session_in_lost_transaction();
+    let batch = vec![parse("end", "ROLLBACK"), close("end"), parse("end", "COMMIT"), sync()];
+    assert_eq!(kinds(&from_client(&mut session, batch)).0, "131Z");
+}
+
+/// Guards against a message of a batch that is answered as if it had been run.
+#[rstest]
+#[case::another_statement(vec![parse("", "ROLLBACK"), parse("", "INSERT INTO a VALUES (1)")])]
+#[case::another_portal(vec![parse("", "ROLLBACK"), message(b'E', b"other\0\0\0\0\0")])]
+#[case::another_name(vec![parse("end", "ROLLBACK"), bind("other")])]
+#[case::several_statements(vec![parse("", "ROLLBACK"), parse("", "ROLLBACK; BEGIN")])]
+fn what_does_not_end_a_lost_transaction_is_rejected(#[case] batch: Vec<Message>) {
+    let mut session = session_in_lost_transaction();
+    let actions = from_client(&mut session, batch);
+    assert_eq!((kinds(&actions).0, sqlstates(&actions)), ("1E".into(), vec!["08006".to_string()]));
+    assert_eq!(kinds(&from_client(&mut session, vec![sync()])).0, "Z");
+    assert!(session.in_transaction());
+}
+
+/// Guards against a session that is not ended by a shutdown since its last batch counts as open.
+#[rstest]
+#[case::ended_by_its_sync(vec![sync()])]
+#[case::ended_by_a_query(vec![text(b'Q', "SET dewferry.class = 'a'")])]
+fn a_batch_that_ends_a_lost_transaction_is_ended(#[case] end: Vec<Message>) {
+    let mut session = session_in_lost_transaction();
+    from_client(&mut session, vec![parse("", "ROLLBACK"), bind(""), execute()]);
+    assert!(!session.is_between_requests());
+    from_client(&mut session, end);
+    assert!(session.is_between_requests());
+}
