sessions: AND CHAIN does not end a lost transaction as if it had begun another

What callers see: in a transaction whose server is lost, ROLLBACK AND CHAIN and COMMIT AND CHAIN were answered with ROLLBACK and ReadyForQuery, idle. What the client sent next, counting on the transaction that it had asked for, ran statement by statement, each committed by itself.

Cause: the scanner told COMMIT and ROLLBACK apart from others, but not those that begin a transaction at once; the session answered them as plain ends.

Change: the scanner says whether a transaction is chained. In a lost transaction that is an error, as any statement but its end, since the characteristics that would be handed on were lost with the server.

Result: 3 of 3 new cases failed before (CZ and C in place of EZ with 08006), and pass.

--- a/crates/pooling/src/session/lost_transaction.rs
+++ b/crates/pooling/src/session/lost_transaction.rs
@@ -160,6 +160,11 @@
     matches!(&scan.statements[..], [statement] if ends_transaction(statement))
 }
 
+/// Returns true if a statement ends a transaction and begins no other: the characteristics that `AND CHAIN` would
+/// hand on are lost with the server.
 fn ends_transaction(statement: &Statement) -> bool {
-    matches!(statement.kind, Kind::Control(Control::Commit | Control::Rollback))
+    matches!(
+        statement.kind,
+        Kind::Control(Control::Commit { chain: false } | Control::Rollback { chain: false })
+    )
 }
--- a/crates/pooling/src/settings.rs
+++ b/crates/pooling/src/settings.rs
@@ -63,8 +63,8 @@
             Kind::Control(control) => match control.clone() {
                 Control::Begin { .. } => Effect::None,
                 // The first phase of a two-phase commit ends the transaction for the session.
-                Control::Commit | Control::Prepare => Effect::Commit,
-                Control::Rollback => Effect::Rollback,
+                Control::Commit { .. } | Control::Prepare => Effect::Commit,
+                Control::Rollback { .. } => Effect::Rollback,
                 Control::Savepoint(name) => Effect::Savepoint(name),
                 Control::RollbackTo(name) => Effect::RollbackTo(name),
                 Control::Release(name) => Effect::Release(name),
--- a/crates/pooling/tests/lost_server.rs
+++ b/crates/pooling/tests/lost_server.rs
@@ -205,6 +205,17 @@
     assert_eq!(kinds(&from_client(&mut session, batch)).0, "131Z");
 }
 
+/// Guards against statements that run outside of the transaction which AND CHAIN was answered to have begun.
+#[rstest]
+fn a_lost_transaction_is_not_continued_by_another(
+    #[values("ROLLBACK AND CHAIN", "COMMIT AND CHAIN", "ROLLBACK AND CHAIN; SELECT 1")] sql: &str,
+) {
+    let mut session = session_in_lost_transaction();
+    let actions = from_client(&mut session, vec![text(b'Q', sql)]);
+    assert_eq!((kinds(&actions).0, sqlstates(&actions)), ("EZ".into(), vec!["08006".to_string()]));
+    assert!(session.in_transaction());
+}
+
 /// Guards against a message of a batch that is answered as if it had been run.
 #[rstest]
 #[case::another_statement(vec![parse("", "ROLLBACK"), parse("", "INSERT INTO a VALUES (1)")])]
--- a/crates/sql/src/kind.rs
+++ b/crates/sql/src/kind.rs
@@ -17,9 +17,15 @@
         read_only: Option<bool>,
     },
     /// Commits a transaction.
-    Commit,
+    Commit {
+        /// Whether another transaction begins at once (`AND CHAIN`).
+        chain: bool,
+    },
     /// Rolls back a transaction.
-    Rollback,
+    Rollback {
+        /// Whether another transaction begins at once (`AND CHAIN`).
+        chain: bool,
+    },
     /// Sets a savepoint of this name.
     Savepoint(String),
     /// Rolls back to a savepoint.
@@ -355,8 +361,9 @@
         };
         return Kind::Control(Control::Begin { read_only });
     }
+    let chain = words.contains(&["and", "chain"]);
     if words.eat_any(&["commit", "end"]) {
-        return if words.eat("prepared") { Kind::Write } else { Kind::Control(Control::Commit) };
+        return if words.eat("prepared") { Kind::Write } else { Kind::Control(Control::Commit { chain }) };
     }
     if words.eat_any(&["rollback", "abort"]) {
         if words.eat("prepared") {
@@ -364,7 +371,7 @@
         }
         let _ = words.eat_any(&["work", "transaction"]);
         if !words.eat("to") {
-            return Kind::Control(Control::Rollback);
+            return Kind::Control(Control::Rollback { chain });
         }
         words.eat("savepoint");
         return match words.take_name() {
--- a/crates/sql/tests/kinds.rs
+++ b/crates/sql/tests/kinds.rs
@@ -67,10 +67,12 @@
 #[case("begin", Control::Begin { read_only: None })]
 #[case("START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY", Control::Begin { read_only: Some(true) })]
 #[case("begin work read write", Control::Begin { read_only: Some(false) })]
-#[case("COMMIT AND CHAIN", Control::Commit)]
-#[case("end", Control::Commit)]
-#[case("abort", Control::Rollback)]
-#[case("rollback work", Control::Rollback)]
+#[case("COMMIT AND CHAIN", Control::Commit { chain: true })]
+#[case("end", Control::Commit { chain: false })]
+#[case("commit work and no chain", Control::Commit { chain: false })]
+#[case("abort", Control::Rollback { chain: false })]
+#[case("rollback work", Control::Rollback { chain: false })]
+#[case("rollback transaction and chain", Control::Rollback { chain: true })]
 #[case("savepoint \"A b\"", Control::Savepoint("A b".into()))]
 #[case("rollback transaction to savepoint a", Control::RollbackTo("a".into()))]
 #[case("release a", Control::Release("a".into()))]
@@ -179,7 +181,7 @@
     assert_eq!(scan.comment.as_deref(), Some("c=1"));
     let kinds: Vec<Kind> = scan.statements.into_iter().map(|statement| statement.kind).collect();
     let begin = Kind::Control(Control::Begin { read_only: None });
-    assert_eq!(kinds, [begin, Kind::Write, Kind::Read, Kind::Control(Control::Commit)]);
+    assert_eq!(kinds, [begin, Kind::Write, Kind::Read, Kind::Control(Control::Commit { chain: false })]);
     assert!(sql::scan(" ; -- nothing").statements.is_empty());
     let advisory = sql::scan("select pg_advisory_xact_lock(1)");
     assert!(advisory.statements[0].pins.is_empty(), "a transaction-level lock");
