sessions: after a failed COPY answers are assigned or the connection ends

What callers see: as in "a Sync that a COPY does not ignore is answered", with further messages sent behind the end of the data, or with the server lost at that moment: the answer to the Sync was taken for that to the next query, and each query got the answer to the one before.

Change: the empty query goes out right behind the client's next Sync, so that all that the client sends later is told apart. Where messages stand behind that Sync already when the error arrives, or the server is lost before it is known, the client's connection ends, as the promise has it. An error after the first no longer forgets what is unresolved; an answer that comes behind the empty query doesn't end a batch that has begun meanwhile.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -193,6 +193,11 @@
         owed.collect()
     }
 
+    /// Returns true if nothing but the reply to a Sync is expected.
+    pub fn is_one_sync(&self) -> bool {
+        self.entries.len() == 1 && matches!(self.front(), Some(ExpectedReply::Sync))
+    }
+
     /// Returns true if an entry marks where the client has ended its COPY data.
     pub fn contains_data_end(&self) -> bool {
         self.iter().any(|reply| matches!(reply, ExpectedReply::DataEnd))
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -185,6 +185,8 @@
     copying: bool,
     /// Syncs of a COPY in a batch that the server ignores, unless the COPY fails before it reads them.
     ignored_syncs: usize,
+    /// Syncs of a COPY that has failed, of which it is not known whether the server has ignored them.
+    unresolved_syncs: usize,
     /// Whether the client has received only a part of a server's message. Anything but the rest of that
     /// message would be taken for it.
     within_message: bool,
@@ -220,6 +222,7 @@
             write_denied: false,
             copying: false,
             ignored_syncs: 0,
+            unresolved_syncs: 0,
             within_message: false,
         }
     }
@@ -557,6 +560,13 @@
                     self.expected.push_back(ExpectedReply::Sync);
                 }
                 out.push(Action::SendToServer(wire::empty_message(b'S')));
+                if self.unresolved_syncs > 0 {
+                    self.send_empty_query(out);
+                }
+            }
+            // Whether the server skips it as well depends on whether it has ignored a Sync.
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'Q' | b'F' if self.skipping && self.unresolved_syncs > 0 => {
+                self.end_unresolved(out);
             }
             _ if self.skipping => {}
             b'Q' => {
@@ -829,7 +839,7 @@
             }
             b'A' if !self.may_listen() => {}
             b'I' if self.expected.front_is_empty_query() => {
-                self.ignored_syncs = 0;
+                self.unresolved_syncs = 0;
                 self.expected.replace_front(ExpectedReply::Setup);
             }
             b'Z' => self.handle_ready(message.body.first().copied().unwrap_or(b'I'), out),
@@ -948,7 +958,15 @@
             Some(ExpectedReply::Execute(statement)) => self.pins.extend(std::mem::take(&mut statement.pins)),
             Some(_) => {}
         }
-        // The server skips all messages up to the next Sync.
+        self.skip_batch();
+        self.unresolved_syncs += std::mem::take(&mut self.ignored_syncs);
+        if self.unresolved_syncs > 0 && !self.expected.is_empty() {
+            self.resolve_syncs(out);
+        }
+    }
+
+    /// Removes what is expected up to the next Sync: the server skips all messages up to that.
+    fn skip_batch(&mut self) {
         while let Some(expect) = self.expected.front() {
             match expect {
                 ExpectedReply::Sync => return,
@@ -964,6 +982,29 @@
         self.skipping = true;
     }
 
+    /// Finds out whether a server whose COPY has failed still answers a Sync that was sent ahead of the data, after
+    /// the client has sent the Sync behind it.
+    fn resolve_syncs(&mut self, out: &mut Vec<Action>) {
+        if self.expected.is_one_sync() {
+            return self.send_empty_query(out);
+        }
+        self.end_unresolved(out);
+    }
+
+    /// Ends the client's connection since the server's answers can't be assigned to its messages.
+    fn end_unresolved(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::ReleaseServer(Disposition::Close));
+        self.detach();
+        let text = "the server's connection was closed: its answers cannot be told apart";
+        self.end_with_error(sqlstate::TRANSACTION_RESOLUTION_UNKNOWN, text, out);
+    }
+
+    /// Sends a query whose answer comes behind all that the server still says to earlier messages.
+    fn send_empty_query(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::SendToServer(pgwire::query(b"")));
+        self.expected.push_back(ExpectedReply::EmptyQuery);
+    }
+
     fn handle_ready(&mut self, status: u8, out: &mut Vec<Action>) {
         match self.expected.front_mut() {
             Some(ExpectedReply::Setup) => {
@@ -978,10 +1019,11 @@
                 self.expected.pop_front();
             }
             // A COPY has failed before the server read a Sync, which so was not ignored.
-            None | Some(ExpectedReply::EmptyQuery) if self.ignored_syncs > 0 => {
-                self.ignored_syncs -= 1;
+            None if self.unresolved_syncs > 0 => {
+                self.unresolved_syncs -= 1;
                 (self.in_batch, self.skipping) = (false, false);
             }
+            Some(ExpectedReply::EmptyQuery) if self.unresolved_syncs > 0 => self.unresolved_syncs -= 1,
             _ => return self.unexpected_reply(out),
         }
         self.status = status;
@@ -1001,11 +1043,6 @@
         if !done || !self.pins.is_empty() || self.mode == Mode::Session {
             return;
         }
-        if self.ignored_syncs > 0 {
-            // The server's answer to this comes behind that to a Sync which it has not ignored.
-            out.push(Action::SendToServer(pgwire::query(b"")));
-            return self.expected.push_back(ExpectedReply::EmptyQuery);
-        }
         self.detach();
         out.push(Action::ReleaseServer(Disposition::Reuse));
     }
@@ -1017,7 +1054,7 @@
         self.clear_portals();
         self.expected.clear();
         (self.status, self.failed, self.in_batch, self.copying) = (b'I', false, false, false);
-        self.ignored_syncs = 0;
+        (self.ignored_syncs, self.unresolved_syncs) = (0, 0);
     }
 
     /// Handles that the client has disconnected. Returns what happens to the server connection, if there is
@@ -1061,13 +1098,13 @@
             );
         }
         let in_batch = self.in_batch && (!self.skipping || self.expected.last_batch_contains_error());
-        let pinned = !self.pins().is_empty();
+        let must_end = !self.pins().is_empty() || self.within_message || self.unresolved_syncs > 0;
         let aborted = in_transaction && !unknown;
         let owed = self.expected.take_owed_answers();
         self.detach();
-        if pinned || self.within_message {
-            // Without the rest of its message the client's stream cannot go on; and the state that bound the
-            // session to its connection is lost with that.
+        if must_end {
+            // Without the rest of its message the client's stream cannot go on, nor without knowing how many answers
+            // it is owed; and the state that bound the session to its connection is lost with that.
             return self.end_with_error(code, text, out);
         }
         if aborted {
--- a/crates/pooling/tests/copies.rs
+++ b/crates/pooling/tests/copies.rs
@@ -107,6 +107,25 @@
     assert_eq!(actions, [Action::ReleaseServer(Disposition::Reuse)]);
 }
 
+/// Guards against answers that are assigned to the wrong messages: whether the server has ignored the Sync that was
+/// sent ahead is not known any more once others stand behind it.
+#[rstest]
+#[case::sent_before_the_error(vec![sync(), text(b'Q', "SELECT 1")], vec![])]
+#[case::sent_after_the_error(vec![], vec![text(b'Q', "SELECT 1")])]
+fn a_client_whose_answers_cannot_be_told_apart_is_disconnected(
+    #[case] before: Vec<Message>,
+    #[case] after: Vec<Message>,
+) {
+    let (mut session, _) = pass_on([batch(), vec![sync()]].concat_all(), data());
+    from_client(&mut session, before);
+    let begun = vec![message(b'1', b""), message(b'2', b""), message(b'G', b"\0\0\0")];
+    from_server(&mut session, begun);
+    let mut actions = from_server(&mut session, vec![text(b'E', "SERROR\0C23514\0Mno\0")]);
+    actions.extend(from_client(&mut session, after));
+    assert!(actions.contains(&Action::ReleaseServer(Disposition::Close)));
+    assert_eq!(actions.last(), Some(&Action::CloseClient));
+}
+
 /// Joins lists of messages, which cannot be cloned.
 trait ConcatAll {
     fn concat_all(self) -> Vec<Message>;
