sessions: what a client is owed is kept, and decided, in one module

What callers see: nothing but one case: a function called by its number within a batch ends the batch, as a query does and as PostgreSQL has it; a lost server is then told once.

Change: owed.rs has them all, with a method for each event (a Sync is sent, a COPY starts, an error, a ReadyForQuery, a loss) and no I/O; it alone decides which message an answer belongs to and what is left to answer when the server is lost.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -4,6 +4,7 @@
 
 use sql::Pin;
 
+use crate::owed::OwedAnswer;
 use crate::server_state::StatementDigest;
 use crate::settings::Effect;
 
@@ -77,15 +78,6 @@
     }
 }
 
-/// An answer that a client is owed when its server is lost.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum OwedAnswer {
-    /// The answer to a query or a batch that the server has not answered completely.
-    FromServer,
-    /// The session's own answer to a query, without its ReadyForQuery.
-    Local(Vec<u8>),
-}
-
 /// A reply, and the memory that is counted for it until it is removed (bytes).
 type Entry = (ExpectedReply, usize);
 
@@ -177,10 +169,6 @@
         is_local.then(|| self.pop_front()).flatten()
     }
 
-    pub fn clear(&mut self) {
-        *self = ExpectedReplies::default();
-    }
-
     /// Removes all replies. Returns the answers, each of which ends with ReadyForQuery, that the client is owed in
     /// their place, in order.
     pub fn take_owed_answers(&mut self) -> Vec<OwedAnswer> {
--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod expected;
+mod owed;
 mod pool;
 mod server_state;
 mod session;
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -1,15 +1,18 @@
 //! The state machine of one client's session.
 
+mod loss;
 mod lost_transaction;
+mod server_replies;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
-use pgwire::session::{self as wire, Piece};
-use pgwire::{error_code, error_response, sqlstate, Message};
+use pgwire::session as wire;
+use pgwire::{error_response, sqlstate, Message};
 use sql::{Change, Control, Kind, Pin, Scan};
 
-use crate::expected::{ExpectedReplies, ExpectedReply, OwedAnswer, PendingStatement};
+use crate::expected::{ExpectedReply, PendingStatement};
+use crate::owed::Owed;
 use crate::server_state::{self, PreparedStatement, ServerSessionState};
 use crate::settings::{Effect, Settings, SettingsTracker};
 use crate::stateless::StatelessFunctions;
@@ -28,6 +31,8 @@
 /// The setting with which a session selects a class.
 const CLASS_SETTING: &str = "dewferry.class";
 
+pub use loss::DetachReason;
+
 /// How long a session keeps a server connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -79,51 +84,6 @@
     CloseClient,
 }
 
-/// Why a session loses its server connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DetachReason {
-    /// The connection ended, or the server violated the protocol.
-    Lost,
-    /// The server is being drained, and the time for open transactions is over.
-    Drained,
-    /// The client left its transaction idle for too long.
-    IdleInTransaction,
-    /// A statement took too long.
-    StatementTimeout,
-}
-
-impl DetachReason {
-    /// Returns the reason's name in the log.
-    pub fn log_name(self) -> &'static str {
-        match self {
-            DetachReason::Lost => "server_lost",
-            DetachReason::Drained => "server_drained",
-            DetachReason::IdleInTransaction => "idle_in_transaction",
-            DetachReason::StatementTimeout => "statement_timeout",
-        }
-    }
-
-    /// Returns the SQLSTATE and the message for the client.
-    fn sqlstate_and_message(self) -> (&'static str, &'static str) {
-        match self {
-            DetachReason::Lost => (
-                sqlstate::CONNECTION_FAILURE,
-                "the server's connection was lost; what the transaction did is undone",
-            ),
-            DetachReason::Drained => {
-                (sqlstate::ADMIN_SHUTDOWN, "the server is drained; what the transaction did is undone")
-            }
-            DetachReason::IdleInTransaction => (
-                sqlstate::IDLE_IN_TRANSACTION_TIMEOUT,
-                "the transaction was idle for too long; what it did is undone",
-            ),
-            DetachReason::StatementTimeout => {
-                (sqlstate::QUERY_CANCELED, "the statement took too long; what the transaction did is undone")
-            }
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     /// Has no server connection and needs none.
@@ -156,7 +116,7 @@
     /// The memory that the portals take, with their statements (bytes).
     portal_memory: usize,
     server_state: ServerSessionState,
-    expected: ExpectedReplies,
+    owed: Owed,
     /// Whether the server was asked for the replies of a batch that has no end yet, since too many are expected.
     flush_sent: bool,
     /// Messages that wait for a server connection, and the memory that they take (bytes).
@@ -166,10 +126,6 @@
     status: u8,
     /// Whether an error has arrived since then.
     failed: bool,
-    /// Whether a batch has begun that is not yet ended by Sync.
-    in_batch: bool,
-    /// After an error in a batch, all messages up to Sync are skipped.
-    skipping: bool,
     /// Why the transaction was lost, until the client has received the error.
     detach_reason: Option<DetachReason>,
     /// Functions that leave nothing in the session, by the operator's word.
@@ -180,13 +136,6 @@
     reported: BTreeMap<String, String>,
     /// Whether the server has rejected a write since `take_write_denied` was called last.
     write_denied: bool,
-    /// Whether the server is receiving COPY data in a batch, during which it ignores Sync and all other
-    /// messages.
-    copying: bool,
-    /// Syncs of a COPY in a batch that the server ignores, unless the COPY fails before it reads them.
-    ignored_syncs: usize,
-    /// Syncs of a COPY that has failed, of which it is not known whether the server has ignored them.
-    unresolved_syncs: usize,
     /// Whether the client has received only a part of a server's message. Anything but the rest of that
     /// message would be taken for it.
     within_message: bool,
@@ -207,22 +156,17 @@
             portals: HashMap::new(),
             portal_memory: 0,
             server_state: ServerSessionState::default(),
-            expected: ExpectedReplies::default(),
+            owed: Owed::default(),
             flush_sent: false,
             queued: Vec::new(),
             queued_bytes: 0,
             status: b'I',
             failed: false,
-            in_batch: false,
-            skipping: false,
             detach_reason: None,
             stateless_functions: Rc::default(),
             pins: BTreeSet::new(),
             reported,
             write_denied: false,
-            copying: false,
-            ignored_syncs: 0,
-            unresolved_syncs: 0,
             within_message: false,
         }
     }
@@ -234,13 +178,13 @@
 
     /// Returns true if the client's next message may be passed in.
     pub fn accepts_message(&self) -> bool {
-        self.stage != Stage::Waiting && !self.expected.is_full()
+        self.stage != Stage::Waiting && !self.owed.replies.is_full()
     }
 
     /// Returns the memory that the session takes for what its client has sent (bytes).
     pub fn memory(&self) -> usize {
         self.queued_bytes
-            + self.expected.memory()
+            + self.owed.replies.memory()
             + self.statement_memory
             + self.portal_memory
             + self.settings.memory()
@@ -259,13 +203,14 @@
     /// Returns true if the client's next message would begin a new request: it is in no transaction, and in no
     /// batch but one whose rest is skipped.
     pub fn is_between_requests(&self) -> bool {
-        let in_batch = self.in_batch && !self.skipping;
-        self.status == b'I' && !in_batch && self.queued.is_empty() && !self.copying && !self.within_message
+        let in_batch = self.owed.is_in_batch() && !self.owed.is_skipping();
+        let busy = in_batch || self.owed.is_copying() || self.within_message;
+        self.status == b'I' && !busy && self.queued.is_empty()
     }
 
     /// Returns true if replies are pending.
     pub fn awaits_reply(&self) -> bool {
-        !self.expected.is_empty()
+        !self.owed.replies.is_empty()
     }
 
     /// Returns true if the client has received only a part of a server's message: it can be sent nothing but
@@ -278,7 +223,7 @@
     /// replies are pending.
     pub fn pins(&self) -> BTreeSet<Pin> {
         let mut pins = self.pins.clone();
-        for reply in self.expected.iter() {
+        for reply in self.owed.replies.iter() {
             match reply {
                 ExpectedReply::Execute(statement) => pins.extend(&statement.pins),
                 ExpectedReply::Query(statements) => {
@@ -340,7 +285,7 @@
 
     /// Asks the server for the replies to a batch that has no end yet and is not continued before they come.
     fn flush_long_batch(&mut self, out: &mut Vec<Action>) {
-        let waits = self.expected.is_full() && self.in_batch && !self.copying;
+        let waits = self.owed.replies.is_full() && self.owed.is_in_batch() && !self.owed.is_copying();
         if waits && !self.flush_sent {
             out.push(Action::SendToServer(wire::empty_message(b'H')));
         }
@@ -350,16 +295,16 @@
     /// Handles a client message while the session has no server connection.
     fn handle_idle(&mut self, message: Message, out: &mut Vec<Action>) {
         match message.kind {
-            b'S' if self.skipping || self.queued.is_empty() => {
-                (self.in_batch, self.skipping) = (false, false);
+            b'S' if self.owed.is_skipping() || self.queued.is_empty() => {
+                self.owed.end_batch();
                 out.push(Action::SendToClient(wire::ready_for_query(b'I')));
             }
-            _ if self.skipping => {}
+            _ if self.owed.is_skipping() => {}
             b'H' if self.queued.is_empty() => {}
             // Data of a COPY that has already ended.
             b'd' | b'c' | b'f' if self.queued.is_empty() => {}
             b'Q' if self.queued.is_empty() => {
-                self.in_batch = false;
+                self.owed.end_batch();
                 let Some(text) = wire::read_query(&message.body) else { return self.protocol_violation(out) };
                 let scan = sql::scan(text);
                 if scan.statements.is_empty() {
@@ -485,7 +430,7 @@
         match self.settings.sync_sql() {
             Some(text) => {
                 out.push(Action::SendToServer(pgwire::query(text.as_bytes())));
-                self.expected.push_back(ExpectedReply::Setup);
+                self.owed.replies.push_back(ExpectedReply::Setup);
                 self.settings.mark_synchronized();
             }
             None => self.report_parameters(out),
@@ -511,28 +456,30 @@
         let queued = self.take_queued();
         out.push(Action::SendToClient(error_response("ERROR", code, text, detail)));
         let ended = matches!(queued.last(), Some(Message { kind: b'Q' | b'S' | b'F', .. }));
-        (self.in_batch, self.skipping) = (!ended, !ended);
         if ended {
+            self.owed.end_batch();
             out.push(Action::SendToClient(wire::ready_for_query(b'I')));
+        } else {
+            self.owed.skip_batch();
         }
     }
 
     /// Answers a message of a batch with an error of the session itself, after the replies that are pending.
     fn reply_error(&mut self, code: &str, text: &str, out: &mut Vec<Action>) {
-        self.skipping = true;
-        self.expected.push_back(ExpectedReply::LocalError(error_response("ERROR", code, text, None)));
+        self.owed.skip_batch();
+        self.owed.replies.push_back(ExpectedReply::LocalError(error_response("ERROR", code, text, None)));
         self.send_local_replies(out);
     }
 
     /// Answers a message of a batch without the server, after the replies that are pending.
     fn reply_locally(&mut self, bytes: Vec<u8>, out: &mut Vec<Action>) {
-        self.expected.push_back(ExpectedReply::LocalReply(bytes));
+        self.owed.replies.push_back(ExpectedReply::LocalReply(bytes));
         self.send_local_replies(out);
     }
 
     /// Sends the session's own replies that no server reply precedes any more.
     fn send_local_replies(&mut self, out: &mut Vec<Action>) {
-        while let Some(reply) = self.expected.pop_front_local() {
+        while let Some(reply) = self.owed.replies.pop_front_local() {
             let bytes = match reply {
                 ExpectedReply::LocalReply(bytes) | ExpectedReply::LocalError(bytes) => bytes,
                 ExpectedReply::LocalAnswer(bytes) => [bytes, wire::ready_for_query(self.status)].concat(),
@@ -544,58 +491,51 @@
 
     /// Handles a client message while the session has a server connection.
     fn handle_attached(&mut self, message: Message, out: &mut Vec<Action>) {
-        if self.expected.is_empty() && self.status == b'I' && !self.in_batch {
+        if self.owed.is_settled() && self.status == b'I' {
             // A session that keeps its connection is synchronized again after a RESET ALL.
             self.synchronize(out);
         }
         let body = &message.body;
         match message.kind {
             b'S' => {
-                self.skipping = false;
-                // The server ignores it within a COPY, and the batch goes on.
-                if self.copying {
-                    self.ignored_syncs += 1;
-                } else {
-                    self.in_batch = false;
-                    self.expected.push_back(ExpectedReply::Sync);
-                }
+                self.owed.sync_sent();
                 out.push(Action::SendToServer(wire::empty_message(b'S')));
-                if self.unresolved_syncs > 0 {
+                if self.owed.is_ambiguous() {
                     self.send_empty_query(out);
                 }
             }
             // Whether the server skips it as well depends on whether it has ignored a Sync.
-            b'P' | b'B' | b'D' | b'E' | b'C' | b'Q' | b'F' if self.skipping && self.unresolved_syncs > 0 => {
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'Q' | b'F'
+                if self.owed.is_skipping() && self.owed.is_ambiguous() =>
+            {
                 self.end_unresolved(out);
             }
-            _ if self.skipping => {}
+            _ if self.owed.is_skipping() => {}
             b'Q' => {
                 let Some(text) = wire::read_query(body) else { return self.protocol_violation(out) };
                 let scan = sql::scan(text);
                 if let Some(answer) = self.answer_locally(&scan) {
-                    self.expected.push_back(ExpectedReply::LocalAnswer(answer));
+                    self.owed.replies.push_back(ExpectedReply::LocalAnswer(answer));
                     return self.send_local_replies(out);
                 }
                 let statements = scan.statements.iter().map(|statement| self.pending_statement(statement));
                 let statements = statements.collect();
                 self.server_state.unnamed = None;
-                self.in_batch = false;
-                self.expected.push_back(ExpectedReply::Query(statements));
+                self.owed.query_sent(statements);
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
             b'F' => {
                 // The function is given by a number, which tells nothing of it.
                 let call = PendingStatement { effect: Effect::None, pins: vec![Pin::Unknown] };
-                self.expected.push_back(ExpectedReply::Query(VecDeque::from([call])));
+                self.owed.query_sent(VecDeque::from([call]));
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
             b'H' => out.push(Action::SendToServer(wire::empty_message(b'H'))),
             // Data of a COPY that is in progress, or may be begun by what the client has sent ahead of it. Data of none
             // is ignored by the server.
-            b'd' | b'c' | b'f' if !self.expected.is_empty() => {
+            b'd' | b'c' | b'f' if !self.owed.replies.is_empty() => {
                 if message.kind != b'd' {
-                    self.copying = false;
-                    self.expected.push_back(ExpectedReply::DataEnd);
+                    self.owed.data_end_sent();
                 }
                 out.push(Action::SendToServer(wire::copy_message(&message)));
             }
@@ -611,18 +551,18 @@
             b'D' | b'C' => match wire::read_target(body) {
                 Some((b'S', name)) if message.kind == b'D' => self.describe(name, out),
                 Some((b'S', name)) => {
-                    self.in_batch = true;
+                    self.owed.begin_batch();
                     self.remove_statement(name);
                     // It stays prepared on the server, where other sessions may use it.
                     self.reply_locally(wire::empty_message(b'3'), out);
                 }
                 Some((_, portal)) => {
-                    self.in_batch = true;
+                    self.owed.begin_batch();
                     if message.kind == b'C' {
                         self.remove_portal(portal);
-                        self.expected.push_back(ExpectedReply::Close { forward: true });
+                        self.owed.replies.push_back(ExpectedReply::Close { forward: true });
                     } else {
-                        self.expected.push_back(ExpectedReply::Describe);
+                        self.owed.replies.push_back(ExpectedReply::Describe);
                     }
                     out.push(Action::SendToServer(wire::copy_message(&message)));
                 }
@@ -630,9 +570,9 @@
             },
             b'E' => match wire::read_execute(body) {
                 Some(portal) => {
-                    self.in_batch = true;
+                    self.owed.begin_batch();
                     let pending = self.pending_execution(portal);
-                    self.expected.push_back(ExpectedReply::Execute(pending));
+                    self.owed.replies.push_back(ExpectedReply::Execute(pending));
                     out.push(Action::SendToServer(wire::copy_message(&message)));
                 }
                 None => self.protocol_violation(out),
@@ -663,7 +603,7 @@
     }
 
     fn parse(&mut self, name: &str, text: &str, types: &[u8], out: &mut Vec<Action>) {
-        self.in_batch = true;
+        self.owed.begin_batch();
         let prepared = match self.add_statement(name, text, types) {
             Ok(prepared) => prepared,
             Err(StatementError { code, text }) => return self.reply_error(code, &text, out),
@@ -742,7 +682,7 @@
 
     fn send_unnamed(&mut self, prepared: &PreparedStatement, forward: bool, out: &mut Vec<Action>) {
         self.server_state.unnamed = Some(prepared.digest);
-        self.expected.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: false });
+        self.owed.replies.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: false });
         out.push(Action::SendToServer(wire::message_of_strings(
             b'P',
             &["", &prepared.text],
@@ -752,14 +692,14 @@
 
     fn send_named(&mut self, prepared: &PreparedStatement, forward: bool, out: &mut Vec<Action>) {
         for old in self.server_state.add_statement(prepared.digest) {
-            self.expected.push_back(ExpectedReply::Close { forward: false });
+            self.owed.replies.push_back(ExpectedReply::Close { forward: false });
             out.push(Action::SendToServer(wire::target_message(
                 b'C',
                 b'S',
                 &server_state::server_name(&old),
             )));
         }
-        self.expected.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: true });
+        self.owed.replies.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: true });
         out.push(Action::SendToServer(wire::message_of_strings(
             b'P',
             &[&prepared.name(), &prepared.text],
@@ -795,266 +735,29 @@
     }
 
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
-        self.in_batch = true;
+        self.owed.begin_batch();
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
         if let Err(StatementError { code, text }) = self.add_portal(portal, prepared) {
             return self.reply_error(code, &text, out);
         }
-        self.expected.push_back(ExpectedReply::Bind);
+        self.owed.replies.push_back(ExpectedReply::Bind);
         out.push(Action::SendToServer(wire::message_of_strings(b'B', &[portal, &server_name], rest)));
     }
 
     fn describe(&mut self, name: &str, out: &mut Vec<Action>) {
-        self.in_batch = true;
+        self.owed.begin_batch();
         let Some((server_name, _)) = self.ensure_prepared(name, out) else { return };
-        self.expected.push_back(ExpectedReply::Describe);
+        self.owed.replies.push_back(ExpectedReply::Describe);
         out.push(Action::SendToServer(wire::target_message(b'D', b'S', &server_name)));
     }
 
-    /// Handles a message, or a part of one, from the server.
-    pub fn handle_server_piece(&mut self, piece: Piece, out: &mut Vec<Action>) {
-        if self.stage != Stage::Attached {
-            // It was read together with a message that has cost the server its connection.
-            return;
-        }
-        if self.expected.is_empty() && is_reply(&piece) {
-            return self.unexpected_reply(out);
-        }
-        let message = match piece {
-            Piece::Part { bytes, is_last } => {
-                self.within_message = !is_last;
-                return out.push(Action::SendToClient(bytes));
-            }
-            Piece::Message(message) => message,
-        };
-        let setup = matches!(self.expected.front(), Some(ExpectedReply::Setup));
-        match message.kind {
-            b'S' => {
-                if let Some((name, value)) = pgwire::read_parameter_status(&message.body) {
-                    self.server_state.parameters.insert(name.into(), value.into());
-                }
-                if !setup {
-                    self.report_parameters(out);
-                }
-            }
-            b'A' if !self.may_listen() => {}
-            b'I' if self.expected.front_is_empty_query() => {
-                self.unresolved_syncs = 0;
-                self.expected.replace_front(ExpectedReply::Setup);
-            }
-            b'Z' => self.handle_ready(message.body.first().copied().unwrap_or(b'I'), out),
-            b'E' if setup => {
-                // The server rejects a setting of the session.
-                out.push(Action::ReleaseServer(Disposition::Close));
-                self.detach();
-                let text = wire::read_error_text(&message.body);
-                self.end_with_error(sqlstate::INVALID_PARAMETER_VALUE, &text, out);
-            }
-            // The server says why it is about to end the connection. No query of the client is answered by that.
-            b'E' if self.expected.is_empty() || self.expected.front_is_empty_query() => {}
-            b'E' => self.handle_error(&message, out),
-            _ if setup => {}
-            kind @ (b'1' | b'2' | b'3') => {
-                let forward = match (kind, self.expected.front()) {
-                    (b'1', Some(ExpectedReply::Parse { forward, .. }))
-                    | (b'3', Some(ExpectedReply::Close { forward })) => *forward,
-                    (b'2', Some(ExpectedReply::Bind)) => true,
-                    _ => return self.unexpected_reply(out),
-                };
-                self.expected.pop_front();
-                if forward {
-                    out.push(Action::SendToClient(wire::empty_message(kind)));
-                }
-            }
-            b'C' => {
-                self.statement_completed(wire::read_command_tag(&message.body));
-                out.push(Action::SendToClient(wire::copy_message(&message)));
-            }
-            kind => {
-                if kind == b'G' && matches!(self.expected.front(), Some(ExpectedReply::Execute(_))) {
-                    self.copy_started();
-                }
-                let finished = match self.expected.front() {
-                    Some(ExpectedReply::Describe) => matches!(kind, b'T' | b'n'),
-                    Some(ExpectedReply::Execute(_)) => matches!(kind, b's' | b'I'),
-                    _ => false,
-                };
-                if finished {
-                    if let Some(ExpectedReply::Execute(statement)) = self.expected.pop_front() {
-                        self.pins.extend(statement.pins);
-                    }
-                }
-                out.push(Action::SendToClient(wire::copy_message(&message)));
-            }
-        }
-        self.send_local_replies(out);
-    }
-
-    /// Returns true if the session may have subscribed to notifications, itself or by a function.
-    fn may_listen(&self) -> bool {
-        self.pins.contains(&Pin::Listen) || self.pins.contains(&Pin::Unknown)
-    }
-
-    /// Handles a message that answers no request: the connection's state is unreliable, so it is closed.
-    fn unexpected_reply(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::ReleaseServer(Disposition::Close));
-        self.server_detached(DetachReason::Lost, out);
-    }
-
-    /// Handles the start of a COPY from the client in a batch: the server ignores each Sync before the end of
-    /// the data, so that the batch may be open again.
-    fn copy_started(&mut self) {
-        self.ignored_syncs = self.expected.remove_ignored_syncs();
-        self.copying = !self.expected.contains_data_end();
-        self.in_batch |= !self.expected.contains_sync();
-    }
-
-    /// Applies the effect of a completed statement.
-    fn statement_completed(&mut self, tag: &str) {
-        self.ignored_syncs = 0;
-        let PendingStatement { effect, pins } = match self.expected.front_mut() {
-            Some(ExpectedReply::Execute(_)) => match self.expected.pop_front() {
-                Some(ExpectedReply::Execute(statement)) => statement,
-                _ => return,
-            },
-            Some(ExpectedReply::Query(statements)) => statements.pop_front().unwrap_or_default(),
-            _ => return,
-        };
-        self.pins.extend(pins);
-        if matches!(effect, Effect::DiscardAll | Effect::DeallocateAll) {
-            self.statements.clear();
-            (self.statement_bytes, self.statement_memory) = (0, 0);
-            self.server_state.clear_statements();
-        }
-        if effect == Effect::DiscardAll {
-            self.clear_portals();
-            self.pins.clear();
-            self.class = None;
-        }
-        if !self.settings.apply(&effect, tag) {
-            self.pins.insert(Pin::Setting);
-        }
-    }
-
-    fn handle_error(&mut self, message: &Message, out: &mut Vec<Action>) {
-        let (code, _) = error_code(&message.body);
-        (self.failed, self.copying) = (true, false);
-        self.write_denied |= code == sqlstate::READ_ONLY_TRANSACTION;
-        if code == sqlstate::INVALID_STATEMENT_NAME
-            || wire::read_error_text(&message.body).contains("cached plan must not change")
-        {
-            self.server_state.mark_stale();
-        }
-        out.push(Action::SendToClient(wire::copy_message(message)));
-        // An error within a function has a context.
-        let ran = code != sqlstate::SYNTAX_ERROR || wire::has_error_context(&message.body);
-        match self.expected.front_mut() {
-            None => return,
-            Some(ExpectedReply::Query(statements)) => {
-                // A syntax error is found before any statement of the query is run.
-                let failed = std::mem::take(statements).into_iter().filter(|_| ran);
-                return self.pins.extend(failed.flat_map(|statement| statement.pins));
-            }
-            Some(ExpectedReply::Execute(statement)) => self.pins.extend(std::mem::take(&mut statement.pins)),
-            Some(_) => {}
-        }
-        self.skip_batch();
-        self.unresolved_syncs += std::mem::take(&mut self.ignored_syncs);
-        if self.unresolved_syncs > 0 && !self.expected.is_empty() {
-            self.resolve_syncs(out);
-        }
-    }
-
-    /// Removes what is expected up to the next Sync: the server skips all messages up to that.
-    fn skip_batch(&mut self) {
-        while let Some(expect) = self.expected.front() {
-            match expect {
-                ExpectedReply::Sync => return,
-                ExpectedReply::Parse { digest, named: true, .. } => {
-                    let digest = *digest;
-                    self.server_state.remove_statement(&digest);
-                }
-                ExpectedReply::Parse { .. } => self.server_state.unnamed = None,
-                _ => {}
-            }
-            self.expected.pop_front();
-        }
-        self.skipping = true;
-    }
-
-    /// Finds out whether a server whose COPY has failed still answers a Sync that was sent ahead of the data, after
-    /// the client has sent the Sync behind it.
-    fn resolve_syncs(&mut self, out: &mut Vec<Action>) {
-        if self.expected.is_one_sync() {
-            return self.send_empty_query(out);
-        }
-        self.end_unresolved(out);
-    }
-
-    /// Ends the client's connection since the server's answers can't be assigned to its messages.
-    fn end_unresolved(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::ReleaseServer(Disposition::Close));
-        self.detach();
-        let text = "the server's connection was closed: its answers cannot be told apart";
-        self.end_with_error(sqlstate::TRANSACTION_RESOLUTION_UNKNOWN, text, out);
-    }
-
-    /// Sends a query whose answer comes behind all that the server still says to earlier messages.
-    fn send_empty_query(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::SendToServer(pgwire::query(b"")));
-        self.expected.push_back(ExpectedReply::EmptyQuery);
-    }
-
-    fn handle_ready(&mut self, status: u8, out: &mut Vec<Action>) {
-        match self.expected.front_mut() {
-            Some(ExpectedReply::Setup) => {
-                self.expected.pop_front();
-                self.report_parameters(out);
-                return self.release_if_done(out);
-            }
-            Some(ExpectedReply::Sync) => drop(self.expected.pop_front()),
-            Some(ExpectedReply::Query(statements)) => {
-                // A call by a function's number ends without a command tag.
-                self.pins.extend(statements.drain(..).flat_map(|statement| statement.pins));
-                self.expected.pop_front();
-            }
-            // A COPY has failed before the server read a Sync, which so was not ignored.
-            None if self.unresolved_syncs > 0 => {
-                self.unresolved_syncs -= 1;
-                (self.in_batch, self.skipping) = (false, false);
-            }
-            Some(ExpectedReply::EmptyQuery) if self.unresolved_syncs > 0 => self.unresolved_syncs -= 1,
-            _ => return self.unexpected_reply(out),
-        }
-        self.status = status;
-        let failed = std::mem::take(&mut self.failed);
-        if status == b'I' {
-            self.settings.end_transaction(failed);
-            self.clear_portals();
-        }
-        out.push(Action::SendToClient(wire::ready_for_query(status)));
-        self.send_local_replies(out);
-        self.release_if_done(out);
-    }
-
-    /// Releases the server connection if no state of the session depends on it.
-    fn release_if_done(&mut self, out: &mut Vec<Action>) {
-        let done = self.status == b'I' && self.expected.is_empty() && !self.in_batch;
-        if !done || !self.pins.is_empty() || self.mode == Mode::Session {
-            return;
-        }
-        self.detach();
-        out.push(Action::ReleaseServer(Disposition::Reuse));
-    }
-
     /// Detaches the session from its server connection.
     fn detach(&mut self) {
         self.stage = Stage::Idle;
         self.server_state.settings = self.settings.detach();
         self.clear_portals();
-        self.expected.clear();
-        (self.status, self.failed, self.in_batch, self.copying) = (b'I', false, false, false);
-        (self.ignored_syncs, self.unresolved_syncs) = (0, 0);
+        self.owed.clear();
+        (self.status, self.failed) = (b'I', false);
     }
 
     /// Handles that the client has disconnected. Returns what happens to the server connection, if there is
@@ -1063,8 +766,7 @@
         if self.stage != Stage::Attached {
             return None;
         }
-        let answered = self.expected.is_empty() && !self.within_message;
-        let at_rest = answered && self.status == b'I' && !self.in_batch;
+        let at_rest = self.owed.is_settled() && self.status == b'I' && !self.within_message;
         self.detach();
         Some(match self.mode {
             _ if !at_rest || !self.pins.iter().all(|pin| pin.is_unknown()) => Disposition::Close,
@@ -1074,66 +776,6 @@
             _ => Disposition::Reset,
         })
     }
-
-    /// Handles that the server connection is lost or taken away. The client's errors distinguish requests
-    /// that were certainly rolled back from those that may have been committed. A client that has received a
-    /// part of a message gets no error, which it would take for the rest: its connection is closed.
-    pub fn server_detached(&mut self, reason: DetachReason, out: &mut Vec<Action>) {
-        if self.stage != Stage::Attached {
-            return;
-        }
-        let in_transaction = self.in_transaction();
-        let commits = |statement: &PendingStatement| statement.effect == Effect::Commit;
-        // A statement outside of a transaction commits by itself.
-        let unknown = self.expected.iter().any(|reply| match reply {
-            ExpectedReply::Query(statements) => !in_transaction || statements.iter().any(commits),
-            ExpectedReply::Execute(statement) => !in_transaction || commits(statement),
-            _ => false,
-        });
-        let (mut code, mut text) = reason.sqlstate_and_message();
-        if unknown && reason != DetachReason::StatementTimeout {
-            (code, text) = (
-                sqlstate::TRANSACTION_RESOLUTION_UNKNOWN,
-                "the server's connection was lost: what was asked may have run or not",
-            );
-        }
-        let in_batch = self.in_batch && (!self.skipping || self.expected.last_batch_contains_error());
-        let must_end = !self.pins().is_empty() || self.within_message || self.unresolved_syncs > 0;
-        let aborted = in_transaction && !unknown;
-        let owed = self.expected.take_owed_answers();
-        self.detach();
-        if must_end {
-            // Without the rest of its message the client's stream cannot go on, nor without knowing how many answers
-            // it is owed; and the state that bound the session to its connection is lost with that.
-            return self.end_with_error(code, text, out);
-        }
-        if aborted {
-            (self.stage, self.status) = (Stage::Aborted, b'E');
-        }
-        let told = owed.contains(&OwedAnswer::FromServer);
-        for answer in owed {
-            let bytes = match answer {
-                OwedAnswer::FromServer => error_response("ERROR", code, text, None),
-                OwedAnswer::Local(bytes) => bytes,
-            };
-            out.push(Action::SendToClient(bytes));
-            out.push(Action::SendToClient(wire::ready_for_query(self.status)));
-        }
-        if in_batch {
-            self.skipping = true;
-            out.push(Action::SendToClient(error_response("ERROR", code, text, None)));
-        } else if aborted && !told {
-            self.detach_reason = Some(reason);
-        }
-    }
-}
-
-/// Returns true if a server sends this in reply to a message of the client only. ReadyForQuery is not counted.
-fn is_reply(piece: &Piece) -> bool {
-    match piece {
-        Piece::Part { .. } => true,
-        Piece::Message(message) => !matches!(message.kind, b'A' | b'E' | b'N' | b'S' | b'Z'),
-    }
 }
 
 /// Returns the memory that a statement takes under this name, as a statement or as a portal (bytes).
--- a/crates/pooling/src/session/lost_transaction.rs
+++ b/crates/pooling/src/session/lost_transaction.rs
@@ -22,10 +22,10 @@
         let body = &message.body;
         match message.kind {
             b'S' => {
-                (self.in_batch, self.skipping) = (false, false);
+                self.owed.end_batch();
                 out.push(Action::SendToClient(wire::ready_for_query(self.status)));
             }
-            _ if self.skipping => {}
+            _ if self.owed.is_skipping() => {}
             b'H' | b'd' | b'c' | b'f' => {}
             b'Q' => self.query_in_lost_transaction(&message, out),
             b'F' => {
@@ -33,7 +33,7 @@
                 out.push(Action::SendToClient(wire::ready_for_query(self.status)));
             }
             kind => {
-                self.in_batch = true;
+                self.owed.begin_batch();
                 let answer = match kind {
                     b'P' => {
                         wire::read_parse(body).map(|(name, text, types)| self.parse_end(name, text, types))
@@ -103,7 +103,7 @@
 
     /// Answers a message of a batch with an error; the rest of the batch is skipped.
     fn fail_batch(&mut self, error: BatchError, out: &mut Vec<Action>) {
-        self.skipping = true;
+        self.owed.skip_batch();
         match error {
             BatchError::InLostTransaction => self.reject_in_lost_transaction(out),
             BatchError::Statement(StatementError { code, text }) => {
@@ -115,7 +115,7 @@
     /// Handles a query. If its first statement ends the transaction, that is done here, and a server runs the others.
     fn query_in_lost_transaction(&mut self, message: &Message, out: &mut Vec<Action>) {
         let Some(text) = wire::read_query(&message.body) else { return self.protocol_violation(out) };
-        self.in_batch = false;
+        self.owed.end_batch();
         if !begins_with_end_of_transaction(&sql::scan(text)) {
             self.reject_in_lost_transaction(out);
             return out.push(Action::SendToClient(wire::ready_for_query(self.status)));
