sessions: the property test plays losses, names and COPY more often

What callers see: nothing. Change: longer pipelines, clients of different haste, names that are used again; an error is compared with the part that it stands in the place of, and a transaction must end by something that says so.

--- a/crates/pooling/tests/pipeline/client.rs
+++ b/crates/pooling/tests/pipeline/client.rs
@@ -51,12 +51,21 @@
     Call(String),
 }
 
-/// A change of the session's prepared statements.
+/// What a message does with a prepared statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    Parse,
+    Bind,
+    Close,
+}
+
+/// A use of a prepared statement by its name.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum NameUse {
-    Parse(String),
-    Bind(String),
-    Close(String),
+pub struct NameUse {
+    /// The index of the part by which it is answered.
+    pub part: usize,
+    pub what: Use,
+    pub name: String,
 }
 
 /// The answer that ends with one ReadyForQuery.
@@ -95,12 +104,12 @@
             // A function binds the session, so that the next loss ends the client's connection.
             let form = match self.rng.u32(..40) {
                 0 => Form::Function,
-                1..=9 => Form::Simple,
-                10..=16 => Form::Several,
-                17..=23 => Form::Extended,
-                24..=28 => Form::Prepared,
-                29..=31 => Form::Copy,
-                32..=34 => Form::CopyExtended,
+                1..=8 => Form::Simple,
+                9..=14 => Form::Several,
+                15..=20 => Form::Extended,
+                21..=27 => Form::Prepared,
+                28..=30 => Form::Copy,
+                31..=36 => Form::CopyExtended,
                 _ => Form::Own,
             };
             match form {
@@ -214,21 +223,21 @@
     fn prepared(&mut self) {
         let (mut parts, mut names) = (Vec::new(), Vec::new());
         for _ in 0..self.rng.u32(1..4) {
-            match self.rng.u32(..6) {
+            match self.rng.u32(..7) {
                 0..=1 => self.prepare(&mut parts, &mut names),
                 2 if !self.names.is_empty() => {
-                    let (name, _) = self.names[self.rng.usize(..self.names.len())].clone();
+                    let (name, _) = self.any_name();
                     self.send(message(b'C', &[b"S", name.as_bytes(), b"\0"].concat()));
+                    names.push(NameUse { part: parts.len(), what: Use::Close, name });
                     parts.push(Part::Reply(b'3'));
-                    names.push(NameUse::Close(name));
                 }
-                3..=5 if !self.names.is_empty() => {
-                    let (name, sql) = self.names[self.rng.usize(..self.names.len())].clone();
+                3..=6 if !self.names.is_empty() => {
+                    let (name, sql) = self.any_name();
                     self.send(message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat()));
                     self.send(message(b'E', b"\0\0\0\0\0"));
+                    names.push(NameUse { part: parts.len(), what: Use::Bind, name });
                     parts.push(Part::Reply(b'2'));
                     parts.extend(parts_of(&sql));
-                    names.push(NameUse::Bind(name));
                 }
                 _ => {
                     let sql = self.statement();
@@ -240,21 +249,31 @@
         self.answers.push(Answer { form: Form::Prepared, parts, names, ignored_in_copy: false });
     }
 
+    /// Returns a name that has been prepared, rather one of the last, and its text.
+    fn any_name(&mut self) -> (String, String) {
+        let first = self.names.len().saturating_sub(2);
+        self.names[self.rng.usize(first..self.names.len())].clone()
+    }
+
     /// Prepares a statement under a new name, or again under that of one that may have been closed.
     fn prepare(&mut self, parts: &mut Vec<Part>, names: &mut Vec<NameUse>) {
-        let again = !self.names.is_empty() && self.rng.u32(..4) == 0;
+        let again = !self.names.is_empty() && self.rng.bool();
         let (name, sql) = if again {
-            self.names[self.rng.usize(..self.names.len())].clone()
+            self.any_name()
         } else {
-            (format!("s{}", self.number()), self.statement())
+            let sql = match self.rng.u32(..4) {
+                0 => "ROLLBACK".to_string(),
+                _ => self.statement(),
+            };
+            (format!("s{}", self.number()), sql)
         };
+        names.push(NameUse { part: parts.len(), what: Use::Parse, name: name.clone() });
         self.send(message(b'P', &[name.as_bytes(), b"\0", sql.as_bytes(), b"\0\0\0"].concat()));
         parts.push(Part::Reply(b'1'));
         if self.rng.bool() {
             self.send(message(b'D', &[b"S", name.as_bytes(), b"\0"].concat()));
             parts.extend([Part::Reply(b't'), Part::Reply(description_of(&sql))]);
         }
-        names.push(NameUse::Parse(name.clone()));
         if !again {
             self.names.push((name, sql));
         }
--- a/crates/pooling/tests/pipeline/judge.rs
+++ b/crates/pooling/tests/pipeline/judge.rs
@@ -5,8 +5,8 @@
 
 use pgwire::session as wire;
 
-use super::client::{Answer, Form, NameUse, Part};
-use super::server::FAILED_BEFORE_DATA;
+use super::client::{Answer, Form, NameUse, Part, Use};
+use super::server::{CHAINED, FAILED_BEFORE_DATA};
 
 /// Whether a statement is known under its name, as far as the client can tell.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     names: HashMap<String, Known>,
     /// An error that no request had asked for: nothing but the end of the connection may follow.
     unsolicited: Option<String>,
+    /// The transaction status of the last answer.
+    status: u8,
     /// The first form that was not answered as promised.
     pub fault: Option<String>,
 }
@@ -57,6 +59,7 @@
             executed: HashMap::new(),
             names: HashMap::new(),
             unsolicited: None,
+            status: b'I',
             fault: None,
         }
     }
@@ -135,7 +138,9 @@
         }
         let answer = self.answers.pop_front().unwrap();
         let received = std::mem::take(&mut self.current);
-        if let Err(text) = self.check(&answer, &received) {
+        let checked =
+            self.check_status(&received, message.body[0]).and_then(|()| self.check(&answer, &received));
+        if let Err(text) = checked {
             self.report(format!("answer {} ({:?}): {text}", self.received, answer.form));
         }
         self.received += 1;
@@ -153,17 +158,28 @@
             let Some(part) = parts.next() else { return Err(format!("{reply:?} was not asked for")) };
             self.check_part(part, reply)?;
         }
+        let answered = answer.parts.len() - parts.len();
         let Some(error) = replies.next() else {
-            self.note_names(&answer.names, true);
+            self.check_names(&answer.names, answered, "")?;
             return parts.next().map_or(Ok(()), |part| Err(format!("{part:?} is missing, without an error")));
         };
         let (code, _) = pgwire::error_code(&error.body);
-        let wrong = self.wrong_name_error(&answer.names, &code);
-        self.note_names(&answer.names, false);
-        if let Some(after) = replies.find(|reply| reply.kind != b'E') {
-            return Err(format!("{after:?} behind an error"));
+        self.check_names(&answer.names, answered, &code)?;
+        let behind = replies.find(|reply| reply.kind != b'E');
+        behind.map_or(Ok(()), |reply| Err(format!("{reply:?} behind an error")))
+    }
+
+    /// Checks that a transaction ends, or begins, by a statement that says so, or by an error.
+    fn check_status(&mut self, received: &[Received], status: u8) -> Result<(), String> {
+        let before = std::mem::replace(&mut self.status, status);
+        let tells = |reply: &Received| {
+            let tag = (reply.kind == b'C').then(|| wire::read_command_tag(&reply.body));
+            reply.kind == b'E' || matches!(tag, Some("BEGIN" | "COMMIT" | "ROLLBACK" | CHAINED))
+        };
+        if (before == b'I') == (status == b'I') || received.iter().any(tells) {
+            return Ok(());
         }
-        wrong.map_or(Ok(()), Err)
+        Err(format!("status {} after {}, by nothing", status as char, before as char))
     }
 
     fn check_part(&mut self, part: &Part, reply: &Received) -> Result<(), String> {
@@ -191,35 +207,31 @@
         *left >= 0
     }
 
-    /// Returns what is wrong with an error that speaks of a statement's name.
-    fn wrong_name_error(&self, names: &[NameUse], code: &str) -> Option<String> {
-        let known = |name: &String, expected: Known| self.names.get(name) == Some(&expected);
-        let [only] = names else { return None };
-        match only {
-            NameUse::Bind(name) if code == "26000" && known(name, Known::Yes) => {
-                Some(format!("{name} was prepared without an error"))
-            }
-            NameUse::Parse(name) if code == "42P05" && known(name, Known::No) => {
-                Some(format!("{name} was closed without an error"))
+    /// Checks an error, if there is one, by what the client can tell of its statements' names, and notes what it can
+    /// tell after an answer with so many parts.
+    fn check_names(&mut self, names: &[NameUse], answered: usize, code: &str) -> Result<(), String> {
+        for NameUse { part, what, name } in names {
+            let known = self.names.get(name).copied();
+            if *part == answered {
+                match (what, code) {
+                    (Use::Bind, "26000") if known == Some(Known::Yes) => {
+                        return Err(format!("{name} was prepared without an error"));
+                    }
+                    (Use::Parse, "42P05") if known == Some(Known::No) => {
+                        return Err(format!("{name} was closed without an error"));
+                    }
+                    _ => {}
+                }
             }
-            _ => None,
-        }
-    }
-
-    /// Notes what the client can tell of its statements' names after an answer.
-    fn note_names(&mut self, names: &[NameUse], succeeded: bool) {
-        for name_use in names {
-            let (name, known) = match name_use {
-                NameUse::Parse(name) => (name, Known::Yes),
-                NameUse::Close(name) => (name, Known::No),
-                NameUse::Bind(_) => continue,
-            };
-            if succeeded {
-                self.names.insert(name.clone(), known);
-            } else {
-                self.names.remove(name);
+            match what {
+                Use::Bind => {}
+                // It was not asked for, or is not told whether it was done.
+                _ if *part >= answered => drop(self.names.remove(name)),
+                Use::Parse => drop(self.names.insert(name.clone(), Known::Yes)),
+                Use::Close => drop(self.names.insert(name.clone(), Known::No)),
             }
         }
+        Ok(())
     }
 
     /// Judges a play that has come to its end.
--- a/crates/pooling/tests/pipelines.rs
+++ b/crates/pooling/tests/pipelines.rs
@@ -65,6 +65,8 @@
     to_send: VecDeque<Sent>,
     judge: Judge,
     rng: fastrand::Rng,
+    /// How often the client sends, of 20 times, where the server's reply may be read as well.
+    haste: u32,
     losses: u32,
     last_answered: Option<Form>,
     verbose: bool,
@@ -73,7 +75,7 @@
 impl Play {
     fn new(mode: Mode, seed: u64, verbose: bool) -> Play {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let requests = rng.usize(1..8);
+        let requests = rng.usize(1..12);
         let mut generator = Generator::new(&mut rng);
         generator.draw(requests);
         let (messages, answers) = (generator.messages, generator.answers);
@@ -86,6 +88,7 @@
             closed: false,
             to_send: messages.into(),
             judge: Judge::new(answers),
+            haste: rng.u32(1..20),
             rng,
             losses: 0,
             last_answered: None,
@@ -102,10 +105,10 @@
                 self.end_server(DetachReason::Lost);
                 continue;
             }
-            match self.rng.u32(..24) {
+            match self.rng.u32(..20) {
                 0 if can_lose => self.lose(counts),
-                1..=11 if can_send => self.send(),
-                12..=22 if can_read => self.read(),
+                1..=18 if can_send && (!can_read || self.rng.u32(..20) < self.haste) => self.send(),
+                1..=18 if can_read => self.read(),
                 _ if self.waiting => self.attach_or_refuse(),
                 _ if !can_send && !can_read => break,
                 _ => {}
@@ -243,7 +246,9 @@
         let Some(server) = self.server.take() else { return };
         let state = self.session.take_server_state();
         if disposition == Disposition::Reuse {
-            assert!(server.is_at_rest(), "a connection is released with something open");
+            if !server.is_at_rest() {
+                self.judge.fault.get_or_insert("a connection is released with something open".into());
+            }
             self.free = Some((server, state));
         }
     }
@@ -258,7 +263,7 @@
         let result = Play::new(mode, seed.parse().unwrap(), true).run(&mut Counts::new());
         return assert_eq!(result, Ok(()));
     }
-    let plays = std::env::var("PIPELINES").ok().and_then(|count| count.parse().ok()).unwrap_or(5_000);
+    let plays = std::env::var("PIPELINES").ok().and_then(|count| count.parse().ok()).unwrap_or(8_000);
     let (mut faults, mut all_counts) = (Vec::new(), Vec::new());
     for mode in MODES {
         let mut counts = Counts::new();
