sessions: a statement whose batch may still fail does not count as prepared

What callers see: a client sends batches ahead of the answers; an early one fails, and with it the Parse of a statement that it skips. A later batch that closes and prepares the same text under a name got ParseComplete from the session, and 26000 at its use; or the server's 42P05, where a Close that makes room was skipped with the rest.

Cause: ServerSessionState counted a statement as prepared from the moment its Parse was sent. For the rest of that batch that is right, for later batches it is a guess. After a failure the statement was removed from the count although its Close, sent ahead of the Parse, had been skipped as well.

Change: until the server has confirmed a statement, a later batch uses the text as the unnamed statement, which costs no round trip and no Close; from then on the name. Statements whose messages were skipped are closed before they are prepared again; they are bounded by the limit on statements. The client's own unnamed statement is sent again where that of an earlier batch may not come about.

--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -42,10 +42,10 @@
         forward: bool,
         named: bool,
     },
-    /// CloseComplete; `forward` if the client receives it.
-    Close {
-        forward: bool,
-    },
+    /// CloseComplete of a portal, which the client receives.
+    Close,
+    /// CloseComplete of a statement that the session closes by itself, which the client does not receive.
+    CloseStatement(StatementDigest),
     Bind,
     Describe,
     Execute(PendingStatement),
@@ -128,6 +128,34 @@
         self.entries.iter().map(|(reply, _)| reply)
     }
 
+    /// Returns true if the reply to the Parse of a named statement is expected.
+    pub fn contains_parse(&self, digest: &StatementDigest) -> bool {
+        self.iter().any(|reply| is_parse_of(reply, digest))
+    }
+
+    /// Returns true if the reply to the Parse of a named statement is expected in a batch before the current one.
+    pub fn earlier_batch_contains_parse(&self, digest: &StatementDigest) -> bool {
+        self.of_earlier_batches().any(|reply| is_parse_of(reply, digest))
+    }
+
+    /// Returns true if the last Parse of an unnamed statement whose reply is expected is of a batch before the current
+    /// one.
+    pub fn last_unnamed_parse_is_of_earlier_batch(&self) -> bool {
+        let is_unnamed = |reply: &ExpectedReply| matches!(reply, ExpectedReply::Parse { named: false, .. });
+        let mut of_current_batch = self.iter_back().take_while(|reply| !ends_batch(reply));
+        !of_current_batch.any(is_unnamed) && self.of_earlier_batches().any(is_unnamed)
+    }
+
+    /// Returns the replies that are expected up to the end of the last batch or query that has ended.
+    fn of_earlier_batches(&self) -> impl Iterator<Item = &ExpectedReply> {
+        self.iter_back().skip_while(|reply| !ends_batch(reply))
+    }
+
+    /// Returns the replies that are expected, the last one first.
+    fn iter_back(&self) -> impl Iterator<Item = &ExpectedReply> {
+        self.entries.iter().rev().map(|(reply, _)| reply)
+    }
+
     /// Returns true if the reply to a Sync is expected.
     pub fn contains_sync(&self) -> bool {
         self.iter().any(|reply| matches!(reply, ExpectedReply::Sync))
@@ -135,10 +163,9 @@
 
     /// Returns true if an error of the session itself waits for its turn in the batch that has no end yet.
     pub fn last_batch_contains_error(&self) -> bool {
-        let open = |reply: &&ExpectedReply| {
-            !matches!(reply, ExpectedReply::Sync | ExpectedReply::Query(_) | ExpectedReply::LocalAnswer(_))
-        };
-        let mut last_batch = self.entries.iter().rev().map(|(reply, _)| reply).take_while(open);
+        let ends =
+            |reply: &ExpectedReply| ends_batch(reply) || matches!(reply, ExpectedReply::LocalAnswer(_));
+        let mut last_batch = self.iter_back().take_while(|reply| !ends(reply));
         last_batch.any(|reply| matches!(reply, ExpectedReply::LocalError(_)))
     }
 
@@ -212,3 +239,12 @@
         self.full &= self.bytes > RESUME_BYTES;
     }
 }
+
+fn is_parse_of(reply: &ExpectedReply, expected: &StatementDigest) -> bool {
+    matches!(reply, ExpectedReply::Parse { digest, named: true, .. } if digest == expected)
+}
+
+/// Returns true if a reply is the last to a batch, or to a query that ends one.
+fn ends_batch(reply: &ExpectedReply) -> bool {
+    matches!(reply, ExpectedReply::Sync | ExpectedReply::Query(_))
+}
--- a/crates/pooling/src/owed.rs
+++ b/crates/pooling/src/owed.rs
@@ -40,10 +40,12 @@
     pub is_ambiguous: bool,
 }
 
-/// A statement that the server does not prepare, since an error before it makes it skip the message.
-pub(crate) struct SkippedParse {
-    pub digest: StatementDigest,
-    pub named: bool,
+/// A message that the server has not carried out, since it fails or stands behind an error.
+pub(crate) enum Skipped {
+    /// A Parse of the unnamed statement.
+    ParseUnnamed,
+    /// A Parse or a Close of a named statement.
+    Statement(StatementDigest),
 }
 
 /// What a client is owed.
@@ -154,8 +156,8 @@
     }
 
     /// Handles an error: what is expected up to the next Sync does not come, unless the error is that of a query.
-    /// Returns the statements that the server does not prepare.
-    pub fn failed(&mut self) -> Vec<SkippedParse> {
+    /// Returns the messages that the server has not carried out.
+    pub fn failed(&mut self) -> Vec<Skipped> {
         self.copying = false;
         if matches!(self.replies.front(), Some(ExpectedReply::Query(_))) {
             return Vec::new();
@@ -165,8 +167,9 @@
         while let Some(reply) = self.replies.front() {
             match reply {
                 ExpectedReply::Sync => return skipped,
-                ExpectedReply::Parse { digest, named, .. } => {
-                    skipped.push(SkippedParse { digest: *digest, named: *named })
+                ExpectedReply::Parse { named: false, .. } => skipped.push(Skipped::ParseUnnamed),
+                ExpectedReply::Parse { digest, .. } | ExpectedReply::CloseStatement(digest) => {
+                    skipped.push(Skipped::Statement(*digest))
                 }
                 _ => {}
             }
--- a/crates/pooling/src/server_state.rs
+++ b/crates/pooling/src/server_state.rs
@@ -59,6 +59,15 @@
     hasher.finish()
 }
 
+/// A statement that is prepared on a server connection, or is being prepared.
+#[derive(Debug)]
+struct ServerStatement {
+    /// The value of the connection's clock at its last use.
+    last_use: u64,
+    /// Whether the server has said that it is prepared.
+    confirmed: bool,
+}
+
 /// The tracked state of a server connection.
 #[derive(Debug, Default)]
 pub struct ServerSessionState {
@@ -66,9 +75,9 @@
     pub settings: Settings,
     /// Values of the settings that the server reported in ParameterStatus messages.
     pub parameters: BTreeMap<String, String>,
-    /// Statements prepared on the connection, each with the value of `clock` at its last use.
-    statements: HashMap<StatementDigest, u64>,
-    /// Statements that must be closed before they can be prepared again.
+    /// Statements prepared on the connection.
+    statements: HashMap<StatementDigest, ServerStatement>,
+    /// Statements that must be closed before they can be prepared again; some may not exist.
     stale: Vec<StatementDigest>,
     /// The unnamed statement.
     pub(crate) unnamed: Option<StatementDigest>,
@@ -88,30 +97,50 @@
     pub(crate) fn is_prepared(&mut self, digest: &StatementDigest) -> bool {
         self.clock += 1;
         let clock = self.clock;
-        self.statements.get_mut(digest).map(|used| *used = clock).is_some()
+        self.statements.get_mut(digest).map(|statement| statement.last_use = clock).is_some()
     }
 
     /// Records that a statement is being prepared. Returns the statements that must be closed first: a stale
-    /// one of the same digest, and the least recently used one if the limit is reached.
+    /// one of the same digest, all stale ones if there are many, and the least recently used one if the limit is
+    /// reached.
     pub(crate) fn add_statement(&mut self, digest: StatementDigest) -> Vec<StatementDigest> {
         let mut to_close = Vec::new();
         if let Some(at) = self.stale.iter().position(|known| *known == digest) {
             to_close.push(self.stale.swap_remove(at));
         }
+        if self.stale.len() > self.max_statements {
+            to_close.append(&mut self.stale);
+        }
         while self.statements.len() >= self.max_statements {
-            let oldest = self.statements.iter().min_by_key(|(_, used)| **used).map(|(digest, _)| *digest);
+            let oldest = self.statements.iter().min_by_key(|(_, statement)| statement.last_use);
+            let oldest = oldest.map(|(digest, _)| *digest);
             let Some(oldest) = oldest else { break };
             self.statements.remove(&oldest);
             to_close.push(oldest);
         }
         self.clock += 1;
-        self.statements.insert(digest, self.clock);
+        self.statements.insert(digest, ServerStatement { last_use: self.clock, confirmed: false });
         to_close
     }
 
-    /// Removes a statement whose Parse failed.
-    pub(crate) fn remove_statement(&mut self, digest: &StatementDigest) {
-        self.statements.remove(digest);
+    /// Records that the server has prepared a statement.
+    pub(crate) fn confirm_statement(&mut self, digest: &StatementDigest) {
+        if let Some(statement) = self.statements.get_mut(digest) {
+            statement.confirmed = true;
+        }
+    }
+
+    /// Returns true if a statement is being prepared, and the server has not said yet that it is.
+    pub(crate) fn is_unconfirmed(&self, digest: &StatementDigest) -> bool {
+        self.statements.get(digest).is_some_and(|statement| !statement.confirmed)
+    }
+
+    /// Marks a statement as stale: it is closed and prepared again at its next use.
+    pub(crate) fn mark_statement_stale(&mut self, digest: StatementDigest) {
+        self.statements.remove(&digest);
+        if !self.stale.contains(&digest) {
+            self.stale.push(digest);
+        }
     }
 
     /// Marks all statements as stale: each is closed and prepared again at its next use.
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -13,7 +13,7 @@
 
 use crate::expected::{ExpectedReply, PendingStatement};
 use crate::owed::Owed;
-use crate::server_state::{self, PreparedStatement, ServerSessionState};
+use crate::server_state::{self, PreparedStatement, ServerSessionState, StatementDigest};
 use crate::settings::{Effect, Settings, SettingsTracker};
 use crate::stateless::StatelessFunctions;
 
@@ -560,7 +560,7 @@
                     self.owed.begin_batch();
                     if message.kind == b'C' {
                         self.remove_portal(portal);
-                        self.owed.replies.push_back(ExpectedReply::Close { forward: true });
+                        self.owed.replies.push_back(ExpectedReply::Close);
                     } else {
                         self.owed.replies.push_back(ExpectedReply::Describe);
                     }
@@ -608,7 +608,7 @@
             Ok(prepared) => prepared,
             Err(StatementError { code, text }) => return self.reply_error(code, &text, out),
         };
-        if name.is_empty() {
+        if name.is_empty() || self.is_uncertain(&prepared.digest) {
             return self.send_unnamed(&prepared, true, out);
         }
         if self.server_state.is_prepared(&prepared.digest) {
@@ -680,6 +680,11 @@
         self.portal_memory = 0;
     }
 
+    /// Returns true if a statement is being prepared in an earlier batch, which may fail without the current one.
+    fn is_uncertain(&self, digest: &StatementDigest) -> bool {
+        self.server_state.is_unconfirmed(digest) && self.owed.replies.earlier_batch_contains_parse(digest)
+    }
+
     fn send_unnamed(&mut self, prepared: &PreparedStatement, forward: bool, out: &mut Vec<Action>) {
         self.server_state.unnamed = Some(prepared.digest);
         self.owed.replies.push_back(ExpectedReply::Parse { digest: prepared.digest, forward, named: false });
@@ -692,7 +697,7 @@
 
     fn send_named(&mut self, prepared: &PreparedStatement, forward: bool, out: &mut Vec<Action>) {
         for old in self.server_state.add_statement(prepared.digest) {
-            self.owed.replies.push_back(ExpectedReply::Close { forward: false });
+            self.owed.replies.push_back(ExpectedReply::CloseStatement(old));
             out.push(Action::SendToServer(wire::target_message(
                 b'C',
                 b'S',
@@ -722,10 +727,8 @@
             );
             return None;
         };
-        if name.is_empty() {
-            if self.server_state.unnamed != Some(prepared.digest) {
-                self.send_unnamed(&prepared, false, out);
-            }
+        if name.is_empty() || self.is_uncertain(&prepared.digest) {
+            self.ensure_unnamed(&prepared, out);
             return Some((String::new(), prepared));
         }
         if !self.server_state.is_prepared(&prepared.digest) {
@@ -734,6 +737,14 @@
         Some((prepared.name(), prepared))
     }
 
+    /// Makes a statement the unnamed one on the server, unless it is that whatever becomes of earlier batches.
+    fn ensure_unnamed(&mut self, prepared: &PreparedStatement, out: &mut Vec<Action>) {
+        let is_current = self.server_state.unnamed == Some(prepared.digest);
+        if !is_current || self.owed.replies.last_unnamed_parse_is_of_earlier_batch() {
+            self.send_unnamed(prepared, false, out);
+        }
+    }
+
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
         self.owed.begin_batch();
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
--- a/crates/pooling/src/session/server_replies.rs
+++ b/crates/pooling/src/session/server_replies.rs
@@ -6,7 +6,8 @@
 
 use super::{Action, DetachReason, Disposition, Mode, Session, Stage};
 use crate::expected::{ExpectedReply, PendingStatement};
-use crate::owed::{Answered, SkippedParse};
+use crate::owed::{Answered, Skipped};
+use crate::server_state::StatementDigest;
 use crate::settings::Effect;
 
 impl Session {
@@ -54,12 +55,15 @@
             _ if setup => {}
             kind @ (b'1' | b'2' | b'3') => {
                 let forward = match (kind, self.owed.replies.front()) {
-                    (b'1', Some(ExpectedReply::Parse { forward, .. }))
-                    | (b'3', Some(ExpectedReply::Close { forward })) => *forward,
-                    (b'2', Some(ExpectedReply::Bind)) => true,
+                    (b'1', Some(ExpectedReply::Parse { forward, .. })) => *forward,
+                    (b'2', Some(ExpectedReply::Bind)) | (b'3', Some(ExpectedReply::Close)) => true,
+                    (b'3', Some(ExpectedReply::CloseStatement(_))) => false,
                     _ => return self.unexpected_reply(out),
                 };
-                self.owed.replies.pop_front();
+                if let Some(ExpectedReply::Parse { digest, named: true, .. }) = self.owed.replies.pop_front()
+                {
+                    self.statement_prepared(&digest);
+                }
                 if forward {
                     out.push(Action::SendToClient(wire::empty_message(kind)));
                 }
@@ -99,6 +103,13 @@
         self.server_detached(DetachReason::Lost, out);
     }
 
+    /// Handles that the server has prepared a statement, unless it is closed and prepared again meanwhile.
+    fn statement_prepared(&mut self, digest: &StatementDigest) {
+        if !self.owed.replies.contains_parse(digest) {
+            self.server_state.confirm_statement(digest);
+        }
+    }
+
     /// Applies the effect of a completed statement.
     fn statement_completed(&mut self, tag: &str) {
         let Some(PendingStatement { effect, pins }) = self.owed.statement_completed() else { return };
@@ -139,10 +150,10 @@
             Some(ExpectedReply::Execute(statement)) => self.pins.extend(std::mem::take(&mut statement.pins)),
             _ => {}
         }
-        for SkippedParse { digest, named } in self.owed.failed() {
-            match named {
-                true => self.server_state.remove_statement(&digest),
-                false => self.server_state.unnamed = None,
+        for skipped in self.owed.failed() {
+            match skipped {
+                Skipped::ParseUnnamed => self.server_state.unnamed = None,
+                Skipped::Statement(digest) => self.server_state.mark_statement_stale(digest),
             }
         }
         if self.owed.is_ambiguous() && !self.owed.replies.is_empty() {
