directory tests: a port that is freed and used again is of an address of its own

Cause: the test frees a port of 127.0.0.1 and lets a process bind it; the other tests of the file bind free ports of the same address meanwhile.

Change: the test uses another loopback address, where nobody else binds. It checks the same.

--- a/crates/daemon/tests/directory.rs
+++ b/crates/daemon/tests/directory.rs
@@ -257,7 +257,8 @@
         assert!(code == Some(2) && error_text.contains(expected), "{expected}: {code:?}: {error_text}");
     }
     // If its port is in use, or it has no key, the instance reports that and exits.
-    let occupied = UdpSocket::bind("127.0.0.1:0").unwrap();
+    // No other test takes a port of this address once it is free again.
+    let occupied = UdpSocket::bind("127.0.0.77:0").unwrap();
     let text = one_control_instance.replace("127.0.0.1:1", &occupied.local_addr().unwrap().to_string());
     let (code, error_text) = run(&text, "c1");
     assert!(code == Some(2) && error_text.contains("Address already in use"), "{code:?}: {error_text}");
