sessions: prepared statements and portals are a module of their own

What callers see: nothing. Cause: session.rs held the tables, their five counters and three bounds beside the protocol.

--- a/crates/pooling/src/lib.rs
+++ b/crates/pooling/src/lib.rs
@@ -11,6 +11,7 @@
 mod expected;
 mod owed;
 mod pool;
+mod prepared;
 mod server_state;
 mod session;
 mod settings;
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -13,16 +13,11 @@
 
 use crate::expected::{ExpectedReply, PendingStatement};
 use crate::owed::Owed;
+use crate::prepared::{PreparedError, PreparedObjects};
 use crate::server_state::{self, PreparedStatement, ServerSessionState, StatementDigest};
 use crate::settings::{Effect, Settings, SettingsTracker};
 use crate::stateless::StatelessFunctions;
 
-/// Maximum number of statements that a session keeps prepared; also the maximum number of its portals.
-const MAX_STATEMENTS: usize = 1_000;
-/// Maximum size of the texts of a session's prepared statements (bytes).
-const MAX_STATEMENT_BYTES: usize = 1024 * 1024;
-/// Maximum memory of a session's prepared statements, and of its portals, with names and parameter types (bytes).
-const MAX_STATEMENT_MEMORY: usize = 4 * 1024 * 1024;
 /// Maximum memory of a batch that is queued until its end arrives (bytes). A longer batch is treated as one
 /// that writes.
 const MAX_QUEUED_BYTES: usize = 256 * 1024;
@@ -95,12 +90,6 @@
     Aborted,
 }
 
-/// Why a statement or a portal is not added.
-struct StatementError {
-    code: &'static str,
-    text: String,
-}
-
 /// One client's session.
 pub struct Session {
     mode: Mode,
@@ -108,13 +97,7 @@
     settings: SettingsTracker,
     /// The class selected by `SET dewferry.class` as a statement of its own.
     class: Option<String>,
-    statements: HashMap<String, Rc<PreparedStatement>>,
-    /// Total size of the statements' texts, and all memory that the statements take (bytes).
-    statement_bytes: usize,
-    statement_memory: usize,
-    portals: HashMap<String, Rc<PreparedStatement>>,
-    /// The memory that the portals take, with their statements (bytes).
-    portal_memory: usize,
+    prepared: PreparedObjects,
     server_state: ServerSessionState,
     owed: Owed,
     /// Whether the server was asked for the replies of a batch that has no end yet, since too many are expected.
@@ -150,11 +133,7 @@
             stage: Stage::Idle,
             settings: SettingsTracker::new(start),
             class: None,
-            statements: HashMap::new(),
-            statement_bytes: 0,
-            statement_memory: 0,
-            portals: HashMap::new(),
-            portal_memory: 0,
+            prepared: PreparedObjects::default(),
             server_state: ServerSessionState::default(),
             owed: Owed::default(),
             flush_sent: false,
@@ -183,11 +162,7 @@
 
     /// Returns the memory that the session takes for what its client has sent (bytes).
     pub fn memory(&self) -> usize {
-        self.queued_bytes
-            + self.owed.replies.memory()
-            + self.statement_memory
-            + self.portal_memory
-            + self.settings.memory()
+        self.queued_bytes + self.owed.replies.memory() + self.prepared.memory() + self.settings.memory()
     }
 
     /// Returns true if the session has a server connection.
@@ -389,7 +364,7 @@
                     parsed
                         .get(name)
                         .cloned()
-                        .or_else(|| self.statements.get(name).map(|known| known.scan.clone()))
+                        .or_else(|| self.prepared.statement(name).map(|known| known.scan.clone()))
                 }),
                 b'D' | b'E' | b'C' | b'S' | b'H' => continue,
                 _ => None,
@@ -552,14 +527,14 @@
                 Some((b'S', name)) if message.kind == b'D' => self.describe(name, out),
                 Some((b'S', name)) => {
                     self.owed.begin_batch();
-                    self.remove_statement(name);
+                    self.prepared.remove_statement(name);
                     // It stays prepared on the server, where other sessions may use it.
                     self.reply_locally(wire::empty_message(b'3'), out);
                 }
                 Some((_, portal)) => {
                     self.owed.begin_batch();
                     if message.kind == b'C' {
-                        self.remove_portal(portal);
+                        self.prepared.remove_portal(portal);
                         self.owed.replies.push_back(ExpectedReply::Close);
                     } else {
                         self.owed.replies.push_back(ExpectedReply::Describe);
@@ -584,7 +559,7 @@
     /// Returns the statement of a portal that is being executed. One that is not known may be an SQL cursor, or
     /// may have been bound before the reply to an earlier batch ended all portals.
     fn pending_execution(&self, portal: &str) -> PendingStatement {
-        match self.portals.get(portal) {
+        match self.prepared.portal(portal) {
             Some(prepared) => {
                 let statement = prepared.scan.statements.first();
                 statement.map(|statement| self.pending_statement(statement)).unwrap_or_default()
@@ -606,7 +581,7 @@
         self.owed.begin_batch();
         let prepared = match self.add_statement(name, text, types) {
             Ok(prepared) => prepared,
-            Err(StatementError { code, text }) => return self.reply_error(code, &text, out),
+            Err(PreparedError { code, text }) => return self.reply_error(code, &text, out),
         };
         if name.is_empty() || self.is_uncertain(&prepared.digest) {
             return self.send_unnamed(&prepared, true, out);
@@ -623,63 +598,17 @@
         name: &str,
         text: &str,
         types: &[u8],
-    ) -> Result<Rc<PreparedStatement>, StatementError> {
-        if !name.is_empty() && self.statements.contains_key(name) {
-            let text = format!("prepared statement \"{name}\" already exists");
-            return Err(StatementError { code: sqlstate::DUPLICATE_STATEMENT, text });
-        }
+    ) -> Result<Rc<PreparedStatement>, PreparedError> {
+        self.prepared.check_name(name)?;
         let prepared = PreparedStatement::new(text, types);
         if self.begins_forbidden_transaction(&prepared.scan) {
             let text = NO_TRANSACTIONS.to_string();
-            return Err(StatementError { code: sqlstate::FEATURE_NOT_SUPPORTED, text });
+            return Err(PreparedError { code: sqlstate::FEATURE_NOT_SUPPORTED, text });
         }
-        self.remove_statement(name);
-        let memory = statement_memory(name, &prepared);
-        let too_many = self.statements.len() >= MAX_STATEMENTS
-            || self.statement_bytes + text.len() > MAX_STATEMENT_BYTES
-            || self.statement_memory + memory > MAX_STATEMENT_MEMORY;
-        if too_many {
-            let text =
-                format!("over {MAX_STATEMENTS} prepared statements, or {MAX_STATEMENT_BYTES} bytes of them");
-            return Err(StatementError { code: sqlstate::CONFIGURATION_LIMIT_EXCEEDED, text });
-        }
-        self.statement_bytes += text.len();
-        self.statement_memory += memory;
-        self.statements.insert(name.to_string(), prepared.clone());
+        self.prepared.add_statement(name, &prepared)?;
         Ok(prepared)
     }
 
-    /// Adds a portal to those that the session has bound.
-    fn add_portal(&mut self, portal: &str, prepared: Rc<PreparedStatement>) -> Result<(), StatementError> {
-        self.remove_portal(portal);
-        let memory = statement_memory(portal, &prepared);
-        if self.portals.len() >= MAX_STATEMENTS || self.portal_memory + memory > MAX_STATEMENT_MEMORY {
-            let text = format!("over {MAX_STATEMENTS} portals, or {MAX_STATEMENT_MEMORY} bytes of them");
-            return Err(StatementError { code: sqlstate::CONFIGURATION_LIMIT_EXCEEDED, text });
-        }
-        self.portal_memory += memory;
-        self.portals.insert(portal.to_string(), prepared);
-        Ok(())
-    }
-
-    fn remove_statement(&mut self, name: &str) {
-        if let Some(known) = self.statements.remove(name) {
-            self.statement_bytes -= known.text.len();
-            self.statement_memory -= statement_memory(name, &known);
-        }
-    }
-
-    fn remove_portal(&mut self, portal: &str) {
-        if let Some(prepared) = self.portals.remove(portal) {
-            self.portal_memory -= statement_memory(portal, &prepared);
-        }
-    }
-
-    fn clear_portals(&mut self) {
-        self.portals.clear();
-        self.portal_memory = 0;
-    }
-
     /// Returns true if a statement is being prepared in an earlier batch, which may fail without the current one.
     fn is_uncertain(&self, digest: &StatementDigest) -> bool {
         self.server_state.is_unconfirmed(digest) && self.owed.replies.earlier_batch_contains_parse(digest)
@@ -719,7 +648,7 @@
         name: &str,
         out: &mut Vec<Action>,
     ) -> Option<(String, Rc<PreparedStatement>)> {
-        let Some(prepared) = self.statements.get(name).cloned() else {
+        let Some(prepared) = self.prepared.statement(name).cloned() else {
             self.reply_error(
                 sqlstate::INVALID_STATEMENT_NAME,
                 &format!("prepared statement \"{name}\" does not exist"),
@@ -748,7 +677,7 @@
     fn bind(&mut self, portal: &str, name: &str, rest: &[u8], out: &mut Vec<Action>) {
         self.owed.begin_batch();
         let Some((server_name, prepared)) = self.ensure_prepared(name, out) else { return };
-        if let Err(StatementError { code, text }) = self.add_portal(portal, prepared) {
+        if let Err(PreparedError { code, text }) = self.prepared.add_portal(portal, prepared) {
             return self.reply_error(code, &text, out);
         }
         self.owed.replies.push_back(ExpectedReply::Bind);
@@ -766,7 +695,7 @@
     fn detach(&mut self) {
         self.stage = Stage::Idle;
         self.server_state.settings = self.settings.detach();
-        self.clear_portals();
+        self.prepared.clear_portals();
         self.owed.clear();
         (self.status, self.failed) = (b'I', false);
     }
@@ -789,11 +718,6 @@
     }
 }
 
-/// Returns the memory that a statement takes under this name, as a statement or as a portal (bytes).
-fn statement_memory(name: &str, prepared: &PreparedStatement) -> usize {
-    name.len() + prepared.memory
-}
-
 const NO_TRANSACTIONS: &str = "transactions of several statements need pool.mode transaction or session";
 
 fn no_transactions_error() -> Vec<u8> {
--- a/crates/pooling/src/session/lost_transaction.rs
+++ b/crates/pooling/src/session/lost_transaction.rs
@@ -6,14 +6,15 @@
 use pgwire::{error_response, sqlstate, Message};
 use sql::{Control, Kind, Scan, Statement};
 
-use super::{Action, DetachReason, Session, Stage, StatementError};
+use super::{Action, DetachReason, Session, Stage};
+use crate::prepared::PreparedError;
 use crate::server_state::PreparedStatement;
 
 /// Why a message of a batch is answered with an error.
 enum BatchError {
     /// It needs a transaction that has not failed.
     InLostTransaction,
-    Statement(StatementError),
+    Prepared(PreparedError),
 }
 
 impl Session {
@@ -58,13 +59,13 @@
         if !is_end_of_transaction(&sql::scan(text)) {
             return Err(BatchError::InLostTransaction);
         }
-        self.add_statement(name, text, types).map_err(BatchError::Statement)?;
+        self.add_statement(name, text, types).map_err(BatchError::Prepared)?;
         Ok(wire::empty_message(b'1'))
     }
 
     fn bind_end(&mut self, portal: &str, name: &str) -> Result<Vec<u8>, BatchError> {
         let prepared = self.prepared_end(name)?;
-        self.add_portal(portal, prepared).map_err(BatchError::Statement)?;
+        self.prepared.add_portal(portal, prepared).map_err(BatchError::Prepared)?;
         Ok(wire::empty_message(b'2'))
     }
 
@@ -74,12 +75,12 @@
             self.prepared_end(name)?;
             return Ok([wire::no_parameters(), no_data].concat());
         }
-        self.portals.get(name).map(|_| no_data).ok_or(BatchError::InLostTransaction)
+        self.prepared.portal(name).map(|_| no_data).ok_or(BatchError::InLostTransaction)
     }
 
     /// Ends the transaction. What follows in the batch is run by a server.
     fn execute_end(&mut self, portal: &str) -> Result<Vec<u8>, BatchError> {
-        if !self.portals.contains_key(portal) {
+        if self.prepared.portal(portal).is_none() {
             return Err(BatchError::InLostTransaction);
         }
         self.end_lost_transaction();
@@ -89,15 +90,15 @@
     /// Closes a statement or a portal, which does not use the transaction.
     fn close(&mut self, of: u8, name: &str) -> Result<Vec<u8>, BatchError> {
         match of {
-            b'S' => self.remove_statement(name),
-            _ => self.remove_portal(name),
+            b'S' => self.prepared.remove_statement(name),
+            _ => self.prepared.remove_portal(name),
         }
         Ok(wire::empty_message(b'3'))
     }
 
     /// Returns a prepared statement if it ends a transaction.
     fn prepared_end(&self, name: &str) -> Result<Rc<PreparedStatement>, BatchError> {
-        let prepared = self.statements.get(name).filter(|prepared| is_end_of_transaction(&prepared.scan));
+        let prepared = self.prepared.statement(name).filter(|prepared| is_end_of_transaction(&prepared.scan));
         prepared.cloned().ok_or(BatchError::InLostTransaction)
     }
 
@@ -106,7 +107,7 @@
         self.owed.skip_batch();
         match error {
             BatchError::InLostTransaction => self.reject_in_lost_transaction(out),
-            BatchError::Statement(StatementError { code, text }) => {
+            BatchError::Prepared(PreparedError { code, text }) => {
                 out.push(Action::SendToClient(error_response("ERROR", code, &text, None)))
             }
         }
@@ -140,7 +141,7 @@
     }
 
     fn end_lost_transaction(&mut self) {
-        self.clear_portals();
+        self.prepared.clear_portals();
         (self.stage, self.status, self.detach_reason) = (Stage::Idle, b'I', None);
     }
 }
--- a/crates/pooling/src/session/server_replies.rs
+++ b/crates/pooling/src/session/server_replies.rs
@@ -115,12 +115,11 @@
         let Some(PendingStatement { effect, pins }) = self.owed.statement_completed() else { return };
         self.pins.extend(pins);
         if matches!(effect, Effect::DiscardAll | Effect::DeallocateAll) {
-            self.statements.clear();
-            (self.statement_bytes, self.statement_memory) = (0, 0);
+            self.prepared.clear_statements();
             self.server_state.clear_statements();
         }
         if effect == Effect::DiscardAll {
-            self.clear_portals();
+            self.prepared.clear_portals();
             self.pins.clear();
             self.class = None;
         }
@@ -201,7 +200,7 @@
         let failed = std::mem::take(&mut self.failed);
         if status == b'I' {
             self.settings.end_transaction(failed);
-            self.clear_portals();
+            self.prepared.clear_portals();
         }
         out.push(Action::SendToClient(wire::ready_for_query(status)));
         self.send_local_replies(out);
