sessions: the session's own query drops the server's unnamed statement, and is sent once

Cause: the empty query that tells answers apart is a simple query, at which the server drops its unnamed statement; the session went on counting on it. It was also sent again with each Sync until it was answered.

Evidence: found by reading the whole change once more; the new case.

Change: the unnamed statement counts as gone once that query is sent; a second one is not sent while the first is pending, since all that is sent behind the first is told apart by it.

Result: the new case failed before (BESQ in place of PBES), and with the first half of the change alone (PBESQ); it passes.

--- a/crates/pooling/src/owed.rs
+++ b/crates/pooling/src/owed.rs
@@ -83,6 +83,12 @@
         self.unresolved_syncs > 0
     }
 
+    /// Returns true if a query of the session's own has to tell such an answer from those to later messages.
+    pub fn needs_empty_query(&self) -> bool {
+        let is_sent = self.replies.iter().any(|reply| matches!(reply, ExpectedReply::EmptyQuery));
+        self.is_ambiguous() && !is_sent
+    }
+
     /// Returns true if nothing is expected and no batch is open.
     pub fn is_settled(&self) -> bool {
         self.replies.is_empty() && !self.in_batch
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -475,7 +475,7 @@
             b'S' => {
                 self.owed.sync_sent();
                 out.push(Action::SendToServer(wire::empty_message(b'S')));
-                if self.owed.is_ambiguous() {
+                if self.owed.needs_empty_query() {
                     self.send_empty_query(out);
                 }
             }
--- a/crates/pooling/src/session/server_replies.rs
+++ b/crates/pooling/src/session/server_replies.rs
@@ -180,6 +180,8 @@
     /// Sends a query whose answer comes behind all that the server still says to earlier messages.
     pub(super) fn send_empty_query(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SendToServer(pgwire::query(b"")));
+        // A simple query makes the server drop it.
+        self.server_state.unnamed = None;
         self.owed.empty_query_sent();
     }
 
--- a/crates/pooling/tests/copies.rs
+++ b/crates/pooling/tests/copies.rs
@@ -107,6 +107,19 @@
     assert_eq!(actions, [Action::ReleaseServer(Disposition::Reuse)]);
 }
 
+/// Guards against an unnamed statement that counts as prepared though the session's own query has made the server drop
+/// it (26000).
+#[test]
+fn the_unnamed_statement_is_prepared_again_behind_the_sessions_own_query() {
+    let (mut session, _) = pass_on([batch(), vec![sync()]].concat_all(), data());
+    let begun = vec![message(b'1', b""), message(b'2', b""), message(b'G', b"\0\0\0")];
+    from_server(&mut session, begun);
+    from_client(&mut session, vec![sync()]);
+    let failed = vec![text(b'E', "SERROR\0C23514\0Mno\0"), ready(b'I')];
+    assert_eq!(kinds(&from_server(&mut session, failed)), ("EZ".into(), "Q".into()));
+    assert_eq!(kinds(&from_client(&mut session, vec![bind(""), execute(), sync()])).1, "PBES");
+}
+
 /// Guards against answers that are assigned to the wrong messages: whether the server has ignored the Sync that was
 /// sent ahead is not known any more once others stand behind it.
 #[rstest]
