memory: buffers leave room for what the process holds at its start

Cause: buffers, statements and values got half of the limit, whatever the process itself holds: 14 MB there.

Change: they get at most three quarters of what the process leaves of its limit, measured once at its start (/proc/self/status); with 192 MB and 14 MB held nothing changes (half). The check of a configuration change uses the same function.

--- a/crates/buffer/src/lib.rs
+++ b/crates/buffer/src/lib.rs
@@ -48,7 +48,7 @@
 }
 
 /// The part of a limit that is kept for small buffers is one in this many.
-const RESERVE_DIVISOR: usize = 16;
+const RESERVE_DIVISOR: usize = 8;
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
@@ -288,6 +288,13 @@
         self.release();
     }
 
+    /// Discards all bytes and frees the memory, whatever its size.
+    pub fn clear(&mut self) {
+        (self.buffer, self.head, self.len) = (Vec::new(), 0, 0);
+        // Reducing a charge always succeeds.
+        let _ = self.charge.set(0);
+    }
+
     fn release(&mut self) {
         if self.len == 0 && self.buffer.len() > MAX_RETAINED_BYTES {
             self.buffer = Vec::new();
@@ -339,6 +346,21 @@
         assert_eq!(budget.used(), 0);
     }
 
+    /// Guards new connections against many that have ended, each of which kept a small buffer while it lingered.
+    #[test]
+    fn a_cleared_buffer_holds_no_memory() {
+        let budget = Budget::new(2 * MAX_RETAINED_BYTES);
+        let mut ring = Ring::new(&budget);
+        ring.push(&[1; MAX_RETAINED_BYTES]).unwrap();
+        ring.skip(MAX_RETAINED_BYTES);
+        assert_eq!(budget.used(), MAX_RETAINED_BYTES, "kept for the next message");
+        ring.push(&[2; INITIAL_BYTES]).unwrap();
+        ring.clear();
+        assert!(ring.is_empty() && budget.used() == 0);
+        ring.push(&[3]).unwrap();
+        assert_eq!(ring.take(2), [3]);
+    }
+
     /// Guards short messages against many long ones that are not complete.
     #[test]
     fn long_messages_leave_a_part_of_the_memory_to_short_ones() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod dial;
 mod files;
+mod memory;
 mod net;
 mod numbers;
 mod store;
--- a/crates/daemon/src/net/clients/connection.rs
+++ b/crates/daemon/src/net/clients/connection.rs
@@ -263,13 +263,15 @@
     /// Discards the data of a lingering connection, one buffer at a time with a delay between. Guards the
     /// event loop against a client that sends without end.
     fn discard(&mut self) -> Result<(), CloseReason> {
-        self.flush()?;
+        if self.flush()? {
+            self.outbox.clear();
+        }
         if self.active < self.discard_at {
             return Ok(());
         }
-        self.inbox.skip(self.inbox.len());
+        self.inbox.clear();
         let fill = self.fill()?;
-        self.inbox.skip(self.inbox.len());
+        self.inbox.clear();
         if fill == Fill::Full {
             self.discard_at = self.active + DISCARD_INTERVAL;
         }
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -34,7 +34,7 @@
 use routing::Policy;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
-use transaction::{LiveMember, LiveState, RequestFailure, RESERVED_DESCRIPTORS};
+use transaction::{buffer_bytes, LiveMember, LiveState, RequestFailure, RESERVED_DESCRIPTORS};
 
 use super::change::{self, Changes};
 use super::clients::{Clients, CommandNumber};
@@ -48,6 +48,7 @@
 use super::{Context, Event, ServerTask, TaskResult};
 use crate::counters::{count_outcome, Counters};
 use crate::files;
+use crate::memory;
 use crate::numbers::{ActiveClass, NumberedSettings, Numbers};
 use departed::DepartedRequests;
 use handover::{InheritedState, PredecessorHandover, SuccessorHandover};
@@ -139,6 +140,8 @@
     tenants: Vec<(String, usize)>,
     numbers: Numbers,
     budget: Budget,
+    /// Memory that the process held before it served anybody (bytes).
+    memory_at_start: usize,
     /// State of configuration changes; none without an operator's file.
     changes: Option<Box<Changes>>,
     control: Option<ControlSocket>,
@@ -258,8 +261,8 @@
         context.reactor.registry.register(&mut signals, Source::Signals.into(), Interest::READABLE)?;
         // Most clients have one attempt in flight, so that half the sockets are enough for server
         // connections. They may be too few if clients pipeline requests or hedging is allowed; then an
-        // attempt ends as not sent, without other consequences. Half the memory is for buffers, statements
-        // and values, shared by all connections.
+        // attempt ends as not sent, without other consequences. A part of the memory is for buffers, statements
+        // and values, shared by all connections; it is set once it is known what the process itself takes.
         let sockets = effective.sockets.saturating_sub(RESERVED_DESCRIPTORS + session_sockets(&effective));
         let max_clients = sockets / 2;
         if max_clients == 0 {
@@ -351,6 +354,7 @@
             tenants,
             numbers,
             budget,
+            memory_at_start: 0,
             changes: changes.map(Box::new),
             control,
             log,
@@ -382,6 +386,8 @@
         pooler.select_list_source(&effective, context);
         pooler.follow_pushed_list(context);
         pooler.handle_events(context);
+        pooler.memory_at_start = memory::resident_bytes();
+        pooler.budget.resize(buffer_bytes(effective.memory, pooler.memory_at_start));
         Ok(pooler)
     }
 
@@ -858,6 +864,7 @@
         state.clients_busy = self.in_flight.client_count();
         state.servers_busy = self.servers.busy_count();
         state.memory_in_use = self.budget.used();
+        state.memory_at_start = self.memory_at_start;
         state
     }
 
--- a/crates/daemon/src/net/pooler/configuration.rs
+++ b/crates/daemon/src/net/pooler/configuration.rs
@@ -4,7 +4,7 @@
 use config::Config;
 use mio::net::TcpListener;
 use operator::EffectiveConfig;
-use transaction::{Action, Input, Notice, RESERVED_DESCRIPTORS};
+use transaction::{buffer_bytes, Action, Input, Notice, RESERVED_DESCRIPTORS};
 
 use super::{max_retry_after, process_lifecycle, session_sockets, Pooler, SuccessorHandover};
 use crate::files;
@@ -157,7 +157,7 @@
         let sockets = effective.sockets.saturating_sub(RESERVED_DESCRIPTORS + session_sockets(&effective));
         self.clients.set_limit(sockets / 2, context);
         self.servers.set_limits(sockets - sockets / 2, effective.keepalive, connect_timeout);
-        self.budget.resize(effective.memory / 2);
+        self.budget.resize(buffer_bytes(effective.memory, self.memory_at_start));
         (self.probe_timeout, self.retry_after) = (connect_timeout, retry_after);
         self.lifecycle.set_limits(process_lifecycle::lifecycle_limits(Some(&effective.document.daemon)));
         self.log.set_level(effective.document.log.level);
--- a/crates/transaction/src/check.rs
+++ b/crates/transaction/src/check.rs
@@ -7,6 +7,8 @@
 use operator::{Difference, EffectiveConfig};
 use routing::interface::Consistency;
 
+use crate::memory::buffer_bytes;
+
 /// Severity of a finding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Severity {
@@ -71,6 +73,8 @@
     pub servers_busy: usize,
     /// Memory in use by buffers, statements and values (bytes).
     pub memory_in_use: usize,
+    /// Memory that the process held before it served anybody (bytes).
+    pub memory_at_start: usize,
 }
 
 /// Returns true if the findings refuse a change: an error always does, a guarded finding unless its code is
@@ -326,7 +330,7 @@
 
 fn budgets(new: &EffectiveConfig, live: &LiveState, findings: &mut FindingList) {
     // The same division as in the pooler: 16 descriptors are reserved, half of the rest is for clients and
-    // half for servers; half of the memory is for buffers.
+    // half for servers; a part of the memory is for buffers.
     let half = new.sockets.saturating_sub(RESERVED_DESCRIPTORS) / 2;
     for (side, busy) in [("clients", live.clients_busy), ("database servers", live.servers_busy)] {
         if busy > half {
@@ -337,10 +341,11 @@
             findings.error("sockets-in-use", what);
         }
     }
-    if live.memory_in_use > new.memory / 2 {
-        let (used, half) = (live.memory_in_use as f64 / 1e6, new.memory as f64 / 2e6);
+    let available = buffer_bytes(new.memory, live.memory_at_start);
+    if live.memory_in_use > available {
+        let (used, left) = (live.memory_in_use as f64 / 1e6, available as f64 / 1e6);
         findings
-            .error("memory-in-use", format!("{used:.1} MB are in use; the new budget leaves {half:.1} MB"));
+            .error("memory-in-use", format!("{used:.1} MB are in use; the new budget leaves {left:.1} MB"));
     }
 }
 
--- a/crates/transaction/src/lib.rs
+++ b/crates/transaction/src/lib.rs
@@ -10,6 +10,7 @@
 mod health;
 mod history;
 mod machine;
+mod memory;
 mod roster;
 
 pub use check::{check, is_refused, Finding, LiveMember, LiveState, Severity, RESERVED_DESCRIPTORS};
@@ -19,4 +20,5 @@
     Action, Caller, Input, Mode, Notice, Outcome, Proposal, RollbackReason, Stage, StateMachine,
     HEALTH_CHECK_INTERVAL, MAX_NOTE_BYTES,
 };
+pub use memory::buffer_bytes;
 pub use roster::Roster;
