--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -144,6 +144,7 @@
                     class: fields.integer(8, "tierClass")? as usize,
                     group: fields.integer(9, "clusterNo")? as u32,
                     session_position: None,
+                    streams_answer: false,
                 })
             }
             "done" => {
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use routing::interface::Outcome;
+use routing::interface::{Consistency, Outcome};
 use routing::permission::Denial;
 
 /// Counts of what was received, sent and answered since the start.
@@ -40,8 +40,10 @@
     /// Reloads of the configuration that succeeded and that failed.
     pub reloads: u64,
     pub reloads_failed: u64,
-    /// Attempts whose answer was read from data older than the request's freshness bound.
-    pub too_old: u64,
+    /// Reads that were not written to the member that was chosen, since it may have been behind by then.
+    pub withdrawn: ReadCounts,
+    /// Answers that may have been read from older data than the read allows.
+    pub too_old: ReadCounts,
     /// Actions of the policy that the permission check denied: `violations` are faults of the policy,
     /// `withheld` are attempts whose conditions changed between the decision and the check.
     pub violations: Denials,
@@ -75,6 +77,44 @@
     pub timers: u64,
 }
 
+/// Number of reads by what they require.
+#[derive(Default)]
+pub(crate) struct ReadCounts([u64; READ_REQUIREMENTS.len()]);
+
+/// The names of what reads require.
+const READ_REQUIREMENTS: [&str; 4] = ["bounded", "session", "fresh", "any"];
+
+impl ReadCounts {
+    pub fn count(&mut self, consistency: Consistency) {
+        let index = match consistency {
+            Consistency::Bounded(_) => 0,
+            Consistency::Session => 1,
+            Consistency::Fresh => 2,
+            Consistency::Any => 3,
+            Consistency::Write => return,
+        };
+        self.0[index] += 1;
+    }
+
+    /// Writes the total as `name=total`, and the count of each requirement that occurred.
+    fn write(&self, name: &str, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_counts(name, READ_REQUIREMENTS.iter().copied().zip(self.0), f)
+    }
+}
+
+/// Writes the total as `name=total`, and each count but 0 as `name_kind=count`.
+fn write_counts<'a>(
+    name: &str,
+    counts: impl Iterator<Item = (&'a str, u64)> + Clone,
+    f: &mut fmt::Formatter<'_>,
+) -> fmt::Result {
+    write!(f, " {name}={}", counts.clone().map(|(_, count)| count).sum::<u64>())?;
+    for (kind, count) in counts.filter(|(_, count)| *count > 0) {
+        write!(f, " {name}_{kind}={count}")?;
+    }
+    Ok(())
+}
+
 /// Number of occurrences of each denial.
 #[derive(Default)]
 pub(crate) struct Denials([u64; Denial::ALL.len()]);
@@ -88,11 +128,7 @@
 
     /// Writes the total as `name=total`, and the count of each denial that occurred as `name_denial=count`.
     fn write(&self, name: &str, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, " {name}={}", self.0.iter().sum::<u64>())?;
-        for (denial, count) in Denial::ALL.iter().zip(self.0).filter(|(_, count)| *count > 0) {
-            write!(f, " {name}_{}={count}", denial.name())?;
-        }
-        Ok(())
+        write_counts(name, Denial::ALL.iter().map(|denial| denial.name()).zip(self.0), f)
     }
 }
 
@@ -206,7 +242,8 @@
         write!(f, " lists={} lists_failed={}", self.lists, self.lists_failed)?;
         write!(f, " reloads={} reloads_failed={}", self.reloads, self.reloads_failed)?;
         write!(f, " pipelined={} unfinished_closed={}", self.pipelined, self.unfinished_closed)?;
-        write!(f, " too_old={}", self.too_old)?;
+        self.withdrawn.write("withdrawn", f)?;
+        self.too_old.write("too_old", f)?;
         self.violations.write("violations", f)?;
         self.withheld.write("withheld", f)?;
         write!(f, " held_up={} held_up_most_ms={:.0}", self.loop_delays, self.longest_loop_delay * 1000.0)?;
--- a/crates/daemon/src/net/mod.rs
+++ b/crates/daemon/src/net/mod.rs
@@ -61,6 +61,20 @@
     value: Vec<u8>,
 }
 
+/// When an attempt reached its last byte (seconds on the clock of the event loop).
+#[derive(Clone, Debug)]
+pub(crate) struct WrittenAttempt {
+    id: RequestId,
+    attempt: usize,
+    member: MemberId,
+    /// When the decision to send it was carried out.
+    decided_at: f64,
+    /// When its connection was ready for it.
+    ready_at: f64,
+    /// When its last byte had been written.
+    written_at: f64,
+}
+
 /// Events that the connections report to the pooler.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -71,10 +85,18 @@
     ClientLeft(Slot),
     /// A cancel request arrived, on a separate connection, for the client that has this key.
     CancelRequested((u32, u32)),
+    /// A connection to a member is ready for the next bytes of its request, which need permission.
+    ConnectionReady(Slot),
+    /// The last byte of an attempt has been written.
+    AttemptWritten(Box<WrittenAttempt>),
+    /// An attempt was not written, since its member may be behind what the read must reflect.
+    AttemptWithdrawn(RequestId, usize),
     TaskEnded(Box<TaskResult>),
     ListReceived(ListKind, Vec<Listing>),
     /// An ordinary client's session requests a server.
     ServerRequested(Slot, Box<sessions::RoutedServerRequest>),
+    /// A connection to a server is ready for the session, which needs permission to write to it.
+    SessionServerReady(Slot, Slot),
     /// The session has been attached to a server.
     SessionAttached(RequestId),
     /// The session has withdrawn its request for a server.
--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod departed;
+mod freshness;
 mod guard;
 mod handover;
 mod in_flight;
@@ -43,7 +44,7 @@
 use super::discovery::Discovery;
 use super::event_loop::{self, Handler, Reactor, Slot, Source, TimerKind};
 use super::registry::Registry;
-use super::servers::Servers;
+use super::servers::{Begun, Servers};
 use super::sessions::{Detachment, RoutedServerRequest, Sessions};
 use super::{Context, Event, ServerTask, TaskResult};
 use crate::counters::{count_outcome, Counters};
@@ -411,9 +412,13 @@
                         self.clients.finish_cancelled(client, context);
                     }
                 }
+                Event::ConnectionReady(slot) => self.write_if_permitted(slot, context),
+                Event::AttemptWritten(written) => self.handle_written(*written, context),
+                Event::AttemptWithdrawn(id, attempt) => self.handle_withdrawn(id, attempt, context),
                 Event::TaskEnded(result) => self.handle_task_result(*result, context),
                 Event::ListReceived(kind, listings) => self.apply_list(kind, listings, context),
                 Event::ServerRequested(slot, request) => self.handle_server_request(slot, *request, context),
+                Event::SessionServerReady(slot, server) => self.attach_if_permitted(slot, server, context),
                 Event::SessionAttached(id) => {
                     if let Some(request) = self.requests.get_mut(&id) {
                         request.reply_target = None;
@@ -477,7 +482,6 @@
                     }
                     context.counters.attempts_sent += 1;
                     trace::attempt_sent(&id, number, &member, timeout);
-                    self.record_attempt_target(&id, &member, number);
                     let Some(request) = self.requests.get_mut(&id) else { continue };
                     if let (Some(ReplyTarget::Session(slot)), Some(sessions)) =
                         (request.reply_target, &mut self.sessions)
@@ -492,9 +496,11 @@
                     }
                     let task = ServerTask::Attempt(id, number, request.statement.clone());
                     let limits = (timeout, request.history.write_deadline());
-                    request
-                        .attempts_in_flight
-                        .push((number, self.servers.send(task, &member, limits, context)));
+                    let begun = self.servers.send(task, &member, limits, context);
+                    request.attempts_in_flight.push((number, begun.slot()));
+                    if let Begun::Ready(slot) = begun {
+                        self.write_if_permitted(slot, context);
+                    }
                 }
                 Action::Cancel { id, attempt } => {
                     let request = self.requests.get(&id);
@@ -516,12 +522,11 @@
                 }
                 Action::Probe { member } => {
                     context.counters.probes_sent += 1;
-                    self.servers.send(
-                        ServerTask::Probe,
-                        &member,
-                        (self.probe_timeout, f64::INFINITY),
-                        context,
-                    );
+                    let limits = (self.probe_timeout, f64::INFINITY);
+                    if let Begun::Ready(slot) = self.servers.send(ServerTask::Probe, &member, limits, context)
+                    {
+                        self.servers.write(slot, context);
+                    }
                 }
                 Action::CloseIdle { member } => self.servers.close_idle(&member),
                 Action::CancelUnsent { member } => self.servers.cancel_unsent(&member, context),
@@ -585,6 +590,7 @@
             repeat: query.repeat,
             client_rate: self.clients.request_rate(client, now),
             session_position: None,
+            streams_answer: false,
         };
         let attempt_rules = self.policy.attempt_rules(class, now + arrival.time_left);
         let request = Request {
@@ -664,6 +670,7 @@
             repeat: false,
             client_rate: 0.0,
             session_position: None,
+            streams_answer: true,
         };
         let request = Request {
             reply_target: Some(ReplyTarget::Session(slot)),
@@ -802,10 +809,12 @@
             return self.notify_policy(interface::Event::ProbeEnded { member, outcome, report }, context);
         };
         let reported = (position, primary);
-        let conclusion = self.assess_outcome(&id, (attempt, elapsed), outcome, reported);
+        let conclusion = self.policy.assess_answer(&id, (attempt, elapsed), outcome, reported);
         trace::attempt_ended(&id, (attempt, elapsed), &member, (outcome, conclusion), reported);
         count_outcome(&mut context.counters.attempt_outcomes, outcome);
-        context.counters.too_old += u64::from(conclusion == Conclusion::TooOld);
+        if let (Conclusion::TooOld, Some(request)) = (conclusion, self.requests.get(&id)) {
+            context.counters.too_old.count(request.consistency);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.history.end(attempt, Evidence::of(outcome, conclusion));
         // A hedged attempt may still be in flight: the policy needs its end as well, since it counts the
--- a/crates/daemon/src/net/pooler/in_flight/tests.rs
+++ b/crates/daemon/src/net/pooler/in_flight/tests.rs
@@ -20,6 +20,7 @@
         repeat: false,
         client_rate: 0.0,
         session_position: None,
+        streams_answer: false,
     }
 }
 
--- a/crates/daemon/src/net/pooler/sharing.rs
+++ b/crates/daemon/src/net/pooler/sharing.rs
@@ -2,9 +2,10 @@
 //! session's reads must see what the session has written through any instance, and peers' reports about
 //! members are passed to the policy.
 
+use std::sync::Arc;
+
 use exchange::Answer;
-use routing::interface::{self, Arrival, Conclusion, Consistency, MemberId, Outcome, RequestId};
-use routing::Policy;
+use routing::interface::{self, Arrival, Consistency, RequestId};
 
 use super::Pooler;
 use crate::net::coordination::{Coordination, WriteTicket};
@@ -20,10 +21,8 @@
     held_arrival: Option<Box<(Arrival, f64)>>,
     /// Result of a write that was served but may not be answered yet.
     held_answer: Option<Vec<u8>>,
-    /// Position that the member that answers must have reached.
-    required_position: Option<f64>,
-    /// Attempts at members that were not known to have reached that position: their answers are checked.
-    uncertain_attempts: Vec<usize>,
+    /// The session of a read whose requirement other instances know, and when they were asked (Unix seconds).
+    read_session: Option<(Arc<str>, f64)>,
 }
 
 impl SharingState {
@@ -47,8 +46,8 @@
         };
         let sharing = &mut self.requests.get_mut(&arrival.id)?.sharing;
         if consistency == Consistency::Session {
-            let position = coordination.required_position(now, &session);
-            (arrival.session_position, sharing.required_position) = (Some(position), Some(position));
+            arrival.session_position = Some(coordination.required_position(now, &session));
+            sharing.read_session = Some((session, now));
             return Some(arrival);
         }
         let Some(ticket) = coordination.begin_write(now, &session, arrival.time_left.min(MAX_WRITE_TIME))
@@ -68,41 +67,20 @@
         None
     }
 
-    /// Records an attempt that is sent to a member not known to have reached the required position.
-    pub(super) fn record_attempt_target(&mut self, id: &RequestId, member: &MemberId, attempt: usize) {
-        if self.coordination.is_none() {
+    /// Asks again what a session's read must reflect, if time has passed since: the session may have written through
+    /// another instance meanwhile.
+    pub(super) fn refresh_session_position(&mut self, id: &RequestId, now: f64) {
+        let Some(coordination) = &mut self.coordination else { return };
+        let sharing = self.requests.get_mut(id).map(|request| &mut request.sharing);
+        let Some((session, asked_at)) = sharing.and_then(|sharing| sharing.read_session.as_mut()) else {
             return;
-        }
-        let Some(sharing) = self.requests.get_mut(id).map(|request| &mut request.sharing) else { return };
-        if sharing.required_position.is_some_and(|required| !self.policy.has_reached(member, required)) {
-            sharing.uncertain_attempts.push(attempt);
-        }
-    }
-
-    /// Assesses the outcome of an attempt: whether its answer satisfies the request's freshness bound, by the
-    /// state of this instance and by the reports of its peers.
-    pub(super) fn assess_outcome(
-        &self,
-        id: &RequestId,
-        (attempt, elapsed): (usize, f64),
-        outcome: Outcome,
-        (position, primary): (Option<f64>, Option<bool>),
-    ) -> Conclusion {
-        let conclusion = self.policy.assess_answer(id, (attempt, elapsed), outcome, (position, primary));
-        if self.coordination.is_none() || conclusion == Conclusion::TooOld {
-            return conclusion;
-        }
-        let Some(sharing) = self.requests.get(id).map(|request| &request.sharing) else { return conclusion };
-        let Some(required) = sharing.required_position.filter(|_| outcome == Outcome::Ok) else {
-            return conclusion;
         };
-        // An infinite position can be read at the primary only, and this member reports that it is not the
-        // primary.
-        let deposed = required == f64::INFINITY && primary == Some(false);
-        if deposed || sharing.uncertain_attempts.contains(&attempt) {
-            return Policy::assess_freshness(primary, position, required, elapsed);
+        if now - *asked_at < SESSION_POSITION_VALIDITY {
+            return;
         }
-        conclusion
+        *asked_at = now;
+        let position = coordination.required_position(now, session);
+        self.policy.raise_session_position(id, position);
     }
 
     /// Handles a request that has been served. Returns the value if the request may be answered at once.
@@ -245,6 +223,9 @@
     }
 }
 
+/// What other instances have said of a session counts for this long as what they say now (seconds): about the time of
+/// one step of the event loop.
+const SESSION_POSITION_VALIDITY: f64 = 0.001;
 /// A write waits for permission to be sent for at most this share of its remaining time. The policy likewise
 /// holds unsent requests for a share of their time.
 const HOLD_SHARE: f64 = 0.4;
--- a/crates/daemon/src/net/pooler/trace.rs
+++ b/crates/daemon/src/net/pooler/trace.rs
@@ -15,6 +15,52 @@
     logging::debug!(event = "attempt.sent", id = for_log(id), attempt, member = &**member, timeout_ms);
 }
 
+/// When an attempt was decided on, its connection was ready, and its last byte was written, or would have been
+/// (seconds on the clock of the event loop).
+pub(super) struct Moments {
+    pub decided_at: f64,
+    pub ready_at: f64,
+    pub written_at: f64,
+}
+
+/// Logs that the last byte of an attempt has been written, with the position that its answer must reflect and the one
+/// that its member is known to have reached.
+pub(super) fn attempt_written(
+    id: &RequestId,
+    attempt: usize,
+    member: &MemberId,
+    moments: &Moments,
+    known: Option<(f64, f64)>,
+) {
+    let Moments { decided_at, ready_at, written_at } = *moments;
+    let (required, position) = known.unwrap_or((f64::NAN, f64::NAN));
+    logging::debug!(
+        event = "attempt.written",
+        id = for_log(id),
+        attempt,
+        member = &**member,
+        decided_at,
+        ready_at,
+        written_at,
+        required,
+        position
+    );
+}
+
+/// Logs that an attempt is not written, since its member may be behind what the read must reflect.
+pub(super) fn attempt_withdrawn(id: &RequestId, attempt: usize, member: &MemberId, moments: &Moments) {
+    let Moments { decided_at, ready_at, written_at: withdrawn_at } = *moments;
+    logging::debug!(
+        event = "attempt.withdrawn",
+        id = for_log(id),
+        attempt,
+        member = &**member,
+        decided_at,
+        ready_at,
+        withdrawn_at
+    );
+}
+
 /// Logs the end of an attempt: the outcome received, and the conclusion about its freshness.
 pub(super) fn attempt_ended(
     id: &RequestId,
--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -12,7 +12,7 @@
 use routing::interface::{ListKind, MemberId, Outcome, Phase, Report, RequestId};
 
 use super::event_loop::{EarliestTimer, Slot, Slots, Source, TimerKind};
-use super::{Context, Event, ServerTask, TaskResult};
+use super::{Context, Event, ServerTask, TaskResult, WrittenAttempt};
 use crate::counters::Counters;
 
 const USER: &str = "app";
@@ -44,6 +44,8 @@
 enum Stage {
     Connecting,
     Starting,
+    /// Ready for the request, which is written with the pooler's permission.
+    Ready,
     Idle,
     Busy,
 }
@@ -55,6 +57,39 @@
     deadline: f64,
     /// No part of the request is written from this time on.
     write_deadline: f64,
+    /// When the connection was ready for the request (seconds).
+    ready_at: f64,
+    /// Whether the last byte of the request has been written, and reported.
+    last_byte: LastByte,
+}
+
+/// The last byte of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastByte {
+    Pending,
+    Written,
+    Reported,
+}
+
+/// How an attempt or a probe was begun.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Begun {
+    /// This idle connection is ready for it.
+    Ready(Slot),
+    /// This connection is being opened for it.
+    Connecting(Slot),
+    /// It has ended: there was no connection to be had.
+    Ended,
+}
+
+impl Begun {
+    /// Returns the connection that carries the task.
+    pub fn slot(self) -> Option<Slot> {
+        match self {
+            Begun::Ready(slot) | Begun::Connecting(slot) => Some(slot),
+            Begun::Ended => None,
+        }
+    }
 }
 
 /// The parts of an answer that have been received.
@@ -114,9 +149,20 @@
     timer: EarliestTimer,
 }
 
+/// An attempt that was taken back before it was written.
+pub(crate) struct WithdrawnAttempt {
+    pub member: MemberId,
+    /// When the decision to send it was carried out (seconds).
+    pub decided_at: f64,
+    /// When its connection was ready for it (seconds).
+    pub ready_at: f64,
+}
+
 /// The result of a step on a connection.
 enum Step {
     Waiting,
+    /// The connection is ready for the request.
+    Ready,
     /// The exchange is complete and the connection can be used for another.
     Complete,
     /// The exchange has this outcome and the connection cannot be used any more.
@@ -149,12 +195,14 @@
             if self.outbox.drain(&mut self.stream).is_err() {
                 return self.connection_ended();
             }
+            self.note_last_byte();
             // Data received before a reset still counts.
             let fill = self.inbox.fill(&mut self.stream).unwrap_or(Fill::Ended);
             let before = self.inbox.len();
             let stage_before = self.stage;
             match self.process_messages(now, &mut messages_left) {
                 Step::Waiting => {}
+                Step::Ready if fill == Fill::Ended => return Step::Failed(Outcome::ConnectFailed),
                 step => return step,
             }
             if messages_left == 0 {
@@ -172,6 +220,19 @@
         }
     }
 
+    /// Notes that the last byte of the request has been written, if it has just been.
+    fn note_last_byte(&mut self) {
+        let is_written = self.stage == Stage::Busy && self.outbox.is_empty();
+        if let Some(job) = self.job.as_mut().filter(|job| is_written && job.last_byte == LastByte::Pending) {
+            job.last_byte = LastByte::Written;
+        }
+    }
+
+    /// Returns true if bytes of a request are left to be written, and nothing has been received in reply.
+    fn has_unwritten_request(&self) -> bool {
+        self.stage == Stage::Busy && !self.outbox.is_empty() && !self.reply.has_begun()
+    }
+
     /// Returns true if the connection is established; queues the startup message when it has just been.
     fn finish_connecting(&mut self) -> Result<bool, ()> {
         if self.stream.take_error().map_err(drop)?.is_some() {
@@ -190,7 +251,7 @@
     /// have run; otherwise it may have, unless the answer states that it did not.
     fn connection_ended(&self) -> Step {
         Step::Failed(match self.stage {
-            Stage::Connecting | Stage::Starting => Outcome::ConnectFailed,
+            Stage::Connecting | Stage::Starting | Stage::Ready => Outcome::ConnectFailed,
             Stage::Busy if !self.outbox.is_empty() && !self.reply.has_begun() => Outcome::ConnectFailed,
             Stage::Busy | Stage::Idle => self.reply.outcome().unwrap_or(Outcome::Reset),
         })
@@ -200,7 +261,7 @@
     /// received with it is reliable, not even an error that states that nothing ran.
     fn reject_answer(&mut self) -> Step {
         self.malformed = true;
-        if matches!(self.stage, Stage::Connecting | Stage::Starting) {
+        if matches!(self.stage, Stage::Connecting | Stage::Starting | Stage::Ready) {
             return Step::Failed(Outcome::ConnectFailed);
         }
         self.reply = Reply::default();
@@ -238,9 +299,8 @@
                 return Step::Failed(if full { Outcome::Full } else { Outcome::ConnectFailed });
             }
             (Stage::Starting, b'Z') => {
-                if !self.send_request(now) {
-                    return Step::Failed(Outcome::NotSent);
-                }
+                self.become_ready(now);
+                return Step::Ready;
             }
             (Stage::Busy | Stage::Idle, b'S') => match pgwire::read_parameter_status(&message.body) {
                 Some((POSITION_PARAMETER, value)) => {
@@ -294,7 +354,15 @@
         Step::Waiting
     }
 
-    /// Writes the request of the job to a connection that is ready for one. Returns false if memory is short
+    /// The connection is ready for the request of its job.
+    fn become_ready(&mut self, now: f64) {
+        self.stage = Stage::Ready;
+        if let Some(job) = &mut self.job {
+            (self.deadline, job.ready_at) = (job.deadline, now);
+        }
+    }
+
+    /// Queues the request of the job on a connection that is ready for one. Returns false if memory is short
     /// or the write deadline is over; nothing has been sent then.
     fn send_request(&mut self, now: f64) -> bool {
         let Some(job) = self.job.as_ref().filter(|job| now < job.write_deadline) else { return false };
@@ -390,8 +458,9 @@
     /// Ends the attempts and probes that wait for a connection to the member to be established: nothing of
     /// them has been written.
     pub fn cancel_unsent(&mut self, member: &MemberId, context: &mut Context) {
-        let unsent =
-            |connection: &Connection| matches!(connection.stage, Stage::Connecting | Stage::Starting);
+        let unsent = |connection: &Connection| {
+            matches!(connection.stage, Stage::Connecting | Stage::Starting | Stage::Ready)
+        };
         let unsent_slots = self
             .connections
             .iter()
@@ -408,17 +477,23 @@
         idle.into_iter().flatten().for_each(|slot| drop(self.connections.remove(slot)));
     }
 
-    /// Begins an attempt or a probe, whose end is reported by an event. Returns the connection that carries
-    /// it, if there is one.
+    /// Begins an attempt or a probe, whose end is reported by an event. It is written by [`Servers::write`].
     pub fn send(
         &mut self,
         task: ServerTask,
         member: &MemberId,
         (timeout, write_deadline): (f64, f64),
         context: &mut Context,
-    ) -> Option<Slot> {
+    ) -> Begun {
         let started_at = context.reactor.now();
-        let job = Job { task, started_at, deadline: started_at + timeout, write_deadline };
+        let job = Job {
+            task,
+            started_at,
+            deadline: started_at + timeout,
+            write_deadline,
+            ready_at: started_at,
+            last_byte: LastByte::Pending,
+        };
         while let Some(slot) = self.members.get_mut(member).and_then(|entry| entry.idle.pop()) {
             let Some(connection) = self.connections.get_mut(slot) else { continue };
             if !connection.is_alive() {
@@ -426,15 +501,44 @@
                 continue;
             }
             connection.job = Some(job);
-            let step = if connection.send_request(started_at) {
-                connection.process(started_at, self.connect_timeout)
-            } else {
-                Step::Failed(Outcome::NotSent)
-            };
-            self.finish_step(slot, step, context);
-            return Some(slot);
+            connection.become_ready(started_at);
+            return Begun::Ready(slot);
+        }
+        self.open(job, member, context).map_or(Begun::Ended, Begun::Connecting)
+    }
+
+    /// Returns the attempt whose request waits for permission to be written to a connection, with its number.
+    pub fn unwritten_attempt(&self, slot: Slot) -> Option<(RequestId, usize)> {
+        let connection = self.connections.get(slot)?;
+        let is_waiting = connection.stage == Stage::Ready || connection.has_unwritten_request();
+        match connection.job.as_ref().filter(|_| is_waiting).map(|job| &job.task) {
+            Some(ServerTask::Attempt(id, attempt, _)) => Some((id.clone(), *attempt)),
+            _ => None,
         }
-        self.open(job, member, context)
+    }
+
+    /// Writes the request that a connection is ready for, or the rest of it.
+    pub fn write(&mut self, slot: Slot, context: &mut Context) {
+        let now = context.reactor.now();
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        if connection.stage == Stage::Ready && !connection.send_request(now) {
+            return self.finish_step(slot, Step::Failed(Outcome::NotSent), context);
+        }
+        self.advance(slot, context);
+    }
+
+    /// Takes back a request that may not be written. The connection is kept for another one, unless a part of the
+    /// request has been written. Returns when the attempt was begun, and its member.
+    pub fn withdraw(&mut self, slot: Slot, context: &mut Context) -> Option<WithdrawnAttempt> {
+        let connection = self.connections.get_mut(slot)?;
+        let job = connection.job.take()?;
+        let member = connection.member.clone();
+        if connection.stage == Stage::Ready {
+            self.rest(slot, context);
+        } else {
+            self.remove(slot);
+        }
+        Some(WithdrawnAttempt { member, decided_at: job.started_at, ready_at: job.ready_at })
     }
 
     fn open(&mut self, job: Job, member: &MemberId, context: &mut Context) -> Option<Slot> {
@@ -507,9 +611,18 @@
 
     /// A connection is readable or writable.
     pub fn on_ready(&mut self, slot: Slot, context: &mut Context) {
+        if self.connections.get_mut(slot).is_some_and(|connection| connection.has_unwritten_request()) {
+            return context.events.push_back(Event::ConnectionReady(slot));
+        }
+        self.advance(slot, context);
+    }
+
+    /// Reads, processes and writes as far as possible.
+    fn advance(&mut self, slot: Slot, context: &mut Context) {
         let now = context.reactor.now();
         let Some(connection) = self.connections.get_mut(slot) else { return };
         let step = connection.process(now, self.connect_timeout);
+        report_last_byte(connection, context);
         self.finish_step(slot, step, context);
     }
 
@@ -523,6 +636,11 @@
                     context.reactor.continue_later(Source::Server(slot));
                 }
             }
+            Step::Ready => {
+                let Some(connection) = self.connections.get_mut(slot) else { return };
+                connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
+                context.events.push_back(Event::ConnectionReady(slot));
+            }
             Step::Failed(outcome) => {
                 let Some(connection) = self.remove(slot) else { return };
                 let Counters { malformed_answers, unexpected_data, .. } = &mut context.counters;
@@ -541,21 +659,26 @@
                 context.counters.unexpected_data += u64::from(!connection.inbox.is_empty());
                 let Some(job) = connection.job.take() else { return };
                 let member = connection.member.clone();
-                (connection.stage, connection.deadline) =
-                    (Stage::Idle, context.reactor.now() + self.keepalive);
-                connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
-                let reusable = connection.outbox.is_empty() && connection.inbox.is_empty();
-                let address = connection.address;
-                let entry = self.members.get_mut(&member).filter(|entry| !entry.removed && reusable);
-                match entry.filter(|m| m.address == address && m.idle.len() < MAX_IDLE_PER_MEMBER) {
-                    Some(entry) => entry.idle.push(slot),
-                    None => drop(self.connections.remove(slot)),
-                }
+                self.rest(slot, context);
                 report_end(job, &member, outcome, reply, context);
             }
         }
     }
 
+    /// Keeps a connection that carries nothing for the next task, or closes it if it can't be used for one.
+    fn rest(&mut self, slot: Slot, context: &mut Context) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        (connection.stage, connection.deadline) = (Stage::Idle, context.reactor.now() + self.keepalive);
+        connection.timer.set(connection.deadline, TimerKind::Server(slot), &mut context.reactor);
+        let reusable = connection.outbox.is_empty() && connection.inbox.is_empty();
+        let address = connection.address;
+        let entry = self.members.get_mut(&connection.member).filter(|entry| !entry.removed && reusable);
+        match entry.filter(|m| m.address == address && m.idle.len() < MAX_IDLE_PER_MEMBER) {
+            Some(entry) => entry.idle.push(slot),
+            None => drop(self.connections.remove(slot)),
+        }
+    }
+
     /// Cancels an attempt by closing its connection. Does nothing if the attempt has just ended, its end
     /// still on the way to the pooler, and its connection carries another request already.
     pub fn cancel(&mut self, slot: Slot, id: &RequestId, attempt: usize, context: &mut Context) {
@@ -589,6 +712,7 @@
             connection.job.as_ref().is_some_and(|job| now >= job.started_at + connect_timeout);
         let step = match connection.stage {
             Stage::Connecting | Stage::Starting if connect_expired => Step::Failed(Outcome::ConnectFailed),
+            Stage::Ready => Step::Failed(Outcome::NotSent),
             Stage::Busy if !connection.outbox.is_empty() && !connection.reply.has_begun() => {
                 Step::Failed(Outcome::ConnectFailed)
             }
@@ -599,6 +723,22 @@
     }
 }
 
+/// Reports the last byte of an attempt, if it has just been written. The clock is read after that: a bound counts
+/// from the last byte.
+fn report_last_byte(connection: &mut Connection, context: &mut Context) {
+    let Some(job) = connection.job.as_mut().filter(|job| job.last_byte == LastByte::Written) else { return };
+    job.last_byte = LastByte::Reported;
+    let ServerTask::Attempt(id, attempt, _) = &job.task else { return };
+    context.events.push_back(Event::AttemptWritten(Box::new(WrittenAttempt {
+        id: id.clone(),
+        attempt: *attempt,
+        member: connection.member.clone(),
+        decided_at: job.started_at,
+        ready_at: job.ready_at,
+        written_at: context.reactor.now(),
+    })));
+}
+
 /// Reports the end of a job.
 fn report_end(job: Job, member: &MemberId, outcome: Outcome, reply: Reply, context: &mut Context) {
     let unreadable =
@@ -659,7 +799,14 @@
             inbox: Ring::new(&budget),
             outbox: Ring::new(&budget),
             stage: Stage::Idle,
-            job: Some(Job { task, started_at: 0.0, deadline: 10.0, write_deadline: 10.0 }),
+            job: Some(Job {
+                task,
+                started_at: 0.0,
+                deadline: 10.0,
+                write_deadline: 10.0,
+                ready_at: 0.0,
+                last_byte: LastByte::Pending,
+            }),
             reply: Reply::default(),
             value_charge: budget.charge(),
             malformed: false,
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -29,6 +29,8 @@
     pub(super) id: RequestId,
     pub(super) attempt: usize,
     pub(super) member: MemberId,
+    /// When the member was assigned (seconds).
+    pub(super) assigned_at: f64,
     /// When the attempt is abandoned unless the session is attached to a connection (seconds).
     pub(super) attach_deadline: f64,
     pub(super) tenant: String,
@@ -98,6 +100,7 @@
             id: id.clone(),
             attempt,
             member: member.clone(),
+            assigned_at: now,
             attach_deadline: now + timeout,
             tenant,
             attached: false,
@@ -127,7 +130,7 @@
                 Acquisition::Reuse(number) => {
                     let server = Slot::from_number(number);
                     if self.is_alive(server) {
-                        return self.attach(slot, server, context);
+                        return self.reserve(slot, server, context);
                     }
                     self.close_connection(server);
                 }
@@ -168,8 +171,54 @@
         }
     }
 
-    /// Attaches a session to a connection.
-    pub(super) fn attach(&mut self, slot: Slot, server_slot: Slot, context: &mut Context) {
+    /// Keeps a connection for a session until the session may write to it.
+    pub(super) fn reserve(&mut self, slot: Slot, server_slot: Slot, context: &mut Context) {
+        let (Some(conn), Some(server)) = (self.clients.get_mut(slot), self.servers.get_mut(server_slot))
+        else {
+            return;
+        };
+        (server.state, server.client, conn.server) = (ServerState::Reserved, Some(slot), Some(server_slot));
+        context.events.push_back(Event::SessionServerReady(slot, server_slot));
+    }
+
+    /// Returns the attempt that a connection is reserved for, with its number.
+    pub fn awaiting_permission(&self, slot: Slot, server_slot: Slot) -> Option<(RequestId, usize)> {
+        let server = self.servers.get(server_slot)?;
+        let is_reserved = server.state == ServerState::Reserved && server.client == Some(slot);
+        let assignment = self.clients.get(slot)?.assignment.as_ref()?;
+        is_reserved.then(|| (assignment.id.clone(), assignment.attempt))
+    }
+
+    /// Returns a reserved connection to the pool, if its session does not wait for it any more.
+    pub fn return_unclaimed(&mut self, server_slot: Slot, context: &mut Context) {
+        if self.servers.get(server_slot).is_some_and(|server| server.state == ServerState::Reserved) {
+            self.return_connection(server_slot, context);
+        }
+    }
+
+    /// Takes a session's attempt back before anything is written; the connection is kept for any session. Returns the
+    /// member, and when it was assigned (seconds).
+    pub fn withdraw_attempt_at(
+        &mut self,
+        slot: Slot,
+        server_slot: Slot,
+        context: &mut Context,
+    ) -> Option<(MemberId, f64)> {
+        let conn = self.clients.get_mut(slot)?;
+        conn.server = None;
+        let assignment = conn.assignment.take()?;
+        self.return_connection(server_slot, context);
+        Some((assignment.member, assignment.assigned_at))
+    }
+
+    /// Attaches a session to a connection that is reserved for it.
+    pub fn attach(&mut self, slot: Slot, server_slot: Slot, context: &mut Context) {
+        if self.servers.get(server_slot).is_some_and(|server| server.drain_until.is_some()) {
+            // The member was drained meanwhile.
+            self.close_connection(server_slot);
+            self.clients.get_mut(slot).into_iter().for_each(|conn| conn.server = None);
+            return self.detach(slot, Outcome::NotSent, None, context);
+        }
         let (Some(conn), Some(server)) = (self.clients.get_mut(slot), self.servers.get_mut(server_slot))
         else {
             return;
--- a/crates/daemon/src/net/sessions/server.rs
+++ b/crates/daemon/src/net/sessions/server.rs
@@ -26,6 +26,8 @@
     NegotiatingTls,
     Starting,
     Idle,
+    /// Ready for a session, which needs permission to write to it.
+    Reserved,
     InUse,
     /// The state of a session that has ended is being discarded.
     Resetting,
@@ -143,6 +145,8 @@
                     self.serve_waiting_sessions(context);
                 }
             }
+            // Its end, if it has one, is noticed by the session that gets it.
+            ServerState::Reserved => {}
             ServerState::Resetting => self.advance_reset(server_slot, context),
             ServerState::Cancelling => {
                 let connected = server.stream.peer_addr().is_ok();
@@ -266,7 +270,7 @@
         self.record_role(&member, primary, context);
         let Some(server) = self.servers.get_mut(server_slot) else { return };
         match server.client {
-            Some(slot) if server.drain_until.is_none() => self.attach(slot, server_slot, context),
+            Some(slot) if server.drain_until.is_none() => self.reserve(slot, server_slot, context),
             Some(slot) => {
                 // The member was drained meanwhile.
                 self.close_connection(server_slot);
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -289,6 +289,8 @@
     /// With state exchange: position required by the session's own writes, as known to all instances.
     /// Infinite if unknown, so that only the primary can serve the request.
     pub session_position: Option<f64>,
+    /// Whether the answer is passed on as it arrives, and so cannot be withheld if it is too old.
+    pub streams_answer: bool,
 }
 
 /// How an attempt ended.
@@ -342,6 +344,13 @@
     Arrival(Arrival),
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
+    /// An attempt was not written, since [`Policy::may_write`](crate::Policy::may_write) denied it.
+    WriteDenied {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: usize,
+    },
     /// A probe ended.
     ProbeEnded {
         /// The member.
@@ -383,6 +392,7 @@
             repeat: false,
             client_rate: 0.0,
             session_position: None,
+            streams_answer: false,
         })
     }
 }
--- a/crates/routing/src/own_writes.rs
+++ b/crates/routing/src/own_writes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::interface::{Conclusion, Consistency, Evidence, Outcome, RequestId};
+use crate::interface::{Consistency, Evidence};
 use crate::state::{Policy, Request};
 
 /// Maximum number of sessions whose last write is remembered. A forgotten session may have written up to the
@@ -16,59 +16,37 @@
 const ANSWER_DELAY: f64 = 0.1;
 
 impl Policy {
-    /// Returns the position that a session read must see now. It is determined when the read is sent, since a
-    /// write of the session may have been answered, or lost, while the read waited.
-    pub(crate) fn required_session_position(&self, request: &Request) -> f64 {
+    /// Returns the position that a session read must see if its last byte is written at `at`. A write of the session
+    /// may have been answered, or lost, while the read waited.
+    pub(crate) fn required_session_position(&self, request: &Request, at: f64) -> f64 {
         if self.settings.requests_carry_position {
             return request.required_position;
         }
         let known = request.session.as_ref().and_then(|session| self.sessions.get(session));
         let known = known.copied().unwrap_or(self.unknown_session_position).max(request.required_position);
         // Guards against a commit whose answer got lost: until the write ends, it may be as recent as this.
-        if self.has_uncertain_write(request) {
-            return known.max(self.now - ANSWER_DELAY);
+        if self.has_uncertain_write(request, at) {
+            return known.max(at - ANSWER_DELAY);
         }
         known
     }
 
-    /// Returns true if a session read may have to see a write of its session that is still in flight.
-    pub(crate) fn has_uncertain_write(&self, request: &Request) -> bool {
+    /// Returns true if a session read that is written at `at` may have to see a write of its session that is still
+    /// in flight.
+    pub(crate) fn has_uncertain_write(&self, request: &Request, at: f64) -> bool {
         let session = self.settings.classes[request.class].consistency == Consistency::Session;
         session
             && !self.settings.requests_carry_position
-            && request.session.as_ref().is_some_and(|session| self.may_have_committed(session))
+            && request.session.as_ref().is_some_and(|session| self.may_have_committed(session, at))
     }
 
-    /// Compares an answer with the position that it had to reflect. The answer is too old if its member says
-    /// that it is not the primary, or reports its position, and has not reached the required one. The request
-    /// has run all the same. Guards against a primary that was deposed without this pooler's knowledge, and
-    /// against one that has fallen behind since it reported its role.
-    pub fn assess_answer(
-        &self,
-        id: &RequestId,
-        (attempt, elapsed): (usize, f64),
-        outcome: Outcome,
-        (position, primary): (Option<f64>, Option<bool>),
-    ) -> Conclusion {
-        let request = self.request_numbers.get(id).and_then(|n| self.requests.get(n));
-        let Some(request) = request.filter(|_| outcome == Outcome::Ok) else { return Conclusion::AsReceived };
-        let read = self.settings.classes[request.class].consistency != Consistency::Write;
-        let stated = position.is_some() || primary.is_some();
-        match request.attempts.get(attempt).and_then(|attempt| attempt.required_position) {
-            Some(required) if read && stated => {
-                Policy::assess_freshness(primary, position, required, elapsed)
-            }
-            _ => Conclusion::AsReceived,
-        }
-    }
-
-    /// Returns true if a write of the session is in flight for so long that its commit may be known already.
-    fn may_have_committed(&self, session: &Arc<str>) -> bool {
+    /// Returns true if a write of the session is in flight for so long at `at` that its commit may be known.
+    fn may_have_committed(&self, session: &Arc<str>, at: f64) -> bool {
         self.requests.values().any(|request| {
             let write = self.settings.classes[request.class].consistency == Consistency::Write;
             write
                 && request.session.as_ref() == Some(session)
-                && request.attempts.iter().any(|a| a.open && self.now - a.sent_at >= ANSWER_DELAY)
+                && request.attempts.iter().any(|a| a.open && at - a.sent_at >= ANSWER_DELAY)
         })
     }
 
--- a/crates/routing/src/peer_reports.rs
+++ b/crates/routing/src/peer_reports.rs
@@ -3,7 +3,7 @@
 //! costs a miss or a detour, never a stale read, and never a write sent because of reports alone.
 
 use crate::demand::decay_factor;
-use crate::interface::{Action, Conclusion, MemberId};
+use crate::interface::{Action, MemberId};
 use crate::observed_state::ObservedState;
 use crate::state::{Policy, ReportedState};
 use crate::thresholds::EJECTION_THRESHOLD;
@@ -123,32 +123,6 @@
         observations.collect()
     }
 
-    /// Returns true if the member is the primary or has been observed at `position` or later, so that its
-    /// answer needs no further check.
-    pub fn has_reached(&self, member: &MemberId, position: f64) -> bool {
-        self.by_id.get(member).is_some_and(|&m| {
-            let primary = self.groups.get(&self.members[m].group).and_then(|group| group.primary);
-            primary == Some(m) || self.members[m].position >= position
-        })
-    }
-
-    /// Assesses an answer that may not reflect the position `required`. It is too old if a replica states an
-    /// older position or none. The answer was begun `elapsed` seconds ago, and the data may be older by that
-    /// time.
-    pub fn assess_freshness(
-        primary: Option<bool>,
-        position: Option<f64>,
-        required: f64,
-        elapsed: f64,
-    ) -> Conclusion {
-        let reaches = position.is_some_and(|position| position - elapsed >= required);
-        if primary == Some(true) || reaches {
-            Conclusion::AsReceived
-        } else {
-            Conclusion::TooOld
-        }
-    }
-
     /// Requests at a member, including those that other instances report.
     pub(crate) fn fleet_load(&self, m: usize) -> u32 {
         let reported = &self.members[m].reported;
--- a/crates/routing/src/permission.rs
+++ b/crates/routing/src/permission.rs
@@ -7,7 +7,9 @@
 
 /// Maximum pause of the process between reading its clock and writing (seconds): what may run only within a
 /// window is written at least this long before the window ends.
-const MAX_PROCESS_PAUSE: f64 = 0.15;
+pub(crate) const MAX_PROCESS_PAUSE: f64 = 0.15;
+/// Maximum number of attempts of one request that were not written, and do not count for that reason.
+const MAX_WITHDRAWALS: u32 = 3;
 /// Maximum number of attempts of one request in flight if hedging is allowed.
 const MAX_ATTEMPTS_IN_FLIGHT: usize = 2;
 
@@ -69,11 +71,13 @@
     MayHaveRun,
     /// This side must not close a connection while a reply is pending on it.
     ReplyPending,
+    /// The member may not have reached the position that the read must reflect.
+    Behind,
 }
 
 impl Denial {
     /// All denials, in the order of their counters.
-    pub const ALL: [Denial; 10] = [
+    pub const ALL: [Denial; 11] = [
         Denial::Answered,
         Denial::OutOfTime,
         Denial::AttemptsSpent,
@@ -84,6 +88,7 @@
         Denial::ClientLeft,
         Denial::MayHaveRun,
         Denial::ReplyPending,
+        Denial::Behind,
     ];
 
     /// Name in counters.
@@ -99,6 +104,7 @@
             Denial::ClientLeft => "client_gone",
             Denial::MayHaveRun => "may_have_run",
             Denial::ReplyPending => "answer_owed",
+            Denial::Behind => "behind",
         }
     }
 }
@@ -107,15 +113,18 @@
 #[derive(Clone, Debug)]
 pub struct History {
     rules: AttemptRules,
-    /// When each attempt was begun (seconds), and what is certain about it; at most `max_attempts`.
+    /// When each attempt was begun (seconds), and what is certain about it; at most `max_attempts` and
+    /// `MAX_WITHDRAWALS`.
     attempts: Vec<(f64, Evidence)>,
+    /// Number of attempts that do not count, since they were not written.
+    withdrawals: u32,
     answered: bool,
 }
 
 impl History {
     /// History of a request without attempts.
     pub fn new(rules: AttemptRules) -> History {
-        History { rules, attempts: Vec::new(), answered: false }
+        History { rules, attempts: Vec::new(), withdrawals: 0, answered: false }
     }
 
     /// Checks whether a further attempt may be begun now.
@@ -137,7 +146,7 @@
                 Effect::Keyed => {}
             }
         }
-        if self.attempts.len() as u32 >= self.rules.max_attempts {
+        if self.attempts.len() as u32 - self.withdrawals >= self.rules.max_attempts {
             return Err(Denial::AttemptsSpent);
         }
         if now >= self.rules.deadline {
@@ -170,6 +179,17 @@
         }
     }
 
+    /// Records that an attempt was not written, since its member may be behind what the read must reflect.
+    pub fn withdraw(&mut self, attempt: usize) {
+        self.end(attempt, Evidence::NeverRan);
+        self.withdrawals = (self.withdrawals + 1).min(MAX_WITHDRAWALS);
+    }
+
+    /// Returns true if so many attempts were withdrawn that the primary has to answer the read.
+    pub fn withdrawals_spent(&self) -> bool {
+        self.withdrawals >= MAX_WITHDRAWALS
+    }
+
     /// Records that the final answer is given, or that the client has stopped waiting for it.
     pub fn close(&mut self) {
         self.answered = true;
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -33,8 +33,8 @@
 const MIN_EJECTION_FACTOR: f64 = 2.0;
 /// Retry budget earned by each request: one retry in ten requests cannot amplify an overload.
 const RETRY_BUDGET_RATIO: f64 = 0.1;
-/// Maximum retry budget: enough for the requests in flight at one member that fails.
-const MAX_RETRY_BUDGET: f64 = 20.0;
+/// What an attempt beside another one takes from the retry budget.
+const HEDGING_COST: f64 = 1.0;
 /// Assumed delay of roles in a list, as a share of `max_list_age`; observed roles carry an exact time.
 const LIST_DELAY_SHARE: f64 = 0.5;
 /// Connections that every member accepts: idle ones of a fleet of fewer poolers cannot use them all up.
@@ -113,6 +113,7 @@
                 }
                 self.reconcile_primary(self.members[m].group, out);
             }
+            Event::WriteDenied { id, attempt } => self.on_write_denied(&id, attempt, out),
             Event::ResponseStarted { id } => {
                 if let Some(&n) = self.request_numbers.get(&id) {
                     self.requests.get_mut(&n).into_iter().for_each(|request| request.streaming = true);
@@ -351,12 +352,13 @@
             repeat,
             client_rate,
             session_position,
+            streams_answer,
         } = arrival;
         let now = self.now;
         let c = &self.settings.classes[class];
         // A position in the request applies on every site; the session's remembered writes add to it.
-        let required_position =
-            required_position.unwrap_or(f64::NEG_INFINITY).max(session_position.unwrap_or(f64::NEG_INFINITY));
+        let session_position = session_position.unwrap_or(f64::NEG_INFINITY);
+        let required_position = required_position.unwrap_or(f64::NEG_INFINITY).max(session_position);
         // Capped at the class's deadline: guards against a request that claims more time.
         let time_left = time_left.clamp(0.0, c.deadline);
         let aim = (c.aim + c.aim_stretch * predicted_work.unwrap_or(0.0)).min(time_left);
@@ -376,7 +378,8 @@
         let request =
             Request { sample, session, backoff, history, ..Request::new(id, (class, group), times) };
         let queue_until = now + (time_left * MAX_QUEUE_SHARE - self.settings.tick).max(0.0);
-        self.requests.insert(n, Request { required_position, over_share, queue_until, ..request });
+        let request = Request { required_position, session_position, streams_answer, ..request };
+        self.requests.insert(n, Request { over_share, queue_until, ..request });
         out.push(Action::Timer { at: queue_until, cookie: n });
         // This timer ends every request just before its deadline, whatever else happens.
         out.push(Action::Timer { at: (now + time_left - self.settings.tick).max(now), cookie: n });
@@ -385,7 +388,7 @@
 
     /// Marks a request as finished and cancels its attempts in flight, since their work would only delay
     /// others'. The request stays tracked until they have ended.
-    fn finish(&mut self, n: u64, out: &mut Vec<Action>) {
+    pub(crate) fn finish(&mut self, n: u64, out: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&n) {
             request.done = true;
             let unanswered = request.attempts.iter_mut().enumerate().filter(|(_, a)| a.open && !a.cancelled);
@@ -571,16 +574,6 @@
         Choice::To(m)
     }
 
-    /// Returns the position that a replica must have reached to serve the read.
-    pub(crate) fn required_read_position(&self, request: &Request) -> f64 {
-        match self.settings.classes[request.class].consistency {
-            Consistency::Bounded(bound) => request.required_position.max(self.now - bound),
-            Consistency::Session => self.required_session_position(request),
-            Consistency::Any => request.required_position,
-            Consistency::Write | Consistency::Fresh => f64::INFINITY,
-        }
-    }
-
     /// Chooses a member for any other read: a fresh replica of the own zone, another zone's, the primary.
     fn pick_read(&mut self, n: u64) -> Choice {
         let pair = (self.rng.usize(..), self.rng.usize(..));
@@ -588,7 +581,7 @@
         let Some(state) = self.groups.get(&request.group) else { return Choice::Refuse };
         let class = request.class;
         let primary = state.primary;
-        let required = self.required_read_position(request);
+        let required = self.required_write_position(request);
         let any_age = self.settings.classes[class].consistency == Consistency::Any;
         let candidates: Vec<usize> =
             state.members.iter().copied().filter(|&m| self.usable(m) && !request.was_sent_to(m)).collect();
@@ -597,15 +590,7 @@
             (self.healthy(*m) || self.trial_due(*m)) && self.cold_admits(request, *m, self.cold_load_factor())
         };
         let zone = self.settings.zone;
-        let checked = self.settings.when_behind != WhenBehind::ServeStale && !request.position_unknown();
-        // True if the replica may be fresh enough although not known to be: its last known lag meets the
-        // requirement, or it has had time to catch up since it was last heard, or it was never heard.
-        let maybe_fresh = |m: usize| {
-            let member = &self.members[m];
-            let lag = member.position_at - member.position;
-            let plausible = self.now - lag >= required || self.now - member.position_at > lag || lag.is_nan();
-            checked && plausible && self.now >= member.catch_up_until
-        };
+        let maybe_fresh = |m: usize| self.may_be_fresh(request, m, required);
         // A home replica with no request in flight gets a speculative read, one at a time: otherwise it
         // would get no reads because its position is unknown, and its position would stay unknown.
         let fresh = replicas.iter().copied().filter(|&m| {
@@ -672,7 +657,7 @@
         if let Some(m) = primary.filter(|m| candidates.contains(m) && available(m)) {
             // The primary is the last choice and takes no overflow once its own work fills it. A read that
             // may depend on a write in flight counts as the primary's own work.
-            let primary_only = self.has_uncertain_write(request);
+            let primary_only = self.has_uncertain_write(request, self.now);
             decision = self.admit(request, m, if primary_only { 1.0 } else { OVERFLOW_AIM_SHARE });
             if let Choice::To(_) = decision {
                 return decision;
@@ -716,11 +701,11 @@
 
     fn send(&mut self, n: u64, m: usize, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(request) = self.requests.get(&n) else { return };
-        let required = self.required_read_position(request);
         if let Err(denial) = self.may_send(n, m) {
             return self.deny(n, denial, out);
         }
+        let Some(request) = self.requests.get(&n) else { return };
+        let read = self.read_at_write(request, m);
         let Some(request) = self.requests.get_mut(&n) else { return };
         let member = &mut self.members[m];
         if member.ejected {
@@ -730,9 +715,7 @@
         member.in_flight += 1;
         member.last_sent_at = now;
         request.queued = false;
-        // Positions never decrease: an answer needs no check if the member has reached the position before.
-        let required = Some(required).filter(|required| member.position < *required);
-        request.attempts.push(Attempt::new(m, now, required));
+        request.attempts.push(Attempt::new(m, now, read));
         // A repeat of a keyed request must not wait in the member's queue past its deduplication window.
         let keyed = self.settings.classes[request.class].effect == Effect::Keyed;
         let window_end = if keyed { request.history.window_end() } else { f64::INFINITY };
@@ -741,6 +724,16 @@
         out.push(Action::Send { id: request.id.clone(), member: member.id.clone(), timeout });
     }
 
+    /// Sends a request to another member beside the one that it waits for.
+    fn send_beside(&mut self, n: u64, m: usize, out: &mut Vec<Action>) {
+        let earlier = self.requests.get(&n).map_or(0, |request| request.attempts.len());
+        self.send(n, m, out);
+        if let Some(attempt) = self.requests.get_mut(&n).and_then(|r| r.attempts.get_mut(earlier)) {
+            attempt.hedging_cost = HEDGING_COST;
+            self.retry_budget -= HEDGING_COST;
+        }
+    }
+
     fn on_attempt_ended(&mut self, m: usize, done: &AttemptEnded, out: &mut Vec<Action>) {
         let AttemptEnded { ref id, attempt, outcome, conclusion, finished, elapsed, position, .. } = *done;
         let (evidence, served) = (done.evidence(), done.is_served());
@@ -896,16 +889,16 @@
             request.attempts[index].overdue |= unresponsive;
             let class = &self.settings.classes[request.class];
             let enough_time = request.aim_at - self.now > self.latency[request.class].mean;
-            let repeatable = class.effect == Effect::Safe && request.attempts.len() == index + 1;
+            let repeatable =
+                class.effect == Effect::Safe && request.attempts[index + 1..].iter().all(|a| a.withdrawn);
             let permitted = !self.settings.allow_hedging || request.history.may_begin(self.now).is_ok();
-            if !repeatable || !enough_time || !permitted || self.retry_budget < 1.0 || index > 2 {
+            if !repeatable || !enough_time || !permitted || self.retry_budget < HEDGING_COST || index > 2 {
                 continue;
             }
             let unheard = self.members[m].last_heard_at < request.attempts[index].sent_at;
             if self.settings.allow_hedging && unheard && class.consistency != Consistency::Fresh {
                 if let Choice::To(other) = self.pick_read(n) {
-                    self.retry_budget -= 1.0;
-                    self.send(n, other, out);
+                    self.send_beside(n, other, out);
                 }
             } else if unresponsive && self.settings.cancel {
                 if let Some(request) = self.requests.get_mut(&n) {
--- a/crates/routing/src/slow_start.rs
+++ b/crates/routing/src/slow_start.rs
@@ -60,7 +60,7 @@
             return self.warm_admits(request, m);
         }
         let (from, to) = self.sample_range(request.group, m, multiple);
-        (from..to).contains(&request.sample) && !request.was_sent_to(m)
+        (from..to).contains(&request.sample) && !request.was_sent_to(m) && !request.was_withdrawn()
     }
 
     /// Returns true if a member that is warm may get this request. What arrives within an overload window that
@@ -74,7 +74,7 @@
     /// the replica's share of the capacity of all home replicas.
     pub(crate) fn cold_preferred(&self, request: &Request, m: usize) -> bool {
         let Some(state) = self.groups.get(&request.group) else { return false };
-        if self.capacity_share(m) >= 1.0 || request.was_sent_to(m) {
+        if self.capacity_share(m) >= 1.0 || request.was_sent_to(m) || request.was_withdrawn() {
             return false;
         }
         let home_replica = |x: &usize| {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,6 +1,7 @@
 //! State of members, groups and requests: plain data, no decisions.
 
 use crate::demand::{Demand, TenantShare};
+use crate::freshness::ReadAtWrite;
 use crate::interface::{
     AttemptSummary, Conclusion, Consistency, Explanation, MemberId, Outcome, Phase, Reason, RequestId,
     Settings,
@@ -129,23 +130,37 @@
 pub(crate) struct Attempt {
     pub member: usize,
     pub sent_at: f64,
-    /// The position that the answer must reflect, unless the member was known to have reached it.
-    pub required_position: Option<f64>,
+    /// What the answer must reflect, and what was known of the member, when the attempt was written.
+    pub read: ReadAtWrite,
     pub open: bool,
     pub cancelled: bool,
     /// The missing answer has already been counted against the member.
     pub overdue: bool,
     /// The attempt never reached its member.
     pub unsent: bool,
+    /// The attempt was not written, since its member may have been behind.
+    pub withdrawn: bool,
+    /// What the attempt took from the retry budget, being sent beside another one.
+    pub hedging_cost: f64,
     /// How the attempt ended, and what was concluded from that.
     pub ended: Option<(Outcome, Conclusion)>,
 }
 
 impl Attempt {
     /// An attempt that is being sent.
-    pub fn new(member: usize, sent_at: f64, required_position: Option<f64>) -> Attempt {
-        let (open, cancelled, overdue, unsent, ended) = (true, false, false, false, None);
-        Attempt { member, sent_at, required_position, open, cancelled, overdue, unsent, ended }
+    pub fn new(member: usize, sent_at: f64, read: ReadAtWrite) -> Attempt {
+        Attempt {
+            member,
+            sent_at,
+            read,
+            open: true,
+            cancelled: false,
+            overdue: false,
+            unsent: false,
+            withdrawn: false,
+            hedging_cost: 0.0,
+            ended: None,
+        }
     }
 }
 
@@ -161,6 +176,10 @@
     pub queue_until: f64,
     /// Lowest position that the answer must reflect; infinite if unknown: only the primary can serve it then.
     pub required_position: f64,
+    /// The part of it that other instances have reported, which members do not know.
+    pub session_position: f64,
+    /// The answer is passed on as it arrives, and so cannot be withheld.
+    pub streams_answer: bool,
     pub over_share: bool,
     pub session: Option<Arc<str>>,
     /// Drawn once per request: decides whether it belongs to the share that a cold member may get.
@@ -192,6 +211,8 @@
             deadline,
             queue_until: deadline,
             required_position: f64::NEG_INFINITY,
+            session_position: f64::NEG_INFINITY,
+            streams_answer: false,
             over_share: false,
             session: None,
             sample: 0.0,
@@ -211,12 +232,18 @@
 
     /// Returns true if only the primary can serve a request of this consistency.
     pub fn needs_primary(&self, consistency: Consistency) -> bool {
-        matches!(consistency, Consistency::Write | Consistency::Fresh) || self.position_unknown()
+        let needs_it = matches!(consistency, Consistency::Write | Consistency::Fresh);
+        needs_it || self.position_unknown() || self.history.withdrawals_spent()
     }
 
     /// Returns true if an attempt was made at the member.
     pub fn was_sent_to(&self, m: usize) -> bool {
-        self.attempts.iter().any(|a| a.member == m)
+        self.attempts.iter().any(|a| a.member == m && !a.withdrawn)
+    }
+
+    /// Returns true if an attempt was not written, since its member may have been behind.
+    pub fn was_withdrawn(&self) -> bool {
+        self.attempts.iter().any(|a| a.withdrawn)
     }
 
     /// Returns true if no attempt is known to have reached a member.
--- a/crates/routing/src/thresholds.rs
+++ b/crates/routing/src/thresholds.rs
@@ -12,3 +12,6 @@
 pub(crate) const PRIMARY_SEARCH_INTERVAL_FACTOR: f64 = 0.8;
 /// Number of requests of the whole fleet in flight at a member that one pooler's own are compared with.
 pub(crate) const FLEET_MIN_IN_FLIGHT: f64 = 8.0;
+
+/// Maximum retry budget: enough for the requests in flight at one member that fails.
+pub(crate) const MAX_RETRY_BUDGET: f64 = 20.0;
