sessions: a statement sent ahead is not written past the bound of its connection's replica

Callers saw: an ordinary client that sends its next statement before the last answer keeps its server connection, and so was answered by the same replica however far that had fallen behind since: nothing was compared after the first.

Cause: one decision for all that is sent ahead on a connection.

From then on a session that would release its connection once all is answered takes no new request of its client until it has been; the next request is routed anew. Sessions that are bound to a connection stay there.

--- a/crates/daemon/src/net/pooler/freshness.rs
+++ b/crates/daemon/src/net/pooler/freshness.rs
@@ -40,7 +40,7 @@
         let permission = self.may_write(&id, attempt, now);
         let Some(sessions) = &mut self.sessions else { return };
         match permission {
-            Ok(_) => sessions.attach(slot, server, context),
+            Ok(fresh_until) => sessions.attach(slot, server, fresh_until, context),
             Err(_) => {
                 if let Some((member, decided_at)) = sessions.withdraw_attempt_at(slot, server, context) {
                     let moments = trace::Moments { decided_at, ready_at: now, written_at: now };
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -31,6 +31,8 @@
     pub(super) member: MemberId,
     /// When the member was assigned (seconds).
     pub(super) assigned_at: f64,
+    /// Until when further requests of the client may be written to the server (seconds).
+    pub(super) fresh_until: f64,
     /// When the attempt is abandoned unless the session is attached to a connection (seconds).
     pub(super) attach_deadline: f64,
     pub(super) tenant: String,
@@ -101,6 +103,7 @@
             attempt,
             member: member.clone(),
             assigned_at: now,
+            fresh_until: f64::INFINITY,
             attach_deadline: now + timeout,
             tenant,
             attached: false,
@@ -211,8 +214,9 @@
         Some((assignment.member, assignment.assigned_at))
     }
 
-    /// Attaches a session to a connection that is reserved for it.
-    pub fn attach(&mut self, slot: Slot, server_slot: Slot, context: &mut Context) {
+    /// Attaches a session to a connection that is reserved for it. Requests of the client may be written to it until
+    /// `fresh_until` (seconds).
+    pub fn attach(&mut self, slot: Slot, server_slot: Slot, fresh_until: f64, context: &mut Context) {
         if self.servers.get(server_slot).is_some_and(|server| server.drain_until.is_some()) {
             // The member was drained meanwhile.
             self.close_connection(server_slot);
@@ -232,7 +236,7 @@
             return self.return_connection(server_slot, context);
         }
         (server.state, server.client, conn.server) = (ServerState::InUse, Some(slot), Some(server_slot));
-        assignment.attached = true;
+        (assignment.attached, assignment.fresh_until) = (true, fresh_until);
         conn.pending_request = None;
         context.events.push_back(Event::SessionAttached(assignment.id.clone()));
         let mut actions = Vec::new();
--- a/crates/daemon/src/net/sessions/client.rs
+++ b/crates/daemon/src/net/sessions/client.rs
@@ -162,11 +162,15 @@
         } else if let Some(session) =
             conn.session.as_mut().filter(|_| server_has_room && conn.transport.outbox.len() < PENDING_LIMIT)
         {
-            let ending = self.ending;
+            // The session releases its server once what it has sent is answered; its next request gets another.
+            let is_stale = conn.assignment.as_ref().is_some_and(|assignment| {
+                assignment.fresh_until.is_finite() && context.reactor.now() > assignment.fresh_until
+            });
+            let pauses = self.ending || is_stale && session.releases_when_answered();
             let mut bytes = 0;
             for _ in 0..MAX_MESSAGES_PER_STEP {
                 let full = bytes >= PENDING_LIMIT || !session.accepts_message();
-                if full || must_be_carried_out_first(&actions) || ending && session.is_between_requests() {
+                if full || must_be_carried_out_first(&actions) || pauses && session.is_between_requests() {
                     break;
                 }
                 match pgwire::read_message(&mut conn.transport.inbox) {
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -245,3 +245,17 @@
     assert!(!fixture.replica.got("SELECT waiting"));
     assert!(fixture.primary.got("SELECT waiting"));
 }
+
+/// Guards a statement that is sent ahead on a connection whose replica has passed its bound since the first.
+#[test]
+fn a_statement_sent_ahead_past_the_bound_waits_and_goes_elsewhere() {
+    let fixture = Fixture::start("");
+    fixture.learn_position();
+    let mut client = fixture.ordinary_client();
+    client.send(&query(SLOW));
+    std::thread::sleep(BOUND - AGE_AT_DECISION + Duration::from_millis(50));
+    client.send(&query("SELECT ahead"));
+    assert_eq!(value_of(&mut client), "replica");
+    assert_eq!(value_of(&mut client), "primary");
+    assert!(!fixture.replica.got("SELECT ahead"));
+}
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -183,6 +183,11 @@
         self.status == b'I' && !busy && self.queued.is_empty()
     }
 
+    /// Returns true if the session has a server connection that it releases once all that it has sent is answered.
+    pub fn releases_when_answered(&self) -> bool {
+        self.stage == Stage::Attached && self.mode != Mode::Session && self.pins().is_empty()
+    }
+
     /// Returns true if replies are pending.
     pub fn awaits_reply(&self) -> bool {
         !self.owed.replies.is_empty()
