reads: an ordinary client's read goes to a replica only if that is known to be fresh

Callers saw: where the settings say that members turn away reads for which they are behind, a bounded read of an ordinary client could go to a replica of unknown position. Members check what a platform request's comment says; an ordinary statement tells them nothing, so nobody checked.

Change: reads whose answers are streamed count as not checked by members. Such reads go to the primary until a replica's position is known, which is stricter than before at these sites.

--- a/crates/routing/src/read_checks.rs
+++ b/crates/routing/src/read_checks.rs
@@ -38,9 +38,11 @@
         self.requirement(request, self.now + pause)
     }
 
-    /// Returns true if members turn away the reads of a request for which they are behind.
+    /// Returns true if members turn away the reads of a request for which they are behind. They do not know what the
+    /// statements of ordinary clients require, whose answers are streamed.
     fn is_checked_by_members(&self, request: &Request) -> bool {
-        self.settings.when_behind != WhenBehind::ServeStale && !request.position_unknown()
+        let checks = self.settings.when_behind != WhenBehind::ServeStale;
+        checks && !request.position_unknown() && !request.streams_answer
     }
 
     /// Returns true if a member that checks positions may be fresh enough although it is not known to be: its last
