reads: an answer is judged by what its member had at the last byte, not by what it states

Callers saw: an answer was passed on if the position or the role that it stated was new enough. A replica that catches up, or becomes the primary, while it answers states what it has then, and has read older data.

Change: a replica that was not known to have reached the position passes only where members check it themselves. What other instances require must be known to be reached before the read is written. A stated role counts if the member was taken for the primary when the read was written. A stated position below one that was known is too old, too.

Positions are compared to the millisecond in which they are stated.

--- a/crates/routing/src/freshness.rs
+++ b/crates/routing/src/freshness.rs
@@ -65,13 +65,15 @@
         let required = self.requirement.position;
         let reached = self.position >= required;
         let nothing_stated = stated.position.is_none() && stated.primary.is_none();
+        let is_checked = is_checked && self.position >= self.requirement.unchecked_position;
         // Positions never decrease, so this member has lost data, or is another under the same name.
         let contradicts = stated.position.is_some_and(|position| position + POSITION_RESOLUTION < required);
         let is_fresh = match stated.primary {
-            Some(true) => true,
+            // One that was a replica may have become the primary after it read.
+            Some(true) if self.primary || is_checked => true,
             _ if reached => !contradicts,
             _ if nothing_stated && self.primary => primary,
-            _ if nothing_stated => is_checked && self.position >= self.requirement.unchecked_position,
+            _ if nothing_stated => is_checked,
             // What a member states may be newer than what it read, unless it has compared the two itself.
             _ => is_checked && stated_position_reaches(stated.position, required, elapsed),
         };
--- a/crates/routing/src/read_checks.rs
+++ b/crates/routing/src/read_checks.rs
@@ -47,12 +47,13 @@
 
     /// Returns true if a member that checks positions may be fresh enough although it is not known to be: its last
     /// known lag meets the requirement, or it has had time to catch up since it was last heard, or it was never
-    /// heard.
+    /// heard. What other instances require it cannot check, and must be known to have reached.
     pub(crate) fn may_be_fresh(&self, request: &Request, m: usize, required: f64) -> bool {
         let member = &self.members[m];
         let lag = member.position_at - member.position;
         let plausible = self.now - lag >= required || self.now - member.position_at > lag || lag.is_nan();
-        self.is_checked_by_members(request) && plausible && self.now >= member.catch_up_until
+        let is_checked = self.is_checked_by_members(request) && member.position >= request.session_position;
+        is_checked && plausible && self.now >= member.catch_up_until
     }
 
     fn is_primary(&self, request: &Request, m: usize) -> bool {
--- a/crates/routing/tests/read_checks.rs
+++ b/crates/routing/tests/read_checks.rs
@@ -147,6 +147,18 @@
     }
 }
 
+/// Guards against a member that has lost data, or another under its name.
+#[test]
+fn an_answer_from_below_the_position_that_its_member_had_reached_is_too_old() {
+    let mut d = serving_stale();
+    d.request("x", BOUNDED);
+    d.policy.record_written(&"x".into(), 0, d.now);
+    let assess =
+        |position| d.policy.assess_answer(&"x".into(), (0, 0.1), Outcome::Ok, (Some(position), Some(false)));
+    assert_eq!(assess(100.0 - BOUND - 0.01), Conclusion::TooOld);
+    assert_eq!(assess(100.0 - BOUND), Conclusion::AsReceived);
+}
+
 /// Guards ordinary clients where members check positions: members do not know what such a statement requires.
 #[test]
 fn a_streamed_read_goes_to_a_replica_only_if_that_is_known_to_be_fresh() {
@@ -160,6 +172,29 @@
     assert_eq!(may_write(&mut d, "known", 0), Err(Denial::Behind));
 }
 
+/// Guards what a session wrote through other instances, which no member knows: a stated position may be newer than the
+/// data that was read.
+#[test]
+fn what_other_instances_require_is_not_left_to_a_member_that_may_be_behind() {
+    let mut d = Drive::new(settings());
+    d.report_fresh("r");
+    let Event::Arrival(arrival) = of_session("x", 2) else { unreachable!() };
+    let arrival = Arrival { session_position: Some(100.2), ..arrival };
+    d.now += 0.3;
+    let actions = d.handle(Event::Arrival(arrival));
+    assert_eq!(sent(&actions), ["p"]);
+}
+
+#[test]
+fn a_replica_that_becomes_the_primary_while_it_answers_is_held_to_what_it_had_at_the_last_byte() {
+    let mut d = serving_stale();
+    d.now += 0.4;
+    d.request("x", BOUNDED);
+    d.policy.record_written(&"x".into(), 0, d.now + 0.15);
+    let stated = (Some(d.now + 0.2), Some(true));
+    assert_eq!(d.policy.assess_answer(&"x".into(), (0, 0.2), Outcome::Ok, stated), Conclusion::TooOld);
+}
+
 /// Other instances are asked again before a read is written.
 #[test]
 fn a_write_elsewhere_is_required_of_a_read_that_waits() {
