soak: ages of data count from the last byte; late connections while replicas lag

The oracle of the rule 'stale' counted a bound from the first attempt of a request, though the answer may be that of a later one, whose data may be younger: an answer states its attempt now, and its bound counts from when that had arrived.

In a third of the runs replicas apply the log 4 to 20 times more slowly while connections to them come up late, then they catch up at five times the usual pace.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -287,6 +287,7 @@
 /// Parses a row as the stand-in members write it.
 fn value(row: &[u8]) -> Option<Value> {
     let text = std::str::from_utf8(row.get(6..)?).ok()?;
-    let (position, primary) = text.split_once(' ')?;
-    Some(Value { position: position.parse().ok()?, primary: primary == "1" })
+    let mut fields = text.split(' ');
+    let (position, primary, attempt) = (fields.next()?, fields.next()?, fields.next()?);
+    Some(Value { position: position.parse().ok()?, primary: primary == "1", attempt: attempt.parse().ok()? })
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -59,6 +59,9 @@
                     fleet.freeze(member, now, lasts);
                 }
             }),
+            Fault::SlowReplay { group, rate, lasts, one_in, late } => {
+                self.with_fleet(|fleet, now| fleet.slow_replay(group, now, (rate, lasts), (one_in, late)))
+            }
             Fault::Failover { group, gap } => self.fail_over(group, gap),
             Fault::DiscoveryDown { lasts } => {
                 self.discovery.set_down(true);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,36 @@
 /// Start time in the list of members that have not restarted during the run (Unix milliseconds).
 const INITIAL_START_MS: u64 = 0;
 
+/// How fast a replica catches up after it has applied the log slowly, in multiples of the usual pace.
+const CATCH_UP_RATE: f64 = 5.0;
+
+/// A replica applies the log more slowly for a while, then catches up.
+#[derive(Clone, Copy, Debug)]
+struct SlowReplay {
+    /// Its position when that began, and when it did (seconds of the run).
+    position: f64,
+    since: f64,
+    /// Its pace as a share of the usual one, and until when (seconds of the run).
+    rate: f64,
+    until: f64,
+}
+
+impl SlowReplay {
+    fn position(&self, now: f64) -> f64 {
+        let slow_until = now.min(self.until);
+        let caught_up = CATCH_UP_RATE * (now - self.until).max(0.0);
+        self.position + self.rate * (slow_until - self.since) + caught_up
+    }
+}
+
+/// Some of a member's new connections come up late for a while.
+#[derive(Clone, Copy, Debug)]
+struct LateConnections {
+    one_in: usize,
+    by: f64,
+    until: f64,
+}
+
 /// The status of a member in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -47,6 +77,8 @@
     pub primary: bool,
     /// The position past which the member applies nothing, and until when (seconds of the run).
     frozen: Option<(f64, f64)>,
+    slow_replay: Option<SlowReplay>,
+    late_connections: Option<LateConnections>,
     /// When the member last restarted (seconds of the run). `None` if it has not restarted during the run.
     pub started_at: Option<f64>,
 }
@@ -57,10 +89,19 @@
         match self.frozen {
             Some((at, until)) if now < until => at,
             _ if self.primary => now,
-            _ => now - NORMAL_LAG,
+            _ => {
+                let slow = self.slow_replay.map_or(f64::INFINITY, |replay| replay.position(now));
+                slow.min(now - NORMAL_LAG)
+            }
         }
     }
 
+    /// Returns how long a new connection, by its number, takes to come up, if it comes up late (seconds).
+    pub fn connects_late(&self, now: f64, number: usize) -> Option<f64> {
+        let late = self.late_connections.filter(|late| now < late.until)?;
+        number.is_multiple_of(late.one_in).then_some(late.by)
+    }
+
     /// Returns the share of its full capacity that the member has at `now`.
     pub fn capacity_share(&self, now: f64) -> f64 {
         let age = self.started_at.map_or(WARM_UP, |at| now - at);
@@ -98,6 +139,8 @@
             trouble: Trouble::None,
             primary: n.is_multiple_of(plan.members),
             frozen: None,
+            slow_replay: None,
+            late_connections: None,
             started_at: None,
         };
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -127,6 +170,17 @@
         self.members[n].frozen = Some((position, now + duration));
     }
 
+    /// Has the replicas of a group apply the log at `rate` for `duration` (seconds), while one in `one_in` of the new
+    /// connections to them comes up late by `by` (seconds).
+    pub fn slow_replay(&mut self, group: usize, now: f64, (rate, duration): (f64, f64), late: (usize, f64)) {
+        let (until, (one_in, by)) = (now + duration, late);
+        for member in self.members.iter_mut().filter(|member| member.group == group && !member.primary) {
+            let position = member.position(now);
+            member.slow_replay = Some(SlowReplay { position, since: now, rate, until });
+            member.late_connections = Some(LateConnections { one_in, by, until });
+        }
+    }
+
     /// Restarts a member: it is cold, and behind for a while.
     pub fn restart(&mut self, n: usize, now: f64) {
         self.freeze(n, now, CATCH_UP_DELAY);
@@ -157,7 +211,7 @@
             |a: &usize, b: &usize| self.members[*a].position(now).total_cmp(&self.members[*b].position(now));
         if let Some(n) = eligible.max_by(by_position) {
             self.members[n].primary = true;
-            self.members[n].frozen = None;
+            (self.members[n].frozen, self.members[n].slow_replay) = (None, None);
         }
     }
 
--- a/crates/soak/src/members.rs
+++ b/crates/soak/src/members.rs
@@ -221,7 +221,10 @@
                 let member = connection.member;
                 let is_slow =
                     self.trouble(member) == Trouble::ConnectsLate || self.rng.u32(..SLOW_CONNECT_ONE_IN) == 0;
-                let wait = if is_slow { CONNECT_TIMEOUT * 0.9 * self.rng.f64() } else { 0.0 };
+                let drawn = if is_slow { CONNECT_TIMEOUT * 0.9 * self.rng.f64() } else { 0.0 };
+                let late =
+                    self.fleet.lock().expect("no holder panics").members[member].connects_late(now, token);
+                let wait = late.unwrap_or(drawn);
                 self.scheduled.push(Reverse(ScheduledAction {
                     at: now + wait,
                     connection: token,
@@ -264,7 +267,7 @@
             },
         );
         let Some(class) = class.and_then(|class| self.classes.get(class).cloned()) else { return };
-        let (bytes, reply, closes) = self.execute(n, &class, wire::key(sql), now);
+        let (bytes, reply, closes) = self.execute((n, attempt), &class, wire::key(sql), now);
         let trouble = self.trouble(n);
         if trouble == Trouble::Hangs {
             return;
@@ -280,7 +283,13 @@
 
     /// Runs or rejects a request. Returns the answer, its outcome, and whether the connection is closed after
     /// it.
-    fn execute(&mut self, n: usize, class: &Class, session: &str, now: f64) -> (Vec<u8>, Reply, bool) {
+    fn execute(
+        &mut self,
+        (n, attempt): (usize, u64),
+        class: &Class,
+        session: &str,
+        now: f64,
+    ) -> (Vec<u8>, Reply, bool) {
         let mut fleet = self.fleet.lock().expect("no holder panics");
         let write = class.consistency == Consistency::Write;
         if fleet.rejects(n, class.consistency, session, now) {
@@ -302,7 +311,7 @@
             fleet.commits.insert(session.to_string(), now);
         }
         let member = &fleet.members[n];
-        let value = format!("{} {}", member.position(now), u8::from(member.primary));
+        let value = format!("{} {} {attempt}", member.position(now), u8::from(member.primary));
         (
             [wire::row(&value), status_parameters(&fleet, n, now), wire::frame(b'Z', b"I")].concat(),
             Reply::Served,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -76,6 +76,15 @@
         machine: usize,
         lasts: f64,
     },
+    /// The replicas of a group apply the log at a share of the usual pace, while one in some of the new connections to
+    /// them comes up late by `late`.
+    SlowReplay {
+        group: usize,
+        rate: f64,
+        lasts: f64,
+        one_in: usize,
+        late: f64,
+    },
     /// A primary is deposed, and a replica becomes primary after `gap`.
     Failover {
         group: usize,
@@ -207,6 +216,8 @@
 ];
 /// Distinguishes the random numbers for floods, so that seeds draw the other faults as they did without them.
 const FLOOD_SEED: u64 = 0xf100d;
+/// The same for replicas that apply the log slowly. The seeds of known faults draw none.
+const SLOW_REPLAY_SEED: u64 = 0x1abb;
 /// Connect timeout of a pooler towards a member (seconds).
 pub const CONNECT_TIMEOUT: f64 = 0.25;
 /// Share of its capacity that a member has when it starts.
@@ -257,9 +268,25 @@
             plan.shim = Some(Shim { one_in: rng.u32(100..2_000), steps: vec![(at, step)], disk });
         }
         plan.draw_faults(&mut rng);
+        plan.draw_slow_replay();
         plan
     }
 
+    /// Draws groups whose replicas fall behind while connections to them come up late, in a part of the runs.
+    fn draw_slow_replay(&mut self) {
+        let mut rng = Rng::with_seed(self.seed ^ SLOW_REPLAY_SEED);
+        if rng.usize(..3) != 0 {
+            return;
+        }
+        for group in 0..self.groups {
+            let at = uniform(&mut rng, FAULT_FREE_START, self.seconds - FAULT_FREE_END);
+            let (rate, lasts) = (1.0 / uniform(&mut rng, 4.0, 20.0), uniform(&mut rng, 2.0, 9.0));
+            let (one_in, late) = (rng.usize(2..=4), CONNECT_TIMEOUT * uniform(&mut rng, 0.2, 0.9));
+            self.faults.push((at, Fault::SlowReplay { group, rate, lasts, one_in, late }));
+        }
+        self.faults.sort_by(|a, b| a.0.total_cmp(&b.0));
+    }
+
     fn draw_faults(&mut self, rng: &mut Rng) {
         let end = self.seconds - FAULT_FREE_END;
         let mut at = FAULT_FREE_START;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -14,6 +14,8 @@
     pub position: f64,
     /// Whether the member that answered was the primary.
     pub primary: bool,
+    /// Number of the attempt that was answered.
+    pub attempt: u64,
 }
 
 /// The answer that a client received.
