--- a/crates/routing/tests/read_checks.rs
+++ b/crates/routing/tests/read_checks.rs
@@ -204,3 +204,59 @@
     d.now += 0.2;
     assert_eq!(sent(&withdraw(&mut d, "x", 0)), ["p"]);
 }
+
+/// Guards a member on trial: a read that was not written has proved nothing.
+#[test]
+fn a_withdrawn_trial_leaves_the_next_one_to_another_read() {
+    let mut d = Drive::new(Settings { when_behind: WhenBehind::ServeStale, probes: false, ..settings() });
+    report_old(&mut d, "r");
+    d.request("refused", BOUNDED);
+    d.ended_after("refused", "r", 0, Outcome::ConnectFailed, 0.0);
+    // The ejection is over: one read at a time is tried.
+    d.now += 4.0;
+    report_old(&mut d, "r");
+    assert_eq!(sent(&d.request("trial", BOUNDED)), ["r"]);
+    assert_eq!(sent(&d.request("beside", BOUNDED)), ["p"]);
+    d.now += 0.1;
+    withdraw(&mut d, "trial", 0);
+    report_old(&mut d, "r");
+    assert_eq!(sent(&d.request("next", BOUNDED)), ["r"]);
+}
+
+/// Guards the retry budget: a second copy that was not written costs none.
+#[test]
+fn withdrawn_second_copies_leave_the_retry_budget_as_it_was() {
+    let settings = Settings { allow_hedging: true, ..settings() };
+    let settings = Settings { when_behind: WhenBehind::ServeStale, probes: false, ..settings };
+    let mut d = Drive::new(settings);
+    for n in 0..40 {
+        for member in ["r", "far"] {
+            let report = Report { position: Some(d.now - 0.05), primary: Some(false) };
+            d.handle(Event::ProbeEnded { member: member.into(), outcome: Outcome::Ok, report });
+        }
+        let id = format!("x{n}");
+        assert_eq!(sent(&d.request(&id, BOUNDED)), ["r"], "{n}");
+        assert_eq!(sent(&d.advance(0.4)).len(), 1, "{n}: no second copy");
+        let actions = d.handle(Event::WriteDenied { id: id.as_str().into(), attempt: 1 });
+        assert_eq!((sent(&actions), finals(&actions)), (vec![], 0), "{n}: the first attempt decides");
+        d.ended(&id, "r", 0, Outcome::Ok);
+        d.now += 1.0;
+    }
+}
+
+/// Guards members that have just started: what was withdrawn elsewhere does not go there.
+#[test]
+fn a_cold_replica_gets_no_withdrawn_read() {
+    let mut d = Drive::new(Settings { when_behind: WhenBehind::ServeStale, probes: false, ..settings() });
+    for n in 0..30 {
+        report_old(&mut d, "r");
+        let id = format!("x{n}");
+        assert_eq!(sent(&d.request(&id, BOUNDED)), ["r"]);
+        let cold = Entry { started_at: d.now, ..entry("far", 1, false) };
+        d.list(ListKind::Incremental, vec![cold]);
+        d.now += 0.1;
+        d.report_fresh("far");
+        assert_eq!(sent(&withdraw(&mut d, &id, 0)), ["p"], "{n}");
+        d.ended(&id, "p", 1, Outcome::Ok);
+    }
+}
