reads: tests of a long request in pieces and of a process that is held up

A long read to a member that reads slowly (small segments and receive buffer, so that 140 KB do not fit) is not completed past its bound, and neither is a read whose process was stopped while its connection came up. Both over real sockets; a unit test notes the last byte.

--- a/crates/daemon/src/net/servers.rs
+++ b/crates/daemon/src/net/servers.rs
@@ -844,4 +844,21 @@
         drop(member_end);
         assert_eq!(outcome_at_end(connection), Outcome::Reset);
     }
+
+    /// Guards the bound of a read, which counts from the last byte of its request.
+    #[test]
+    fn the_last_byte_is_noted_once_the_whole_request_is_written() {
+        let (mut connection, mut member_end) = connection_with_partial_write(140 * 1024);
+        let last_byte = |connection: &Connection| connection.job.as_ref().unwrap().last_byte;
+        assert!(connection.has_unwritten_request());
+        assert_eq!(last_byte(&connection), LastByte::Pending);
+        member_end.set_nonblocking(true).unwrap();
+        while connection.has_unwritten_request() {
+            let _ = member_end.read(&mut [0; 4096]);
+            assert!(matches!(connection.process(0.0, 1.0), Step::Waiting));
+        }
+        assert_eq!(last_byte(&connection), LastByte::Written);
+        let (connection, _member_end) = connection_with_partial_write(100);
+        assert_eq!(last_byte(&connection), LastByte::Written);
+    }
 }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -18,6 +18,11 @@
 const AGE_AT_DECISION: Duration = Duration::from_millis(350);
 /// How long the replica then keeps the read waiting: beyond the bound, and within the time to connect.
 const WAIT: Duration = Duration::from_millis(600);
+/// Receive buffer and segment size of members, so that a long request does not fit into the buffers of a connection.
+const RECEIVE_BUFFER_BYTES: usize = 2_048;
+const SEGMENT_BYTES: u32 = 536;
+/// Size of a long request, below the limit of a message.
+const LONG_REQUEST_BYTES: usize = 140 * 1024;
 /// A statement that takes its member `WAIT`.
 const SLOW: &str = "SELECT slow";
 
@@ -33,6 +38,8 @@
     startup_ms: AtomicU64,
     /// Whether connections are closed after each answer.
     closes: AtomicBool,
+    /// Whether the member waits for `WAIT` before it reads what has begun to arrive.
+    reads_late: AtomicBool,
     connections: AtomicUsize,
     queries: Mutex<Vec<String>>,
 }
@@ -47,6 +54,8 @@
 impl Member {
     fn start(name: &'static str, primary: bool) -> Member {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+        socket2::SockRef::from(&listener).set_tcp_mss(SEGMENT_BYTES).unwrap();
         let member = Member { address: listener.local_addr().unwrap(), name, shared: Arc::default() };
         let shared = member.shared.clone();
         std::thread::spawn(move || {
@@ -77,7 +86,7 @@
     let mut wire = Wire::from_stream(stream);
     std::thread::sleep(Duration::from_millis(shared.startup_ms.load(Ordering::SeqCst)));
     complete_startup(&mut wire);
-    while let Some((kind, body)) = wire.message() {
+    while let Some((kind, body)) = next_message(&mut wire, shared) {
         if kind != b'Q' {
             continue;
         }
@@ -92,6 +101,14 @@
     }
 }
 
+fn next_message(wire: &mut Wire, shared: &Shared) -> Option<Message> {
+    wire.0.peek(&mut [0]).ok()?;
+    if shared.reads_late.load(Ordering::SeqCst) {
+        std::thread::sleep(WAIT);
+    }
+    wire.message()
+}
+
 fn answer(sql: &str, name: &str, primary: bool, shared: &Shared) -> Vec<u8> {
     let ready = frame(b'Z', b"I");
     if sql.contains("c=order-write") && !primary {
@@ -193,6 +210,38 @@
     assert_eq!(fixture.replica.connections(), connections + 1);
 }
 
+/// Guards a long request that is written in pieces to a member that reads slowly: its last byte counts.
+#[test]
+fn a_long_read_is_not_completed_past_its_bound() {
+    let fixture = Fixture::start("");
+    fixture.learn_position();
+    fixture.replica.shared.reads_late.store(true, Ordering::SeqCst);
+    let long_key = "x".repeat(LONG_REQUEST_BYTES);
+    let mut client = client(&fixture.pooler);
+    client.send(&query(&request_sql("long", "browse").replace("7f3a", &long_key)));
+    assert_eq!(value_of(&mut client), "primary");
+    assert!(!fixture.replica.got("id=long,"), "the last byte was written to a replica that may be behind");
+    assert_eq!(fixture.pooler.counter("withdrawn_bounded"), 1);
+}
+
+/// Guards a process that was held up while a connection came up.
+#[test]
+fn a_read_that_waits_in_a_process_that_is_held_up_is_not_written_past_its_bound() {
+    let fixture = Fixture::start("");
+    fixture.replica.shared.closes.store(true, Ordering::SeqCst);
+    fixture.learn_position();
+    let startup = Duration::from_millis(50);
+    fixture.replica.shared.startup_ms.store(startup.as_millis() as u64, Ordering::SeqCst);
+    let mut client = client(&fixture.pooler);
+    client.send(&query(&request_sql("held-up", "browse")));
+    std::thread::sleep(startup / 2);
+    fixture.pooler.signal("STOP");
+    std::thread::sleep(WAIT);
+    fixture.pooler.signal("CONT");
+    assert_eq!(value_of(&mut client), "primary");
+    assert!(!fixture.replica.got("id=held-up,"));
+}
+
 /// Guards the same wait where the replica states a newer position meanwhile: the read stays there.
 #[test]
 fn a_read_whose_connection_comes_up_late_is_written_if_its_replica_is_known_to_be_fresh_by_then() {
