Split policy.rs and net/pooler.rs; expected replies no longer use what is owed

No behaviour changes. OwedAnswer stands with the expected replies, which ends the circle of pooling/src/{expected,owed}.rs.

--- a/crates/daemon/src/net/pooler.rs
+++ b/crates/daemon/src/net/pooler.rs
@@ -1,6 +1,8 @@
 //! Passes events of the connections to the [`Policy`] and carries out the actions that it returns. The only
 //! decisions made here are those that the resource limits of the process require.
 
+mod answers;
+mod arrivals;
 mod calls;
 mod configuration;
 mod departed;
@@ -22,38 +24,35 @@
 
 use buffer::Budget;
 use config::{Config, ListSource};
-use exchange::{Answer, Query, Statement};
+use exchange::{Answer, Statement};
 use lifecycle::Input as LifecycleInput;
 use mio::net::TcpListener;
 use mio::{Interest, Poll, Waker};
 use operator::EffectiveConfig;
-use routing::interface::{
-    self, Action, Arrival, AttemptEnded, Conclusion, Consistency, Effect, Evidence, ListKind, Outcome, Phase,
-    RequestId,
-};
+use routing::interface::{self, Action, Consistency, Evidence, ListKind, Outcome, Phase, RequestId};
 use routing::permission::History;
 use routing::Policy;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
-use transaction::{buffer_bytes, LiveMember, LiveState, RequestFailure, RESERVED_DESCRIPTORS};
+use transaction::{buffer_bytes, LiveMember, LiveState, RESERVED_DESCRIPTORS};
 
 use super::change::{self, Changes};
-use super::clients::{Clients, CommandNumber};
+use super::clients::Clients;
 use super::control::{ControlSocket, OwnedListener};
 use super::coordination::Coordination;
 use super::discovery::Discovery;
 use super::event_loop::{self, Handler, Reactor, Slot, Source, TimerKind};
 use super::registry::Registry;
 use super::servers::{Begun, Servers};
-use super::sessions::{Detachment, RoutedServerRequest, Sessions};
-use super::{Context, Event, ServerTask, TaskResult};
-use crate::counters::{count_outcome, Counters};
+use super::sessions::Sessions;
+use super::{Context, Event, ServerTask};
+use crate::counters::Counters;
 use crate::files;
 use crate::memory;
 use crate::numbers::{ActiveClass, NumberedSettings, Numbers};
 use departed::DepartedRequests;
 use handover::{InheritedState, PredecessorHandover, SuccessorHandover};
-use in_flight::{Access, InFlight};
+use in_flight::InFlight;
 use process_lifecycle::{PidFile, ProcessLifecycle};
 use sharing::SharingState;
 
@@ -543,307 +542,6 @@
         }
     }
 
-    fn handle_query(
-        &mut self,
-        (client, command): (Slot, CommandNumber),
-        query: Query,
-        context: &mut Context,
-    ) {
-        let id = RequestId::from(query.id);
-        let active_class = self.classes.iter().find(|class| class.name == query.class);
-        let invalid = match active_class {
-            None => Some("unknown class"),
-            Some(class) if class.effect == Effect::Keyed && !query.has_idempotency_key => {
-                Some("this class needs a key")
-            }
-            // Two requests with the same id could not be distinguished, and the member would take one for a
-            // repeat of the other.
-            Some(_) if self.requests.contains_key(&id) => Some("this id is in use"),
-            Some(_) => None,
-        };
-        let (Some(&ActiveClass { number: class, stable_id: class_id, consistency, .. }), None) =
-            (active_class, invalid)
-        else {
-            let answer = Answer::Invalid(invalid.unwrap_or_default());
-            return self.clients.answer(client, command, answer, context);
-        };
-        context.counters.requests += 1;
-        let now = context.reactor.now();
-        if self.departed.contains(&id, now) {
-            // It may have run for a client that has left.
-            return self.clients.answer(client, command, Answer::Failed, context);
-        }
-        let uses_session = matches!(consistency, Consistency::Write | Consistency::Session);
-        let tenant = self.tenants.iter().find(|(name, _)| *name == query.tenant).map(|(_, number)| *number);
-        // An unknown tenant gets a number that the policy does not know.
-        let tenant = tenant.unwrap_or(usize::MAX);
-        let access = Access { group: query.group, key: query.session_key.clone(), consistency };
-        let arrival = Arrival {
-            id: id.clone(),
-            class,
-            group: query.group,
-            time_left: query.timeout.min(self.kill_at - now).min(self.policy.class_deadline(class)),
-            required_position: query.required_position,
-            session: query.session_key.filter(|_| uses_session).map(names::session_name),
-            tenant,
-            predicted_work: None,
-            repeat: query.repeat,
-            client_rate: self.clients.request_rate(client, now),
-            session_position: None,
-            streams_answer: false,
-        };
-        let attempt_rules = self.policy.attempt_rules(class, now + arrival.time_left);
-        let request = Request {
-            reply_target: Some(ReplyTarget::Client(client)),
-            client_left: false,
-            statement: Rc::new(query.statement),
-            history: History::new(attempt_rules),
-            attempts_in_flight: Vec::new(),
-            class_id,
-            group: query.group,
-            repeat: query.repeat,
-            tenant,
-            arrived_at: now,
-            consistency,
-            sharing: SharingState::default(),
-        };
-        self.requests.insert(id, request);
-        match self.in_flight.insert((client, command), access, arrival, now) {
-            Some(arrival) => self.begin_request(arrival, consistency, context),
-            None => self.in_flight.set_timer(client, &mut context.reactor),
-        }
-    }
-
-    /// Starts a request, unless it first has to wait for other instances.
-    fn begin_request(&mut self, arrival: Arrival, consistency: Consistency, context: &mut Context) {
-        self.invalidate_writes_beside_predecessor(context);
-        if let Some(arrival) = self.coordinate_arrival(arrival, consistency, context) {
-            self.notify_policy(interface::Event::Arrival(arrival), context);
-        }
-    }
-
-    /// Starts a request that no longer has to wait for earlier requests of its connection.
-    fn handle_release(&mut self, client: Slot, id: &RequestId, context: &mut Context) {
-        let Some(mut arrival) = self.in_flight.release(client, id) else { return };
-        let Some(request) = self.requests.get(id) else { return };
-        let consistency = request.consistency;
-        arrival.time_left -= context.reactor.now() - request.arrived_at;
-        self.begin_request(arrival, consistency, context);
-    }
-
-    /// Refuses requests that have waited for earlier requests of their connection for the maximum time. They
-    /// were not sent.
-    fn refuse_expired(&mut self, client: Slot, context: &mut Context) {
-        self.in_flight.timer_fired(client);
-        for id in self.in_flight.expired(client, context.reactor.now()) {
-            let backoff = self.lifecycle.jittered_backoff(self.retry_after);
-            trace::refused_unsent(&id, "waited too long for earlier requests of its connection");
-            self.answer(&id, Answer::Refused(backoff), context);
-        }
-        self.in_flight.set_timer(client, &mut context.reactor);
-    }
-
-    /// An ordinary client's session requests a server. This counts as one request, whatever the session sends
-    /// to the server.
-    fn handle_server_request(&mut self, slot: Slot, request: RoutedServerRequest, context: &mut Context) {
-        let RoutedServerRequest { id, class, tenant, group } = request;
-        let Some(&ActiveClass { number, stable_id: class_id, consistency, .. }) =
-            self.classes.iter().find(|c| c.name == class)
-        else {
-            let answer = Answer::Invalid("unknown class");
-            return self.sessions.iter_mut().for_each(|sessions| sessions.refuse(slot, &answer, context));
-        };
-        context.counters.requests += 1;
-        let uses_session = matches!(consistency, Consistency::Write | Consistency::Session);
-        let known = self.tenants.iter().find(|(name, _)| *name == tenant).map(|(_, number)| *number);
-        let tenant = known.unwrap_or(usize::MAX);
-        let arrival = Arrival {
-            id: id.clone(),
-            class: number,
-            group,
-            // The deadline of its class limits how long it waits.
-            time_left: f64::MAX,
-            required_position: None,
-            session: uses_session.then(|| format!("session-{}", slot.number()).into()),
-            tenant,
-            predicted_work: None,
-            repeat: false,
-            client_rate: 0.0,
-            session_position: None,
-            streams_answer: true,
-        };
-        let request = Request {
-            reply_target: Some(ReplyTarget::Session(slot)),
-            client_left: false,
-            statement: Rc::new(Statement::new("".into(), 0..0)),
-            history: History::new(self.policy.attempt_rules(number, f64::INFINITY)),
-            attempts_in_flight: Vec::new(),
-            class_id,
-            group,
-            repeat: false,
-            tenant,
-            arrived_at: context.reactor.now(),
-            consistency,
-            sharing: SharingState::default(),
-        };
-        self.requests.insert(id, request);
-        self.invalidate_writes_beside_predecessor(context);
-        self.notify_policy(interface::Event::Arrival(arrival), context);
-    }
-
-    /// A session has been detached from its server, or could not be attached to it.
-    fn handle_detachment(&mut self, detachment: Detachment, context: &mut Context) {
-        let Detachment { id, attempt, member, outcome, elapsed, primary } = detachment;
-        count_outcome(&mut context.counters.attempt_outcomes, outcome);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        // The end of a withdrawn attempt may be reported after the next attempt was begun.
-        request.attempts_in_flight.retain(|(number, _)| *number != attempt);
-        let conclusion = Conclusion::AsReceived;
-        request.history.end(attempt, Evidence::of(outcome, conclusion));
-        let finished = request.reply_target.is_none();
-        if finished {
-            if let Some(changes) = &mut self.changes {
-                let failure = (outcome != Outcome::Ok).then_some(RequestFailure::Failed);
-                let now = context.reactor.now();
-                changes.record_request(now, (request.class_id, request.group), false, failure, elapsed);
-            }
-        }
-        let report = interface::Report::default();
-        let attempt_ended = AttemptEnded {
-            id: id.clone(),
-            member,
-            attempt,
-            outcome,
-            conclusion,
-            finished,
-            elapsed,
-            position: None,
-            primary,
-            report,
-        };
-        let actions = self.decide(interface::Event::AttemptEnded(attempt_ended), context);
-        self.remove_if_finished(&id, context.reactor.now());
-        self.carry_out(actions, context);
-    }
-
-    /// A client has left: its requests need no answers any more, and their attempts are cancelled.
-    fn handle_client_left(&mut self, client: Slot, context: &mut Context) {
-        for id in self.in_flight.take_all(client) {
-            let Some(request) = self.requests.get_mut(&id) else { continue };
-            context.counters.requests_abandoned += 1;
-            request.reply_target = None;
-            request.client_left = true;
-            request.history.close();
-            self.notify_policy(interface::Event::ClientLeft { id: id.clone() }, context);
-            self.cancel_attempts(&id, context);
-            self.remove_if_finished(&id, context.reactor.now());
-        }
-    }
-
-    /// Sends the final answer of a request, unless it has been answered or its client has left.
-    fn answer(&mut self, id: &RequestId, answer: Answer, context: &mut Context) {
-        let answer = self.permitted_answer(id, answer, context);
-        let Some(request) = self.requests.get_mut(id) else { return };
-        request.history.close();
-        if let Some(client) = request.reply_target.take() {
-            if let Some(changes) = &mut self.changes {
-                let failure = match answer {
-                    Answer::Served(_) => None,
-                    Answer::Refused(_) => Some(RequestFailure::Refused),
-                    Answer::Failed | Answer::Invalid(_) => Some(RequestFailure::Failed),
-                };
-                let now = context.reactor.now();
-                changes.record_request(
-                    now,
-                    (request.class_id, request.group),
-                    request.repeat,
-                    failure,
-                    now - request.arrived_at,
-                );
-            }
-            match client {
-                ReplyTarget::Client(client) => {
-                    if let Some((command, released)) = self.in_flight.finish(client, id) {
-                        let released = released.into_iter().map(|id| Event::RequestReleased(client, id));
-                        context.events.extend(released);
-                        self.clients.answer(client, command, answer, context);
-                    }
-                }
-                ReplyTarget::Session(slot) => {
-                    self.sessions.iter_mut().for_each(|sessions| sessions.refuse(slot, &answer, context));
-                }
-            }
-        }
-        self.remove_if_finished(id, context.reactor.now());
-    }
-
-    /// Cancels the attempts in flight of a request.
-    fn cancel_attempts(&mut self, id: &RequestId, context: &mut Context) {
-        let attempts =
-            self.requests.get(id).map(|request| request.attempts_in_flight.clone()).unwrap_or_default();
-        for (attempt, slot) in attempts {
-            slot.into_iter().for_each(|slot| self.servers.cancel(slot, id, attempt, context));
-        }
-    }
-
-    /// Removes a request that has neither a pending reply nor an attempt in flight.
-    fn remove_if_finished(&mut self, id: &RequestId, now: f64) {
-        if self
-            .requests
-            .get(id)
-            .is_some_and(|request| request.reply_target.is_none() && request.attempts_in_flight.is_empty())
-        {
-            if let Some(request) = self.requests.remove(id) {
-                if request.client_left && request.history.may_have_had_an_effect() {
-                    self.departed.insert(id, now);
-                }
-                self.release_write_ticket(&request.sharing, now);
-            }
-        }
-    }
-
-    fn handle_task_result(&mut self, result: TaskResult, context: &mut Context) {
-        let TaskResult { task, member, outcome, elapsed, position, primary, report, value } = result;
-        let ServerTask::Attempt(id, attempt, _) = task else {
-            count_outcome(&mut context.counters.probe_outcomes, outcome);
-            return self.notify_policy(interface::Event::ProbeEnded { member, outcome, report }, context);
-        };
-        let reported = (position, primary);
-        let conclusion = self.policy.assess_answer(&id, (attempt, elapsed), outcome, reported);
-        trace::attempt_ended(&id, (attempt, elapsed), &member, (outcome, conclusion), reported);
-        count_outcome(&mut context.counters.attempt_outcomes, outcome);
-        if let (Conclusion::TooOld, Some(request)) = (conclusion, self.requests.get(&id)) {
-            context.counters.too_old.count(request.consistency);
-        }
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.history.end(attempt, Evidence::of(outcome, conclusion));
-        // A hedged attempt may still be in flight: the policy needs its end as well, since it counts the
-        // attempts at each member.
-        request.attempts_in_flight.retain(|(number, _)| *number != attempt);
-        let served = outcome == Outcome::Ok && conclusion == Conclusion::AsReceived;
-        let finished = served || request.reply_target.is_none();
-        let attempt_ended = AttemptEnded {
-            id: id.clone(),
-            member,
-            attempt,
-            outcome,
-            conclusion,
-            finished,
-            elapsed,
-            position,
-            primary,
-            report,
-        };
-        // The policy processes the member's state in the answer before the client can react to the answer.
-        let actions = self.decide(interface::Event::AttemptEnded(attempt_ended), context);
-        if !served {
-            self.remove_if_finished(&id, context.reactor.now());
-        } else if let Some(value) = self.coordinate_answer(&id, position, value, context) {
-            self.answer(&id, Answer::Served(value), context);
-        }
-        self.carry_out(actions, context);
-    }
-
     /// Returns the live state that a configuration change is checked against.
     fn live_state(&self) -> LiveState {
         let Some(changes) = &self.changes else { return LiveState::default() };
--- a/crates/pooling/src/expected.rs
+++ b/crates/pooling/src/expected.rs
@@ -4,7 +4,6 @@
 
 use sql::Pin;
 
-use crate::owed::OwedAnswer;
 use crate::server_state::StatementDigest;
 use crate::settings::Effect;
 
@@ -78,6 +77,15 @@
     }
 }
 
+/// An answer that a client is owed when its server is lost.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum OwedAnswer {
+    /// The answer to a query or a batch that the server has not answered completely.
+    FromServer,
+    /// The session's own answer to a query, without its ReadyForQuery.
+    Local(Vec<u8>),
+}
+
 /// A reply, and the memory that is counted for it until it is removed (bytes).
 type Entry = (ExpectedReply, usize);
 
--- a/crates/pooling/src/owed.rs
+++ b/crates/pooling/src/owed.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use crate::expected::{ExpectedReplies, ExpectedReply, PendingStatement};
+use crate::expected::{ExpectedReplies, ExpectedReply, OwedAnswer, PendingStatement};
 use crate::server_state::StatementDigest;
 
 /// The messages that ReadyForQuery ends the answer to.
@@ -20,15 +20,6 @@
     Sync,
 }
 
-/// An answer that a client is owed when its server is lost.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) enum OwedAnswer {
-    /// The answer to a query or a batch that the server has not answered completely.
-    FromServer,
-    /// The session's own answer to a query, without its ReadyForQuery.
-    Local(Vec<u8>),
-}
-
 /// What a client is owed when its server is lost.
 #[derive(Debug)]
 pub(crate) struct Loss {
--- a/crates/pooling/src/session/loss.rs
+++ b/crates/pooling/src/session/loss.rs
@@ -4,8 +4,8 @@
 use pgwire::{error_response, sqlstate};
 
 use super::{Action, Session, Stage};
-use crate::expected::{ExpectedReply, PendingStatement};
-use crate::owed::{Loss, OwedAnswer};
+use crate::expected::{ExpectedReply, OwedAnswer, PendingStatement};
+use crate::owed::Loss;
 use crate::settings::Effect;
 
 /// Why a session loses its server connection.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,6 +26,7 @@
 mod latency;
 mod list_requests;
 mod load;
+mod member_choice;
 mod messages;
 mod observed_state;
 mod outcome;
