--- a/crates/daemon/src/net/pooler/freshness.rs
+++ b/crates/daemon/src/net/pooler/freshness.rs
@@ -56,10 +56,11 @@
         self.policy.may_write(id, attempt, now)
     }
 
-    /// Counts an attempt that was not written, which the policy is told of once it has taken its present decisions.
+    /// Counts an attempt that was not sent after all, which the policy is told of once it has taken its present decisions.
     fn withdraw_attempt(&mut self, id: RequestId, attempt: usize, context: &mut Context) {
         if let Some(request) = self.requests.get(&id) {
             context.counters.withdrawn.count(request.consistency);
+            context.counters.attempts_sent -= 1;
         }
         context.events.push_back(Event::AttemptWithdrawn(id, attempt));
     }
--- a/crates/daemon/src/net/sessions/assignment.rs
+++ b/crates/daemon/src/net/sessions/assignment.rs
@@ -194,7 +194,9 @@
 
     /// Returns a reserved connection to the pool, if its session does not wait for it any more.
     pub fn return_unclaimed(&mut self, server_slot: Slot, context: &mut Context) {
-        if self.servers.get(server_slot).is_some_and(|server| server.state == ServerState::Reserved) {
+        let is_unclaimed =
+            |server: &ServerConnection| server.state == ServerState::Reserved && server.client.is_none();
+        if self.servers.get(server_slot).is_some_and(is_unclaimed) {
             self.return_connection(server_slot, context);
         }
     }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -242,6 +242,37 @@
     assert!(!fixture.replica.got("id=held-up,"));
 }
 
+/// Returns the value of a field of a log line.
+fn field(line: &str, name: &str) -> f64 {
+    let value = line.split(&format!(" {name}=")).nth(1).and_then(|rest| rest.split(' ').next());
+    value.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name}: {line}"))
+}
+
+/// Guards the last byte, by which answers are judged: it is told with what was required and known then.
+#[test]
+fn the_last_byte_of_an_attempt_is_logged_with_its_decision_and_its_connection() {
+    let fixture = Fixture::start("[log]\nlevel = \"debug\"\n");
+    fixture.replica.shared.closes.store(true, Ordering::SeqCst);
+    fixture.learn_position();
+    let startup = Duration::from_millis(100);
+    fixture.replica.shared.startup_ms.store(startup.as_millis() as u64, Ordering::SeqCst);
+    assert_eq!(served_by(&mut client(&fixture.pooler), "logged", "browse"), "replica");
+    let line = loop {
+        let line = fixture.pooler.wait_for_log("attempt.written");
+        if line.contains("logged") {
+            break line;
+        }
+    };
+    let moments = ["decided_at", "ready_at", "written_at"].map(|name| field(&line, name));
+    assert!(moments[1] - moments[0] >= startup.as_secs_f64() - 0.01, "{line}");
+    assert!(moments.is_sorted(), "{line}");
+    assert!((moments[2] - BOUND.as_secs_f64() - field(&line, "required")).abs() < 1e-6, "{line}");
+    assert_eq!(
+        field(&line, "position"),
+        fixture.replica.shared.position.load(Ordering::SeqCst) as f64 / 1000.0
+    );
+}
+
 /// Guards the same wait where the replica states a newer position meanwhile: the read stays there.
 #[test]
 fn a_read_whose_connection_comes_up_late_is_written_if_its_replica_is_known_to_be_fresh_by_then() {
