sessions: the Sync of a failed batch is not held back past the bound

A session whose replica's bound has passed takes no new request until all is answered. A batch that has failed counts as none begun, so that its Sync was held back too; the server answers only after that. The client got ReadyForQuery when somebody gave the connection up.

Change: nothing is held back where no reply is pending or the rest of a batch is skipped.

--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -23,8 +23,11 @@
 const SEGMENT_BYTES: u32 = 536;
 /// Size of a long request, below the limit of a message.
 const LONG_REQUEST_BYTES: usize = 140 * 1024;
-/// A statement that takes its member `WAIT`.
+/// By when a Sync is answered at the latest: long before anybody gives the connection up.
+const SYNC_LIMIT: Duration = Duration::from_secs(5);
+/// A statement that takes its member `WAIT`, and one that fails.
 const SLOW: &str = "SELECT slow";
+const FAILING: &str = "SELECT failing";
 
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
@@ -86,11 +89,20 @@
     let mut wire = Wire::from_stream(stream);
     std::thread::sleep(Duration::from_millis(shared.startup_ms.load(Ordering::SeqCst)));
     complete_startup(&mut wire);
+    let mut fails = false;
     while let Some((kind, body)) = next_message(&mut wire, shared) {
+        let sql = String::from_utf8_lossy(&body).into_owned();
         if kind != b'Q' {
+            // Of a batch only the Parse and the Sync are answered, the former with an error if it asks for one.
+            fails |= kind == b'P' && sql.contains(FAILING);
+            match kind {
+                b'P' if fails => wire.send(&frame(b'E', b"SERROR\0C42601\0\0")),
+                b'S' if std::mem::take(&mut fails) => wire.send(&frame(b'Z', b"I")),
+                b'S' => wire.send(&batch_answer(name)),
+                _ => {}
+            }
             continue;
         }
-        let sql = String::from_utf8_lossy(&body).into_owned();
         shared.queries.lock().unwrap().push(sql.clone());
         if sql.contains(SLOW) {
             std::thread::sleep(WAIT);
@@ -101,6 +113,19 @@
     }
 }
 
+/// Returns the answer to a batch of Parse, Bind, Execute and Sync.
+fn batch_answer(name: &str) -> Vec<u8> {
+    let messages = row(name.as_bytes());
+    let description_length = 1 + u32::from_be_bytes(messages[1..5].try_into().unwrap()) as usize;
+    [&frame(b'1', b""), &frame(b'2', b""), &messages[description_length..], &frame(b'Z', b"I")].concat()
+}
+
+/// A batch of the extended protocol without its Sync.
+fn batch(sql: &str) -> Vec<u8> {
+    let parse = [b"\0", sql.as_bytes(), b"\0\0\0"].concat();
+    [frame(b'P', &parse), frame(b'B', &[0; 8]), frame(b'E', &[0; 5])].concat()
+}
+
 fn next_message(wire: &mut Wire, shared: &Shared) -> Option<Message> {
     wire.0.peek(&mut [0]).ok()?;
     if shared.reads_late.load(Ordering::SeqCst) {
@@ -339,3 +364,38 @@
     assert_eq!(value_of(&mut client), "primary");
     assert!(!fixture.replica.got("SELECT ahead"));
 }
+
+/// Guards the end of a batch that has failed: held back past the bound, it would leave its client without an answer.
+#[test]
+fn the_sync_of_a_failed_batch_is_not_held_back_past_the_bound() {
+    let fixture = Fixture::start("");
+    fixture.learn_position();
+    let mut client = fixture.ordinary_client();
+    client.send(&[query(SLOW), batch(FAILING), frame(b'H', b"")].concat());
+    assert_eq!(value_of(&mut client), "replica");
+    assert_eq!(client.message().map(|(kind, _)| kind), Some(b'E'));
+    std::thread::sleep(BOUND);
+    let sent_at = Instant::now();
+    client.send(&frame(b'S', b""));
+    assert_eq!(client.message().map(|(kind, _)| kind), Some(b'Z'));
+    assert!(sent_at.elapsed() < SYNC_LIMIT, "answered only when the connection was given up");
+    client.send(&[batch("SELECT next"), frame(b'S', b"")].concat());
+    assert_eq!(value_of(&mut client), "primary");
+}
+
+/// Guards batches of the extended protocol in the same way as queries.
+#[test]
+fn a_batch_whose_connection_comes_up_late_is_not_written_past_its_bound() {
+    let fixture = Fixture::start("");
+    fixture.learn_position();
+    let mut client = fixture.ordinary_client();
+    client.send(&[batch("SELECT known"), frame(b'S', b"")].concat());
+    assert_eq!(value_of(&mut client), "replica");
+    let mut holder = fixture.ordinary_client();
+    holder.send(&query(SLOW));
+    std::thread::sleep(Duration::from_millis(20));
+    fixture.connect_late();
+    client.send(&[batch("SELECT late"), frame(b'S', b"")].concat());
+    assert_eq!(value_of(&mut client), "primary");
+    assert!(!fixture.replica.got("SELECT late"));
+}
--- a/crates/pooling/src/session.rs
+++ b/crates/pooling/src/session.rs
@@ -183,9 +183,11 @@
         self.status == b'I' && !busy && self.queued.is_empty()
     }
 
-    /// Returns true if the session has a server connection that it releases once all that it has sent is answered.
+    /// Returns true if replies are pending, and the session releases its server connection once it has them. A batch
+    /// that has failed is no such: the server answers once the client has sent its Sync.
     pub fn releases_when_answered(&self) -> bool {
-        self.stage == Stage::Attached && self.mode != Mode::Session && self.pins().is_empty()
+        let is_answered = self.stage == Stage::Attached && self.awaits_reply() && !self.owed.is_skipping();
+        is_answered && self.mode != Mode::Session && self.pins().is_empty()
     }
 
     /// Returns true if replies are pending.
