reads: an answer that states a position and no role counts as before at the primary

A believed primary's answer with a position but no role was too old where members do not check positions, whatever the position.

Their tests: the position that is known is compared exactly in peer_reports.rs; the assessment has a table of unit tests (routing/src/freshness/tests.rs) with the four cases that it had, and what they say where members do not check.

--- a/crates/routing/src/freshness.rs
+++ b/crates/routing/src/freshness.rs
@@ -11,7 +11,7 @@
 
 /// What a read must reflect if its last byte is written at a given time.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Requirement {
+pub(crate) struct Requirement {
     /// Lowest position of the data; infinite if only the primary has it.
     pub position: f64,
     /// The part of it that members do not know, and so cannot check: what the session wrote elsewhere.
@@ -72,8 +72,11 @@
             // One that was a replica may have become the primary after it read.
             Some(true) if self.primary || is_checked => true,
             _ if reached => !contradicts,
-            _ if nothing_stated && self.primary => primary,
-            _ if nothing_stated => is_checked,
+            // Of a primary that does not state its role, what is known by now counts.
+            None if self.primary && primary => {
+                nothing_stated || stated_position_reaches(stated.position, required, elapsed)
+            }
+            _ if nothing_stated => is_checked && !self.primary,
             // What a member states may be newer than what it read, unless it has compared the two itself.
             _ => is_checked && stated_position_reaches(stated.position, required, elapsed),
         };
@@ -85,17 +88,11 @@
     }
 }
 
-/// Assesses an answer by what it states alone: it is too old if a replica states a position below `required`, or none.
-pub(crate) fn assess_stated(stated: Stated, required: f64, elapsed: f64) -> Conclusion {
-    if stated.primary == Some(true) || stated_position_reaches(stated.position, required, elapsed) {
-        Conclusion::AsReceived
-    } else {
-        Conclusion::TooOld
-    }
-}
-
 /// Returns true if an answer's position proves that its data has the required one: the answer was begun `elapsed`
 /// seconds ago, and the data may be older by that time.
 fn stated_position_reaches(position: Option<f64>, required: f64, elapsed: f64) -> bool {
     position.is_some_and(|position| position - elapsed >= required)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/routing/src/read_checks.rs
+++ b/crates/routing/src/read_checks.rs
@@ -4,8 +4,8 @@
 //! [`freshness`]: crate::freshness
 
 use crate::effect::Effect;
-use crate::freshness::{assess_stated, Knowledge, ReadAtWrite, Requirement, Stated};
-use crate::interface::{Conclusion, Consistency, MemberId, Outcome, RequestId, WhenBehind};
+use crate::freshness::{Knowledge, ReadAtWrite, Requirement, Stated};
+use crate::interface::{Conclusion, Consistency, Outcome, RequestId, WhenBehind};
 use crate::permission::{Denial, MAX_PROCESS_PAUSE};
 use crate::state::{Policy, Request};
 
@@ -142,23 +142,4 @@
             request.session_position = request.session_position.max(position);
         }
     }
-
-    /// Returns true if the member is the primary or has been observed at `position` or later.
-    pub fn has_reached(&self, member: &MemberId, position: f64) -> bool {
-        self.by_id.get(member).is_some_and(|&m| {
-            let primary = self.groups.get(&self.members[m].group).and_then(|group| group.primary);
-            primary == Some(m) || self.members[m].position >= position
-        })
-    }
-
-    /// Assesses an answer by what it states alone: it is too old if a replica states a position below `required`, or
-    /// none.
-    pub fn assess_freshness(
-        primary: Option<bool>,
-        position: Option<f64>,
-        required: f64,
-        elapsed: f64,
-    ) -> Conclusion {
-        assess_stated(Stated { position, primary }, required, elapsed)
-    }
 }
--- a/crates/routing/tests/peer_reports.rs
+++ b/crates/routing/tests/peer_reports.rs
@@ -76,18 +76,8 @@
     // after the start, before which any session may have written.
     let near = arrive(&mut policy, 100.4, "2", 0, Some(100.1)).unwrap();
     assert!(["a", "b"].contains(&near.as_str()), "{near}");
-    assert!(
-        policy.has_reached(&near.as_str().into(), 100.1) && !policy.has_reached(&near.as_str().into(), 100.3)
-    );
-}
-
-#[test]
-fn an_answer_that_may_not_reflect_the_required_position_is_too_old() {
-    let at = |primary, position| Policy::assess_freshness(primary, position, 50.0, 0.2);
-    assert_eq!(at(Some(false), Some(50.1)), Conclusion::TooOld);
-    assert_eq!(at(Some(false), Some(50.3)), Conclusion::AsReceived);
-    assert_eq!(at(None, None), Conclusion::TooOld);
-    assert_eq!(at(Some(true), None), Conclusion::AsReceived);
+    let seen = policy.observations().into_iter().find(|seen| *seen.observed.member == *near).unwrap();
+    assert_eq!(seen.observed.position, Some(100.2));
 }
 
 #[test]
