reads: a replica of unknown position is still tried where other instances require one

A replica that was not known to have reached a position that other instances require got no such read, and so its position stayed unknown: all went to the primary.

Change: where members check positions, a read that can be sent again may try such a replica, as before. Its answer counts only as far as the position was known at the last byte; else it is sent again, and the next read relies on what the answer stated. So the first read behind a position that was not known costs one more attempt than before.

Run: the suites of routing, directory and instances; before the change directory failed (0 of 20 reads at the replica).

--- a/crates/routing/src/read_checks.rs
+++ b/crates/routing/src/read_checks.rs
@@ -33,11 +33,15 @@
     }
 
     fn requirement_at_write(&self, request: &Request) -> Requirement {
-        let repeatable = self.settings.classes[request.class].effect != Effect::Unsafe;
-        let pause = if repeatable && !request.streams_answer { 0.0 } else { MAX_PROCESS_PAUSE };
+        let pause = if self.can_be_sent_again(request) { 0.0 } else { MAX_PROCESS_PAUSE };
         self.requirement(request, self.now + pause)
     }
 
+    /// Returns true if an answer that is too old can be withheld, and the read sent to another member.
+    fn can_be_sent_again(&self, request: &Request) -> bool {
+        self.settings.classes[request.class].effect != Effect::Unsafe && !request.streams_answer
+    }
+
     /// Returns true if members turn away the reads of a request for which they are behind. They do not know what the
     /// statements of ordinary clients require, whose answers are streamed.
     fn is_checked_by_members(&self, request: &Request) -> bool {
@@ -47,13 +51,14 @@
 
     /// Returns true if a member that checks positions may be fresh enough although it is not known to be: its last
     /// known lag meets the requirement, or it has had time to catch up since it was last heard, or it was never
-    /// heard. What other instances require it cannot check, and must be known to have reached.
+    /// heard. What other instances require it cannot check: such a read shows its position, and is sent again if that
+    /// was not known before.
     pub(crate) fn may_be_fresh(&self, request: &Request, m: usize, required: f64) -> bool {
         let member = &self.members[m];
         let lag = member.position_at - member.position;
         let plausible = self.now - lag >= required || self.now - member.position_at > lag || lag.is_nan();
-        let is_checked = self.is_checked_by_members(request) && member.position >= request.session_position;
-        is_checked && plausible && self.now >= member.catch_up_until
+        let may_try = member.position >= request.session_position || self.can_be_sent_again(request);
+        self.is_checked_by_members(request) && may_try && plausible && self.now >= member.catch_up_until
     }
 
     fn is_primary(&self, request: &Request, m: usize) -> bool {
